--- /dev/null
+++ b/examples/loop.rs
@@ -0,0 +1,135 @@
+//! A host's loop around one gateway: events in, actions out, timers, a counter, a backend, a restart.
+//! Time is a plain number here; a real host uses a clock that agrees with those of the other gateways.
+
+use doorcourse::{
+    Action, Arrival, AttemptEnd, BackendEntry, BackendState, Class, CountOutcome, Effect, Event, Gateway,
+    Group, Millis, Outcome, Plan, Settings,
+};
+use std::collections::BTreeMap;
+
+/// What is to happen, by time (whole ms) and order.
+type Agenda = BTreeMap<(u64, u64), Event>;
+
+fn settings() -> Settings {
+    let class = Class {
+        name: "read".into(),
+        aim: 500.0,
+        effect: Effect::Safe,
+        group: Group::All,
+        memory: 0.0,
+        worth: 1.0,
+        late_worth: 0.0,
+    };
+    let plan = Plan {
+        name: "basic".into(),
+        rate: 5.0,
+        burst: 4.0,
+        open: 0,
+        ceiling_rate: 0.0,
+        ceiling_burst: 0.0,
+        ceiling_slack: 0.0,
+        price: 1.0,
+        over_worth: 0.0,
+        over_cost: 1.0,
+    };
+    Settings {
+        gateways: 1,
+        zone: "a".into(),
+        tick: 1.0,
+        classes: vec![class],
+        plans: vec![plan],
+        counter: true,
+        counter_timeout: 50.0,
+        most_attempts: 3,
+        longest_advice: 1000.0,
+        cold_share: 0.2,
+        cold_time: 10_000.0,
+        ..Settings::default()
+    }
+}
+
+fn main() -> Result<(), doorcourse::SettingsError> {
+    let mut gateway = Gateway::new(settings(), 42)?;
+    let (mut agenda, mut order) = (Agenda::new(), 0);
+    let mut plan = |agenda: &mut Agenda, at: Millis, event: Event| {
+        order += 1;
+        agenda.insert((at.ceil() as u64, order), event);
+    };
+    let backend = BackendEntry {
+        name: "b1".into(),
+        zone: "a".into(),
+        cell: 0,
+        state: BackendState::Ready,
+        started: None,
+    };
+    plan(&mut agenda, 0.0, Event::BackendList(vec![backend.clone()]));
+    for id in 1..=8 {
+        let (customer, name, class) = ("customer".into(), "basic".into(), "read".into());
+        let arrival = Arrival {
+            id,
+            customer,
+            plan: name,
+            class,
+            units: 1.0,
+            repeat: false,
+            patience: 900.0,
+            first: 0,
+            spread: 1,
+        };
+        plan(&mut agenda, id as Millis * 10.0, Event::Request(arrival));
+    }
+    let (mut counts, mut attempts) = (BTreeMap::<u64, f64>::new(), BTreeMap::<u64, u32>::new());
+    let mut restarted = false;
+    while let Some(((at, _), event)) = agenda.pop_first() {
+        let now = at as Millis;
+        if now > 500.0 {
+            break;
+        }
+        if now > 60.0 && !restarted {
+            // A restart: a new gateway with a fresh seed and the last list; its requests are the clients' to retry.
+            restarted = true;
+            gateway = Gateway::new(settings(), 43)?;
+            agenda.retain(|_, event| matches!(event, Event::Request(_)));
+            plan(&mut agenda, now, Event::BackendList(vec![backend.clone()]));
+        }
+        let mut actions = Vec::new();
+        gateway.handle(now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::SetTimer { after, token } => plan(&mut agenda, now + after, Event::Timer { token }),
+                Action::Count { name, amount, .. } => {
+                    let total = counts.entry(name).or_default();
+                    *total += amount;
+                    let outcome = CountOutcome::Total(*total);
+                    plan(&mut agenda, now + 2.0, Event::Counted { name, outcome, latency: 2.0 });
+                }
+                Action::Send { id, backend, .. } => {
+                    println!("{now:>5} ms  {id} sent to {backend}");
+                    let attempt = *attempts.entry(id).and_modify(|n| *n += 1).or_insert(0);
+                    let (outcome, latency, finished) = (Outcome::Served, 40.0, true);
+                    let end = AttemptEnd {
+                        id,
+                        attempt,
+                        backend,
+                        outcome,
+                        latency,
+                        true_units: None,
+                        finished,
+                        load: None,
+                    };
+                    plan(&mut agenda, now + latency, Event::AttemptEnded(end));
+                }
+                Action::Refuse { id, retry_after } => {
+                    println!("{now:>5} ms  {id} refused, come back in {retry_after:.0} ms");
+                }
+                Action::Fail { id } => println!("{now:>5} ms  {id} failed"),
+                Action::Log(line) => println!("{now:>5} ms  log: {line}"),
+                Action::CallOff { .. }
+                | Action::Probe { .. }
+                | Action::Tell { .. }
+                | Action::WatchBackends => {}
+            }
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/simhost/src/main.rs
@@ -0,0 +1,16 @@
+//! `doorcourse-simhost`: the wire on standard input and output.
+
+#![forbid(unsafe_code)]
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let (mut input, mut output) = (std::io::stdin().lock(), std::io::stdout().lock());
+    match doorcourse_simhost::Host::default().run(&mut input, &mut output) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("doorcourse-simhost: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/simhost/src/settings.rs
@@ -0,0 +1,128 @@
+//! Reads the settings object of a `START` line into the library's `Settings`.
+
+use doorcourse::{Class, Effect, Group, Name, Plan, Reports, Settings};
+use serde_json::Value;
+
+/// One object of the settings; a missing key reads as its zero, a value of the wrong type is a fault.
+struct Object<'a>(&'a Value);
+
+impl<'a> Object<'a> {
+    fn of(value: &'a Value, key: &str) -> Result<Self, String> {
+        match value.get(key) {
+            None => Ok(Self(&Value::Null)),
+            Some(v) if v.is_object() => Ok(Self(v)),
+            Some(_) => Err(format!("settings: {key} is not an object")),
+        }
+    }
+
+    fn typed<T>(
+        &self, key: &str, what: &str, zero: T, get: impl Fn(&'a Value) -> Option<T>,
+    ) -> Result<T, String> {
+        match self.0.get(key) {
+            None | Some(Value::Null) => Ok(zero),
+            Some(v) => get(v).ok_or_else(|| format!("settings: {key} is not {what}")),
+        }
+    }
+
+    fn number(&self, key: &str) -> Result<f64, String> {
+        self.typed(key, "a number", 0.0, Value::as_f64)
+    }
+
+    fn count(&self, key: &str) -> Result<u32, String> {
+        self.typed(key, "a small whole number", 0, |v| v.as_u64().and_then(|n| u32::try_from(n).ok()))
+    }
+
+    fn flag(&self, key: &str) -> Result<bool, String> {
+        self.typed(key, "true or false", false, Value::as_bool)
+    }
+
+    fn text(&self, key: &str) -> Result<&'a str, String> {
+        self.typed(key, "a text", "", Value::as_str)
+    }
+
+    fn list(&self, key: &str) -> Result<&'a [Value], String> {
+        self.typed(key, "a list", &[][..], |v| v.as_array().map(Vec::as_slice))
+    }
+}
+
+/// The settings in a `START` line; unknown keys are skipped.
+pub fn parse(text: &str) -> Result<Settings, String> {
+    let root: Value = serde_json::from_str(text).map_err(|e| format!("settings: {e}"))?;
+    if !root.is_object() {
+        return Err("settings: not an object".into());
+    }
+    let top = Object(&root);
+    let extra = Object::of(&root, "extra")?;
+    let permissions = Object::of(&root, "permissions")?;
+    let rules = Object::of(&root, "rules")?;
+    let prices = Object::of(&root, "prices")?;
+    let reports = match Object::of(&root, "load-info")?.text("source")? {
+        "inline" => Reports::Answers,
+        "on_probe" => Reports::Probes,
+        "off" | "" => Reports::None,
+        other => return Err(format!("settings: unknown load source {other}")),
+    };
+    Ok(Settings {
+        gateways: top.count("fleet-size")?,
+        number: top.count("my-number")?,
+        zone: Name::from(top.text("locality")?),
+        tick: top.number("period-ms")?,
+        classes: top.list("classes")?.iter().map(class).collect::<Result<_, _>>()?,
+        plans: top.list("plans")?.iter().map(plan).collect::<Result<_, _>>()?,
+        counter: extra.flag("has-counter")?,
+        counter_timeout: extra.number("count-limit-ms")?,
+        settles: extra.flag("trued-up")?,
+        most_units: extra.number("units-top")?,
+        reports,
+        probes: permissions.flag("probes")?,
+        peers: permissions.flag("peers")?,
+        cancel: permissions.flag("may-cancel")?,
+        list_on_request: top.text("discovery")? == "on_request",
+        most_attempts: permissions.count("most-tries")?,
+        longest_advice: permissions.number("max-retry-after-ms")?,
+        cold_share: rules.number("cold-from")?,
+        cold_time: rules.number("cold-ms")?,
+        fall_multiple: rules.number("overload-factor")?,
+        fall_time: rules.number("fall-ms")?,
+        price_cross_zone: prices.number("cross-zone")?,
+    })
+}
+
+fn class(value: &Value) -> Result<Class, String> {
+    let class = Object(value);
+    Ok(Class {
+        name: Name::from(class.text("name")?),
+        aim: class.number("goal-time-ms")?,
+        effect: match class.text("effect")? {
+            "idempotent" => Effect::Safe,
+            "deduplicated" => Effect::Keyed,
+            "at_most_once" => Effect::Unsafe,
+            other => return Err(format!("settings: unknown effect {other}")),
+        },
+        group: match class.text("dedup-scope")? {
+            "all" | "" => Group::All,
+            "zone" => Group::Zone,
+            "cell" => Group::Cell,
+            other => return Err(format!("settings: unknown dedup-scope {other}")),
+        },
+        memory: class.number("window-ms")?,
+        worth: class.number("worth")?,
+        late_worth: class.number("late-value")?,
+    })
+}
+
+fn plan(value: &Value) -> Result<Plan, String> {
+    let plan = Object(value);
+    Ok(Plan {
+        name: Name::from(plan.text("name")?),
+        rate: plan.number("refill")?,
+        burst: plan.number("burst")?,
+        open: plan.count("parallel")?,
+        ceiling_rate: plan.number("cap-rate")?,
+        ceiling_burst: plan.number("ceiling-burst")?,
+        ceiling_slack: plan.number("ceiling-slack")?,
+        price: plan.number("worth-factor")?,
+        over_worth: plan.number("over-worth")?,
+        over_cost: plan.number("overrun-cost")?,
+    })
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,46 @@
+//! doorcourse makes the decisions of a front door: a set of gateways that meter many customers' use of one
+//! shared service. It does no input or output and reads no clock: the host tells a [`Gateway`] what happened
+//! and when, and carries out the actions it gives back.
+//!
+//! ```
+//! use doorcourse::{Action, Arrival, BackendEntry, BackendState, Class, Effect, Event, Gateway, Group, Plan};
+//!
+//! let settings = doorcourse::Settings {
+//!     gateways: 1, number: 0, zone: "a".into(), tick: 1.0,
+//!     classes: vec![Class { name: "read".into(), aim: 500.0, effect: Effect::Safe, group: Group::All,
+//!         memory: 0.0, worth: 1.0, late_worth: 0.0 }],
+//!     plans: vec![Plan { name: "basic".into(), rate: 5.0, burst: 10.0, open: 0, ceiling_rate: 0.0,
+//!         ceiling_burst: 0.0, ceiling_slack: 0.0, price: 1.0, over_worth: 0.0, over_cost: 1.0 }],
+//!     most_attempts: 3, longest_advice: 1000.0, ..Default::default()
+//! };
+//! let mut gateway = Gateway::new(settings, 7)?;
+//! let mut actions = Vec::new();
+//! let backend = BackendEntry { name: "b1".into(), zone: "a".into(), cell: 0, state: BackendState::Ready,
+//!     started: None };
+//! gateway.handle(0.0, Event::BackendList(vec![backend]), &mut actions);
+//! gateway.handle(1.0, Event::Request(Arrival { id: 1, customer: "c".into(), plan: "basic".into(),
+//!     class: "read".into(), units: 1.0, repeat: false, patience: 900.0, first: 0, spread: 1 }), &mut actions);
+//! assert!(actions.iter().any(|a| matches!(a, Action::Send { id: 1, .. })));
+//! # Ok::<(), doorcourse::SettingsError>(())
+//! ```
+//!
+//! # What the host must provide
+//!
+//! - One gateway object in a process of its own; after a restart a new one, with a fresh seed and the last list.
+//!   No two share a seed: chance would choose alike.
+//! - Clocks that agree among gateways to well within the shortest window of any plan: count names are made of the
+//!   window's number. Gateways whose clocks differ by a window count apart, and each grants the quota again.
+//! - A counter that adds an amount to a number by name and answers the total. A call without an answer in time is
+//!   reported as [`CountOutcome::Unknown`]. One answer for each call, in the order of the calls of a name.
+//! - Every timer asked for, once, at or after its time.
+//! - For every [`Action::Send`] exactly one [`Event::AttemptEnded`], by the client's patience at the latest.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod check;
+mod interface;
+mod logic;
+
+pub use interface::*;
+pub use logic::Gateway;
--- /dev/null
+++ b/tests/effects.rs
@@ -0,0 +1,122 @@
+//! One answer, in time; repeats only as the class allows; never two attempts out.
+
+mod helper;
+use doorcourse::*;
+use helper::*;
+
+#[test]
+fn proof_that_nothing_ran_leads_elsewhere_at_once_for_every_class() {
+    for class in ["safe", "keyed", "unsafe"] {
+        for outcome in [Outcome::Full, Outcome::ConnectFailed, Outcome::NeverSent] {
+            let mut door = Door::new(settings(), &["a1", "a2"]);
+            let at = door.served(1, "c", "plain", class);
+            let did = door.end(1, 0, &at, outcome);
+            assert!(sent(&did).is_some_and(|(_, next)| next != at), "{class} {outcome:?}");
+        }
+    }
+}
+
+#[test]
+fn an_unsafe_request_that_may_have_run_fails() {
+    for outcome in [Outcome::Error, Outcome::TimedOut, Outcome::Broken, Outcome::CalledOff] {
+        let mut door = Door::new(settings(), &["a1", "a2"]);
+        let at = door.served(1, "c", "plain", "unsafe");
+        let did = door.pass(900.0, &[1]);
+        assert!(
+            !did.iter().any(|a| matches!(a, Action::CallOff { .. })),
+            "its hold's timer has outlived the hold"
+        );
+        let did = door.end(1, 0, &at, outcome);
+        assert!(failed(&did, 1) && sends(&did) == 0, "{outcome:?}: {did:?}");
+    }
+}
+
+#[test]
+fn a_keyed_request_that_may_have_run_stays_in_its_group_and_its_time() {
+    let mut door = Door::new(settings(), &["a1", "a2", "b1", "b2", "b3"]);
+    let at = door.served(1, "c", "plain", "keyed");
+    let mates = if at.starts_with('a') { 'a' } else { 'b' };
+    let (_, next) = sent(&door.end(1, 0, &at, Outcome::Broken)).expect("sent again");
+    assert!(next.starts_with(mates));
+    door.now += 4000.0;
+    let did = door.end(1, 1, &next, Outcome::Broken);
+    assert!(sends(&did) == 0 && failed(&did, 1), "no longer dropped as a repeat: {did:?}");
+}
+
+#[test]
+fn an_attempt_is_left_to_run_until_its_outcome() {
+    let mut door = Door::new(settings(), &["a1", "a2"]);
+    let at = door.served(1, "c", "plain", "safe");
+    for _ in 0..4 {
+        let did = door.pass(450.0, &[1]);
+        assert!(!did.iter().any(|a| matches!(a, Action::CallOff { .. } | Action::Send { .. })), "{did:?}");
+    }
+    let did = door.end(1, 0, &at, Outcome::Broken);
+    assert!(sent(&did).is_some_and(|(_, next)| next != at), "{did:?}");
+}
+
+#[test]
+fn the_last_answer_comes_at_the_deadline_whatever_the_outcome() {
+    let mut door = Door::new(settings(), &["a1", "a2"]);
+    let at = door.served(1, "c", "plain", "safe");
+    door.now += 2000.0;
+    let did = door.end(1, 0, &at, Outcome::TimedOut);
+    assert!(failed(&did, 1) && sends(&did) == 0);
+    assert!(door.end(1, 0, &at, Outcome::TimedOut).iter().all(|a| !matches!(a, Action::Fail { .. })));
+}
+
+#[test]
+fn with_no_backend_a_request_waits_its_hold_and_is_refused_once() {
+    let mut door = Door::new(settings(), &[]);
+    let (name, amount) = count(&door.ask(1, "c", "plain", "unsafe")).expect("call");
+    let did = door.total(name, amount);
+    assert!(!refused(&did, 1));
+    assert!(refused(&door.pass(300.0, &[1]), 1));
+    assert!(!refused(&door.pass(300.0, &[1]), 1));
+}
+
+#[test]
+fn a_client_that_leaves_gets_no_answer() {
+    let mut door = Door::new(settings(), &["a1"]);
+    let (name, amount) = count(&door.ask(1, "c", "plain", "safe")).expect("call");
+    door.tell(Event::ClientLeft { id: 1 });
+    let did = door.total(name, amount);
+    assert!(sends(&did) == 0 && !refused(&did, 1) && !failed(&did, 1));
+    let at = door.served(2, "c", "plain", "safe");
+    door.tell(Event::ClientLeft { id: 2 });
+    assert_eq!(sends(&door.end(2, 0, &at, Outcome::Broken)), 0);
+}
+
+#[test]
+fn events_about_unknown_things_are_harmless() {
+    let mut door = Door::new(settings(), &["a1"]);
+    door.end(9, 3, &"nowhere".into(), Outcome::Served);
+    door.total(77, 5.0);
+    door.tell(Event::Timer { token: 999 });
+    door.tell(Event::ClientLeft { id: 8 });
+    assert!(refused(&door.ask(5, "c", "no such plan", "safe"), 5));
+    assert!(refused(&door.ask(6, "c", "plain", "no such class"), 6));
+    let did = door.tell(Event::Request(Arrival {
+        id: 7,
+        customer: "c".into(),
+        plan: "plain".into(),
+        class: "safe".into(),
+        units: f64::NAN,
+        repeat: false,
+        patience: -5.0,
+        first: 99,
+        spread: 0,
+    }));
+    assert!(count(&did).is_some());
+}
+
+#[test]
+fn a_safe_request_that_two_backends_left_unanswered_is_not_sent_a_third_time() {
+    let mut door = Door::new(settings(), &["a1", "a2", "a3"]);
+    let at = door.served(1, "c", "plain", "safe");
+    let (_, next) = sent(&door.end(1, 0, &at, Outcome::CalledOff)).expect("one repeat");
+    let did = door.pass(900.0, &[1]);
+    assert!(!did.iter().any(|a| matches!(a, Action::CallOff { .. })), "the repeat is left to finish");
+    let did = door.end(1, 1, &next, Outcome::Broken);
+    assert!(sends(&did) == 0 && refused(&did, 1), "{did:?}");
+}
--- /dev/null
+++ b/tests/lease.rs
@@ -0,0 +1,112 @@
+//! The ordinary path: blocks, refusal, give-back, windows.
+
+mod helper;
+use doorcourse::*;
+use helper::*;
+
+#[test]
+fn first_block_is_burst_over_gateways_and_is_spent_locally() {
+    let mut door = Door::new(settings(), &["a1", "a2", "a3", "a4", "a5", "a6"]);
+    let did = door.ask(1, "c", "plain", "safe");
+    let (name, amount) = count(&did).expect("a block is asked for");
+    assert_eq!(amount, 5.0);
+    assert_eq!(sends(&did), 0, "waits for its block");
+    assert_eq!(sends(&door.total(name, 5.0)), 1);
+    for id in 2..=5 {
+        let did = door.ask(id, "c", "plain", "safe");
+        assert_eq!(sends(&did), 1, "request {id} is paid from the block in hand");
+    }
+}
+
+#[test]
+fn beyond_block_and_count_a_request_is_refused_with_advice_and_the_rest_goes_back() {
+    let mut door = Door::new(settings(), &["a1", "a2"]);
+    let (name, amount) = count(&door.ask(1, "c", "plain", "safe")).expect("call");
+    // Others hold the whole burst and more than the window has refilled by now.
+    let did = door.total(name, amount + 40.0);
+    let advice = did.iter().find_map(|a| match a {
+        Action::Refuse { id: 1, retry_after } => Some(*retry_after),
+        _ => None,
+    });
+    assert!(advice.is_some_and(|ms| ms > 0.0), "{did:?}");
+    let (_, back) = count(&did).expect("what does not fit goes back");
+    assert_eq!(back, -amount);
+}
+
+#[test]
+fn all_gateways_derive_the_same_name_and_it_changes_with_the_window() {
+    let mut other = settings();
+    other.number = 1;
+    let mut one = Door::new(settings(), &["a1"]);
+    let mut two = Door::new(other, &["a1"]);
+    let first = count(&one.ask(1, "c", "plain", "safe")).expect("call").0;
+    assert_eq!(first, count(&two.ask(1, "c", "plain", "safe")).expect("call").0);
+    let mut later = Door::new(settings(), &["a1"]);
+    later.now += 20_000.0;
+    assert_ne!(first, count(&later.ask(1, "c", "plain", "safe")).expect("call").0);
+}
+
+#[test]
+fn a_block_is_not_spent_past_its_window() {
+    let mut door = Door::new(settings(), &["a1", "a2"]);
+    let (name, amount) = count(&door.ask(1, "c", "plain", "safe")).expect("call");
+    door.total(name, amount);
+    door.now += 4_001.0;
+    let did = door.ask(2, "c", "plain", "safe");
+    assert_eq!(sends(&did), 0, "the old block has ended");
+    assert!(count(&did).is_some_and(|(next, _)| next != name));
+}
+
+#[test]
+fn an_unsent_request_puts_its_units_back() {
+    let mut door = Door::new(settings(), &["a1"]);
+    let (name, amount) = count(&door.ask(1, "c", "plain", "safe")).expect("call");
+    door.tell(Event::BackendList(Vec::new()));
+    let did = door.total(name, amount);
+    assert_eq!(sends(&did), 0);
+    door.pass(300.0, &[1]);
+    door.tell(Event::BackendList(vec![backend("a1", BackendState::Ready, None)]));
+    for id in 2..=3 {
+        let did = door.ask(id, "c", "plain", "safe");
+        assert!(count(&did).is_none(), "the block still holds all five units");
+        door.end(id, 0, &"a1".into(), Outcome::Served);
+    }
+}
+
+#[test]
+fn settled_units_are_added_later() {
+    let mut set = settings();
+    (set.settles, set.most_units) = (true, 4.0);
+    let mut door = Door::new(set, &["a1", "a2"]);
+    let backend = door.served(1, "c", "plain", "safe");
+    let end = AttemptEnd {
+        id: 1,
+        attempt: 0,
+        backend,
+        outcome: Outcome::Served,
+        latency: 90.0,
+        true_units: Some(4.0),
+        finished: true,
+        load: None,
+    };
+    door.tell(Event::AttemptEnded(end));
+    let did = door.pass(30.0, &[]);
+    assert!(count(&did).is_some_and(|(_, amount)| amount >= 3.0), "{did:?}");
+}
+
+#[test]
+fn idle_customers_are_forgotten() {
+    let mut door = Door::new(settings(), &["a1", "a2"]);
+    let at = door.served(1, "c", "plain", "safe");
+    door.end(1, 0, &at, Outcome::Served);
+    door.pass(60_000.0, &[]);
+    let did = door.ask(2, "c", "plain", "safe");
+    assert_eq!(count(&did).expect("call").1, 5.0, "a forgotten customer starts with a first block again");
+}
+
+#[test]
+fn a_long_wait_for_a_block_falls_to_the_silence_rule() {
+    let mut door = Door::new(settings(), &["a1", "a2"]);
+    assert_eq!(sends(&door.ask(1, "c", "plain", "safe")), 0);
+    assert_eq!(sends(&door.pass(100.0, &[1])), 1);
+}
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,22 @@
+//! Settings that cannot be used are an error value.
+
+mod helper;
+use doorcourse::*;
+use helper::*;
+
+fn error(change: impl FnOnce(&mut Settings)) -> Option<SettingsError> {
+    let mut set = settings();
+    change(&mut set);
+    Gateway::new(set, 1).err()
+}
+
+#[test]
+fn unusable_settings_are_refused() {
+    assert_eq!(error(|_| ()), None);
+    assert_eq!(error(|s| s.classes.clear()), Some(SettingsError::NoClasses));
+    assert_eq!(error(|s| s.number = 2), Some(SettingsError::NumberTooHigh));
+    assert_eq!(error(|s| s.tick = -1.0), Some(SettingsError::BadFigure("tick")));
+    assert_eq!(error(|s| s.plans[0].rate = f64::NAN), Some(SettingsError::BadFigure("a plan's rate")));
+    assert_eq!(error(|s| s.plans[0].burst = 0.0), Some(SettingsError::BadFigure("a plan's burst")));
+    assert_eq!(error(|s| s.classes[0].aim = f64::INFINITY), Some(SettingsError::BadFigure("a class's aim")));
+}
