Put the real gateway round the decisions

One thread on tokio and hyper: clients, attempts, counter, discovery, and an engine that is the only caller of the module. The settings are read by simhost's code, which is now shared.

--- /dev/null
+++ b/gateway/src/backends.rs
@@ -0,0 +1,314 @@
+//! The backends' side: where they listen, the connections to them, attempts and probes and how they end.
+
+use crate::clock::millis;
+use crate::discovery::List;
+use crate::link::{Link, Progress};
+use bytes::Bytes;
+use doorcourse::{BackendState, LoadReport, Name, Outcome, Reports};
+use doorcourse_simhost::set_load;
+use http_body_util::Full;
+use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use hyper::http::request::Builder;
+use hyper::http::response;
+use hyper::{Method, Request, StatusCode};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// The largest body that is taken, either way.
+pub const LARGEST_BODY: usize = 64 * 1024;
+/// Idle connections are looked after this often.
+const ROUND: Duration = Duration::from_secs(1);
+/// A connection is kept idle for this share of the time after which backends close it: well before.
+const IDLE_SHARE: f64 = 0.5;
+/// The word of a backend that never began with a request.
+const DECLINED: &str = "srv-declined";
+/// The load report that comes with answers.
+const LOAD: &str = "srv-load";
+
+/// What a client asked, as far as it goes on to a backend.
+#[derive(Clone, Debug)]
+pub struct Message {
+    /// The method.
+    pub method: Method,
+    /// Path and query, as they came.
+    pub target: hyper::http::uri::PathAndQuery,
+    /// `Req-Id`.
+    pub id: HeaderValue,
+    /// `Idempotency-Key`.
+    pub key: Option<HeaderValue>,
+    /// `Content-Type`.
+    pub kind: Option<HeaderValue>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// A backend's 200 answer.
+#[derive(Debug)]
+pub struct Answer {
+    /// Its headers, without those that belong to the connection.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// How an attempt or a probe ended.
+#[derive(Debug)]
+pub struct End {
+    /// How it ended.
+    pub outcome: Outcome,
+    /// What was served.
+    pub answer: Option<Answer>,
+    /// The load report that came along.
+    pub load: Option<LoadReport>,
+}
+
+impl From<Outcome> for End {
+    fn from(outcome: Outcome) -> Self {
+        Self { outcome, answer: None, load: None }
+    }
+}
+
+struct Backend {
+    dial: SocketAddr,
+    ready: bool,
+    /// Free connections, the one used last at the end, and since when.
+    idle: Vec<(Link, Instant)>,
+}
+
+/// Counts an open connection for as long as it lives.
+struct Slot(Rc<Cell<usize>>);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// All backends that this gateway knows.
+pub struct Backends {
+    known: RefCell<HashMap<Name, Backend>>,
+    connect_timeout: Duration,
+    longest_idle: Duration,
+    reports: Reports,
+    most_open: usize,
+    busy: Rc<Cell<usize>>,
+}
+
+impl Backends {
+    /// No backends yet; at most `most_open` connections to all of them together.
+    pub fn new(
+        connect_timeout: Duration, backend_idle: Duration, reports: Reports, most_open: usize,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            known: RefCell::default(),
+            connect_timeout,
+            longest_idle: backend_idle.mul_f64(IDLE_SHARE),
+            reports,
+            most_open,
+            busy: Rc::default(),
+        })
+    }
+
+    /// Takes in a list. Free connections to what drains, is gone or listens elsewhere now are dropped.
+    pub fn update(&self, list: &List) {
+        let mut known = self.known.borrow_mut();
+        if list.whole {
+            known.retain(|name, _| list.hosts.iter().any(|h| h.entry.name == *name));
+        }
+        for host in &list.hosts {
+            if host.entry.state == BackendState::Gone {
+                known.remove(&host.entry.name);
+                continue;
+            }
+            let ready = host.entry.state == BackendState::Ready;
+            let backend = known.entry(host.entry.name.clone()).or_insert_with(|| Backend {
+                dial: host.dial,
+                ready,
+                idle: Vec::new(),
+            });
+            if !ready || backend.dial != host.dial {
+                backend.idle.clear();
+            }
+            (backend.ready, backend.dial) = (ready, host.dial);
+        }
+    }
+
+    /// Drops free connections that have stood too long or have been closed, for ever.
+    pub async fn keep_tidy(self: Rc<Self>) {
+        loop {
+            sleep(ROUND).await;
+            for backend in self.known.borrow_mut().values_mut() {
+                backend.idle.retain(|(link, since)| since.elapsed() < self.longest_idle && link.stands());
+            }
+        }
+    }
+
+    /// Sends a request to a backend and tells how that ended, once its connection is closed or free again.
+    /// It ends at `until` at the latest, or when `called_off` resolves.
+    pub async fn attempt(
+        &self, name: &Name, message: Message, until: Instant, called_off: oneshot::Receiver<()>,
+    ) -> End {
+        let build = |dial: SocketAddr| {
+            let left = until.saturating_duration_since(Instant::now());
+            let mut builder = Request::builder()
+                .method(message.method.clone())
+                .uri(message.target.clone())
+                .header("Host", dial.to_string())
+                .header("Req-Id", message.id.clone())
+                .header("Req-Deadline-Ms", millis(left).floor().to_string());
+            for (key, value) in [("Idempotency-Key", &message.key), (CONTENT_TYPE.as_str(), &message.kind)] {
+                if let Some(value) = value {
+                    builder = builder.header(key, value.clone());
+                }
+            }
+            (builder, message.body.clone())
+        };
+        // Each arm ends the exchange, which closes its connection, before the end is told.
+        tokio::select! {
+            biased;
+            answer = self.exchange(name, build) => answer.map_or_else(End::from, |a| self.judge(a)),
+            _ = called_off => Outcome::CalledOff.into(),
+            () = sleep_until(until) => Outcome::TimedOut.into(),
+        }
+    }
+
+    /// Asks a backend for its load, or where there are no reports for a sign of life.
+    pub async fn probe(&self, name: &Name) -> End {
+        let path = if self.reports == Reports::None { "/alive" } else { "/metrics/load" };
+        let build = |dial: SocketAddr| (Request::get(path).header("Host", dial.to_string()), Bytes::new());
+        match tokio::time::timeout(self.connect_timeout, self.exchange(name, build)).await {
+            Ok(Ok((head, body))) if head.status == StatusCode::OK => {
+                let load = std::str::from_utf8(&body).ok().and_then(load);
+                End { outcome: Outcome::Served, answer: None, load }
+            }
+            Ok(Ok(_)) => Outcome::Error.into(),
+            Ok(Err(outcome)) => outcome.into(),
+            Err(_) => Outcome::TimedOut.into(),
+        }
+    }
+
+    async fn exchange(
+        &self, name: &Name, build: impl Fn(SocketAddr) -> (Builder, Bytes),
+    ) -> Result<(response::Parts, Bytes), Outcome> {
+        loop {
+            let (dial, pooled) = self.free_link(name).ok_or(Outcome::NeverSent)?;
+            let from_pool = pooled.is_some();
+            let _slot = self.slot().ok_or(Outcome::NeverSent)?;
+            let mut link = match pooled {
+                Some(link) => link,
+                None => {
+                    Link::connect(dial, self.connect_timeout).await.map_err(|_| Outcome::ConnectFailed)?
+                }
+            };
+            // Guards drains: while the connection came up the list may have changed.
+            if self.dial(name) != Some(dial) {
+                return Err(Outcome::NeverSent);
+            }
+            let (builder, body) = build(dial);
+            let request = builder.body(Full::new(body)).map_err(|_| Outcome::NeverSent)?;
+            match link.exchange(request, LARGEST_BODY).await {
+                Ok(answer) => {
+                    if link.is_free().await {
+                        self.put_back(name, dial, link);
+                    }
+                    return Ok(answer);
+                }
+                // Guards against a free connection that its backend closed just now: nothing was written,
+                // so this is no second send, and the backend is not to blame.
+                Err(Progress::Unsent) if from_pool => {}
+                Err(Progress::Unsent | Progress::Partly) => return Err(Outcome::ConnectFailed),
+                Err(Progress::Whole) => return Err(Outcome::Broken),
+            }
+        }
+    }
+
+    /// Where a backend listens that may be sent something new.
+    fn dial(&self, name: &Name) -> Option<SocketAddr> {
+        self.known.borrow().get(name).filter(|b| b.ready).map(|b| b.dial)
+    }
+
+    /// A backend that may be sent something new, with a free connection that stands if there is one.
+    fn free_link(&self, name: &Name) -> Option<(SocketAddr, Option<Link>)> {
+        let mut known = self.known.borrow_mut();
+        let backend = known.get_mut(name).filter(|b| b.ready)?;
+        while let Some((link, since)) = backend.idle.pop() {
+            // Guards unsafe requests: one written to a connection that is closed or about to be is lost in
+            // doubt.
+            if since.elapsed() < self.longest_idle && link.stands() {
+                return Some((backend.dial, Some(link)));
+            }
+        }
+        Some((backend.dial, None))
+    }
+
+    /// Room for one more busy connection; free ones give way.
+    fn slot(&self) -> Option<Slot> {
+        let busy = self.busy.get();
+        if busy >= self.most_open {
+            return None;
+        }
+        self.busy.set(busy + 1);
+        let mut known = self.known.borrow_mut();
+        let idle: usize = known.values().map(|b| b.idle.len()).sum();
+        for _ in self.most_open..busy + 1 + idle {
+            let fullest = known.values_mut().max_by_key(|b| b.idle.len());
+            if let Some(fullest) = fullest.filter(|b| !b.idle.is_empty()) {
+                fullest.idle.remove(0);
+            }
+        }
+        Some(Slot(self.busy.clone()))
+    }
+
+    fn put_back(&self, name: &Name, dial: SocketAddr, link: Link) {
+        let mut known = self.known.borrow_mut();
+        if let Some(backend) = known.get_mut(name).filter(|b| b.ready && b.dial == dial) {
+            backend.idle.push((link, Instant::now()));
+        }
+    }
+
+    fn judge(&self, (mut head, body): (response::Parts, Bytes)) -> End {
+        let declined = head.headers.get(DECLINED).is_some_and(|v| v == "1");
+        let outcome = match head.status {
+            StatusCode::OK => Outcome::Served,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if declined => Outcome::Full,
+            // Whatever else it says, it may have run.
+            _ => Outcome::Error,
+        };
+        let report = head.headers.remove(LOAD).filter(|_| self.reports == Reports::Answers);
+        let load = report.as_ref().and_then(|r| r.to_str().ok()).and_then(load);
+        let answer = (outcome == Outcome::Served).then(|| {
+            for name in
+                ["connection", "keep-alive", "transfer-encoding", "content-length", "upgrade", "trailer"]
+            {
+                head.headers.remove(name);
+            }
+            Answer { headers: head.headers, body }
+        });
+        End { outcome, answer, load }
+    }
+}
+
+/// Reads a report like `TEXT inflight=7, queue=2`; what it cannot read it leaves out.
+fn load(text: &str) -> Option<LoadReport> {
+    let mut report = LoadReport::default();
+    for pair in text.trim().strip_prefix("TEXT")?.split(',') {
+        if let Some((key, value)) = pair.split_once('=')
+            && let Ok(value) = value.trim().parse::<f64>()
+            && value.is_finite()
+        {
+            set_load(&mut report, key.trim(), value);
+        }
+    }
+    Some(report)
+}
+
+/// Runs a task for as long as the program runs.
+pub fn spawn(task: impl Future<Output = ()> + 'static) {
+    tokio::task::spawn_local(task);
+}
--- /dev/null
+++ b/gateway/src/clients.rs
@@ -0,0 +1,353 @@
+//! The clients' side: takes requests in, reads their headers, writes their answers, drains at the end.
+
+use crate::backends::{LARGEST_BODY, Message};
+use crate::clock::millis;
+use crate::engine::{Engine, Reply};
+use bytes::Bytes;
+use doorcourse::{Arrival, Effect, Name, RequestId, Settings};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, watch};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
+
+/// The last byte of an answer must be out before the client's patience ends: the decisions are told of this
+/// much less, and of no less than the given share.
+const MARGIN: Duration = Duration::from_millis(25);
+const MARGIN_SHARE: f64 = 0.25;
+/// What has no answer this long after the decisions' time is over gets one all the same.
+const BACKSTOP: Duration = Duration::from_millis(10);
+/// No client waits longer than this; who claims so is not believed.
+const LONGEST_PATIENCE: u64 = 600_000;
+/// A connection may stand idle, or be in the middle of its headers, for this long, and of a body for this.
+const IDLE: Duration = Duration::from_secs(60);
+const BODY: Duration = Duration::from_secs(10);
+/// A failed accept is tried again after this: descriptors may have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// After the signal to end new connections are taken for this long ...
+const LINGER: Duration = Duration::from_millis(500);
+/// ... and those that came last have this long for their first request.
+const LAST_CALL: Duration = Duration::from_millis(50);
+/// Read buffers hold one request's headers.
+const BUFFER: usize = 16 * 1024;
+
+/// A request that is not taken in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    /// There is no such path.
+    NoPath,
+    /// Something in it is missing, malformed or absurd.
+    Bad(&'static str),
+    /// The body is too large.
+    TooLarge,
+    /// The body did not come in time.
+    TooSlow,
+}
+
+/// What a request says of itself.
+struct Ticket {
+    class: Name,
+    plan: Name,
+    customer: Name,
+    units: f64,
+    spread: u32,
+    first: u32,
+    repeat: bool,
+    patience: Duration,
+    message: Message,
+}
+
+/// The front side of one gateway.
+pub struct Front {
+    engine: Rc<Engine>,
+    classes: Vec<(Name, Effect)>,
+    plans: Vec<Name>,
+    most_units: f64,
+    most_clients: usize,
+    clients: Cell<usize>,
+    left: Notify,
+    draining: Cell<bool>,
+}
+
+impl Front {
+    /// A front side that takes at most `most_clients` connections at once.
+    pub fn new(engine: Rc<Engine>, settings: &Settings, most_clients: usize) -> Rc<Self> {
+        Rc::new(Self {
+            engine,
+            classes: settings.classes.iter().map(|c| (c.name.clone(), c.effect)).collect(),
+            plans: settings.plans.iter().map(|p| p.name.clone()).collect(),
+            most_units: settings.most_units,
+            most_clients,
+            clients: Cell::new(0),
+            left: Notify::new(),
+            draining: Cell::new(false),
+        })
+    }
+
+    /// Serves clients until `end` resolves, then lets those finish that are there. Returns when the last one
+    /// has gone.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener, end: impl Future<Output = ()>) {
+        let (close, closing) = watch::channel(false);
+        let ended = async {
+            end.await;
+            self.draining.set(true);
+            sleep(LINGER).await;
+        };
+        let mut ended = pin!(ended);
+        loop {
+            tokio::select! {
+                () = ended.as_mut() => break,
+                stream = self.accept(&listener) => self.clone().welcome(stream, closing.clone()),
+            }
+        }
+        // What the machine has accepted for us already is ours to answer.
+        while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
+            self.clone().welcome(stream, closing.clone());
+        }
+        drop(listener);
+        sleep(LAST_CALL).await;
+        let _ = close.send(true);
+        while self.clients.get() > 0 {
+            self.left.notified().await;
+        }
+    }
+
+    async fn accept(&self, listener: &TcpListener) -> TcpStream {
+        loop {
+            // Guards the descriptors: who finds no room waits in the machine's line.
+            while self.clients.get() >= self.most_clients {
+                self.left.notified().await;
+            }
+            match listener.accept().await {
+                Ok((stream, _)) => return stream,
+                Err(_) => sleep(ACCEPT_PAUSE).await,
+            }
+        }
+    }
+
+    fn welcome(self: Rc<Self>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
+        self.clients.set(self.clients.get() + 1);
+        crate::backends::spawn(async move {
+            let _ = stream.set_nodelay(true);
+            let front = self.clone();
+            let service = service_fn(move |request| {
+                let front = front.clone();
+                async move { Ok::<_, Infallible>(front.answer(request).await) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(IDLE)
+                .max_buf_size(BUFFER)
+                .serve_connection(TokioIo::new(stream), service);
+            let mut connection = pin!(connection);
+            tokio::select! {
+                biased;
+                _ = connection.as_mut() => {}
+                _ = closing.wait_for(|closing| *closing) => {
+                    connection.as_mut().graceful_shutdown();
+                    let _ = connection.await;
+                }
+            }
+            self.clients.set(self.clients.get() - 1);
+            self.left.notify_one();
+        });
+    }
+
+    /// The one answer to a request.
+    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let mut response = if request.uri().path() == "/up" {
+            self.up(request.method())
+        } else {
+            match self.take(request).await {
+                Ok(ticket) => self.decide(ticket).await,
+                Err(fault) => refuse(fault),
+            }
+        };
+        // So that clients find another gateway, or make room for others here.
+        if self.draining.get() || self.clients.get() >= self.most_clients {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+
+    /// Whether new clients should come here.
+    fn up(&self, method: &Method) -> Response<Full<Bytes>> {
+        match *method {
+            Method::GET | Method::HEAD if self.draining.get() => {
+                plain(StatusCode::SERVICE_UNAVAILABLE, "ending\n")
+            }
+            Method::GET | Method::HEAD => plain(StatusCode::OK, "up\n"),
+            _ => refuse(Fault::Bad("method")),
+        }
+    }
+
+    /// Reads a request whole.
+    async fn take(&self, request: Request<Incoming>) -> Result<Ticket, Fault> {
+        let (head, body) = request.into_parts();
+        let target = head.uri.path_and_query().ok_or(Fault::NoPath)?.clone();
+        let mut ticket = self.read(head.method, target, &head.headers)?;
+        if body.is_end_stream() {
+            return Ok(ticket);
+        }
+        if ticket.message.method == Method::GET {
+            return Err(Fault::Bad("a body where none belongs"));
+        }
+        if body.size_hint().lower() > LARGEST_BODY as u64 {
+            return Err(Fault::TooLarge);
+        }
+        match timeout(BODY, Limited::new(body, LARGEST_BODY).collect()).await {
+            Ok(Ok(body)) => ticket.message.body = body.to_bytes(),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(Fault::TooLarge),
+            Ok(Err(_)) => return Err(Fault::Bad("body")),
+            Err(_) => return Err(Fault::TooSlow),
+        }
+        Ok(ticket)
+    }
+
+    fn read(
+        &self, method: Method, target: hyper::http::uri::PathAndQuery, headers: &HeaderMap,
+    ) -> Result<Ticket, Fault> {
+        let first = target.path().strip_prefix('/').and_then(|p| p.split('/').next());
+        let class = first.filter(|c| !c.is_empty()).ok_or(Fault::NoPath)?;
+        let class = self.classes.iter().find(|(name, _)| **name == *class);
+        let (class, effect) = class.cloned().ok_or(Fault::Bad("class"))?;
+        let key = single(headers, "idempotency-key")?;
+        let fits = match effect {
+            Effect::Safe => method == Method::GET && key.is_none(),
+            Effect::Keyed => method == Method::POST && key.is_some_and(|k| !k.is_empty()),
+            Effect::Unsafe => method == Method::POST && key.is_none(),
+        };
+        if !fits {
+            return Err(Fault::Bad("method or Idempotency-Key, for this class"));
+        }
+        let id = single(headers, "req-id")?.filter(|id| is_id(id.as_bytes())).ok_or(Fault::Bad("Req-Id"))?;
+        let plan = text(headers, "api-plan")?.ok_or(Fault::Bad("Api-Plan"))?;
+        let plan = self.plans.iter().find(|p| ***p == *plan).ok_or(Fault::Bad("Api-Plan"))?.clone();
+        let customer = text(headers, "api-customer")?
+            .filter(|c| c.len() == 16 && c.bytes().all(|b| b.is_ascii_hexdigit()))
+            .filter(|c| u64::from_str_radix(c, 16).is_ok_and(|n| n < 1 << 33))
+            .ok_or(Fault::Bad("Api-Customer"))?;
+        // One customer, one name: its quota does not double with the case of its digits.
+        let customer = Name::from(customer.to_ascii_lowercase());
+        let patience = text(headers, "req-deadline-ms")?
+            .and_then(|t| t.parse::<u64>().ok())
+            .filter(|ms| (1..=LONGEST_PATIENCE).contains(ms))
+            .ok_or(Fault::Bad("Req-Deadline-Ms"))?;
+        let patience = Duration::from_millis(patience);
+        let repeat = match text(headers, "req-retry")? {
+            None | Some("0") => false,
+            Some("1") => true,
+            Some(_) => return Err(Fault::Bad("Req-Retry")),
+        };
+        let terms = text(headers, "api-terms")?.ok_or(Fault::Bad("Api-Terms"))?;
+        let (units, spread, first) = self.terms(terms).ok_or(Fault::Bad("Api-Terms"))?;
+        let (kind, key) = (headers.get(CONTENT_TYPE).cloned(), key.cloned());
+        let message = Message { method, target, id: id.clone(), key, kind, body: Bytes::new() };
+        Ok(Ticket { class, plan, customer, units, spread, first, repeat, patience, message })
+    }
+
+    /// Reads `units=2,spread=3,first=1`; a request of no said units is one unit.
+    fn terms(&self, text: &str) -> Option<(f64, u32, u32)> {
+        let (mut units, mut spread, mut first) = (1.0, None, None);
+        for pair in text.split(',') {
+            match pair.trim().split_once('=')? {
+                ("units", value) => units = value.parse::<f64>().ok()?,
+                ("spread", value) => spread = Some(value.parse().ok()?),
+                ("first", value) => first = Some(value.parse().ok()?),
+                _ => {}
+            }
+        }
+        let most = if self.most_units > 0.0 { self.most_units } else { f64::MAX };
+        (units > 0.0 && units <= most).then_some((units, spread.filter(|s| *s > 0)?, first?))
+    }
+
+    async fn decide(&self, ticket: Ticket) -> Response<Full<Bytes>> {
+        let Ticket { class, plan, customer, units, spread, first, repeat, patience, message } = ticket;
+        let margin = MARGIN.min(patience.mul_f64(MARGIN_SHARE));
+        let (patience, now) = (patience - margin, Instant::now());
+        let patience_ms = millis(patience);
+        let (id, reply) = self.engine.open(
+            |id| Arrival { id, customer, plan, class, units, repeat, patience: patience_ms, first, spread },
+            message,
+            now + patience,
+        );
+        let waiting = Waiting { engine: &self.engine, id };
+        // Guards the one final answer: should the decisions forget a request, it still gets one in time.
+        let reply = timeout_at(now + patience + BACKSTOP.min(margin / 2), reply).await;
+        drop(waiting);
+        match reply {
+            Ok(Ok(Reply::Served(answer))) => {
+                let mut response = Response::new(Full::new(answer.body));
+                *response.headers_mut() = answer.headers;
+                response
+            }
+            Ok(Ok(Reply::Refused(wait))) => {
+                let mut response = plain(StatusCode::TOO_MANY_REQUESTS, "refused, try again later\n");
+                if let Ok(wait) = HeaderValue::from_str(&format!("{:.3}", wait / 1000.0)) {
+                    response.headers_mut().insert(RETRY_AFTER, wait);
+                }
+                response
+            }
+            Ok(Ok(Reply::Failed(false)) | Err(_)) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
+            Ok(Ok(Reply::Failed(true))) | Err(_) => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n"),
+        }
+    }
+}
+
+/// A request whose client waits. Dropped without an answer, as when the connection closes, it tells that the
+/// client has left; after an answer that finds nothing.
+struct Waiting<'a> {
+    engine: &'a Engine,
+    id: RequestId,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.engine.client_left(self.id);
+    }
+}
+
+/// The only value of a header; a header given twice may be read differently by others.
+fn single<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a HeaderValue>, Fault> {
+    let mut values = headers.get_all(name).iter();
+    let value = values.next();
+    if values.next().is_some() { Err(Fault::Bad(name)) } else { Ok(value) }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, Fault> {
+    single(headers, name)?.map(|value| value.to_str().map_err(|_| Fault::Bad(name))).transpose()
+}
+
+fn is_id(text: &[u8]) -> bool {
+    (1..=64).contains(&text.len()) && text.iter().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(b))
+}
+
+fn refuse(fault: Fault) -> Response<Full<Bytes>> {
+    match fault {
+        Fault::NoPath => plain(StatusCode::NOT_FOUND, "no such path\n"),
+        Fault::TooLarge => plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"),
+        Fault::TooSlow => plain(StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n"),
+        Fault::Bad(what) => {
+            let mut response = plain(StatusCode::BAD_REQUEST, "");
+            *response.body_mut() = Full::from(format!("unusable: {what}\n"));
+            response
+        }
+    }
+}
+
+fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::from(text));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    response
+}
--- /dev/null
+++ b/gateway/src/link.rs
@@ -0,0 +1,172 @@
+//! One HTTP/1.1 connection to a server. Whoever uses it drives it: it does nothing by itself, sends nothing
+//! twice, and is closed for certain the moment it is dropped.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::Request;
+use hyper::client::conn::http1;
+use hyper::http::response;
+use hyper_util::rt::TokioIo;
+use std::cell::Cell;
+use std::future::{Future, poll_fn};
+use std::io;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// How far a request had got when its connection failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// Not one byte of it was written.
+    Unsent,
+    /// Its last byte was not written.
+    Partly,
+    /// It was written whole.
+    Whole,
+}
+
+/// The socket as the HTTP library sees it; it notes how far the present request has been written.
+struct Wire {
+    stream: Rc<TcpStream>,
+    progress: Rc<Cell<Progress>>,
+}
+
+impl AsyncRead for Wire {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read(buf.initialize_unfilled()) {
+                Ok(read) => {
+                    buf.advance(read);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Wire {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_write_vectored(cx, &[io::IoSlice::new(buf)])
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>, cx: &mut Context<'_>, bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.try_write_vectored(bufs) {
+                Ok(written) => {
+                    if written > 0 {
+                        self.progress.set(Progress::Partly);
+                    }
+                    return Poll::Ready(Ok(written));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    /// The HTTP library flushes once all that it holds has been written, and it holds whole requests: their
+    /// bodies are in memory.
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.progress.get() == Progress::Partly {
+            self.progress.set(Progress::Whole);
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(socket2::SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write))
+    }
+}
+
+/// One connection.
+pub struct Link {
+    sender: http1::SendRequest<Full<Bytes>>,
+    /// Gone once it has ended.
+    driver: Driver,
+    stream: Rc<TcpStream>,
+    progress: Rc<Cell<Progress>>,
+}
+
+impl Link {
+    /// Connects.
+    ///
+    /// # Errors
+    /// When no connection comes up in time.
+    pub async fn connect(to: SocketAddr, timeout: Duration) -> io::Result<Self> {
+        let stream = tokio::time::timeout(timeout, TcpStream::connect(to)).await??;
+        stream.set_nodelay(true)?;
+        let (stream, progress) = (Rc::new(stream), Rc::new(Cell::new(Progress::Unsent)));
+        let wire = Wire { stream: stream.clone(), progress: progress.clone() };
+        let (sender, driver) = http1::handshake(TokioIo::new(wire)).await.map_err(io::Error::other)?;
+        Ok(Self { sender, driver: Some(Box::pin(driver)), stream, progress })
+    }
+
+    /// Whether the idle connection still stands, by the kernel's newest word: asks the socket itself, since
+    /// what the event loop has heard so far may be old. Data that nobody asked for is a fault too.
+    pub fn stands(&self) -> bool {
+        let peeked = socket2::SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()]);
+        self.driver.is_some() && peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Sends a request and waits for the whole answer, its body no larger than `most`.
+    ///
+    /// # Errors
+    /// When the connection fails first or the answer cannot be read; says how far the request got.
+    pub async fn exchange(
+        &mut self, request: Request<Full<Bytes>>, most: usize,
+    ) -> Result<(response::Parts, Bytes), Progress> {
+        self.progress.set(Progress::Unsent);
+        let (driver, progress) = (&mut self.driver, &self.progress);
+        let sent = self.sender.send_request(request);
+        let answer = drive(driver, async {
+            let (head, body) = sent.await.map_err(|_| ())?.into_parts();
+            let body = Limited::new(body, most).collect().await.map_err(|_| ())?;
+            Ok((head, body.to_bytes()))
+        });
+        answer.await.map_err(|()| progress.get())
+    }
+
+    /// Whether the connection can carry another request now.
+    pub async fn is_free(&mut self) -> bool {
+        let (driver, sender) = (&mut self.driver, &mut self.sender);
+        poll_fn(|cx| {
+            poll_driver(driver, cx);
+            Poll::Ready(matches!(sender.poll_ready(cx), Poll::Ready(Ok(()))))
+        })
+        .await
+            && self.driver.is_some()
+    }
+}
+
+type Driver = Option<Pin<Box<http1::Connection<TokioIo<Wire>, Full<Bytes>>>>>;
+
+fn poll_driver(driver: &mut Driver, cx: &mut Context<'_>) {
+    if driver.as_mut().is_some_and(|d| d.as_mut().poll(cx).is_ready()) {
+        *driver = None;
+    }
+}
+
+/// Waits for what the connection brings, and moves the connection's bytes meanwhile.
+async fn drive<T>(driver: &mut Driver, wanted: impl Future<Output = T>) -> T {
+    let mut wanted = pin!(wanted);
+    poll_fn(|cx| {
+        poll_driver(driver, cx);
+        wanted.as_mut().poll(cx)
+    })
+    .await
+}
--- /dev/null
+++ b/gateway/src/main.rs
@@ -0,0 +1,77 @@
+//! `fennelscale`: one real gateway.
+
+#![forbid(unsafe_code)]
+
+use fennelscale::backends::{Backends, spawn};
+use fennelscale::clients::Front;
+use fennelscale::config::Config;
+use fennelscale::discovery;
+use fennelscale::engine::Engine;
+use std::fmt::Display;
+use std::process::ExitCode;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::LocalSet;
+
+/// Descriptors for all but clients and backends: standard streams, the event loop, listener, counter, discovery.
+const OTHER_SOCKETS: usize = 32;
+/// Of the rest, the share for clients; backends get what is left.
+const CLIENT_SHARE: f64 = 0.55;
+
+fn main() -> ExitCode {
+    let config = match Config::from_environment() {
+        Ok(config) => config,
+        Err(error) => return unusable(&error),
+    };
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => return unusable(&error),
+    };
+    LocalSet::new().block_on(&runtime, run(config))
+}
+
+fn unusable(what: &dyn Display) -> ExitCode {
+    eprintln!("fennelscale: {what}");
+    ExitCode::from(2)
+}
+
+async fn run(config: Config) -> ExitCode {
+    let (listener, mut terminate, mut interrupt) = match (
+        TcpListener::bind(config.listen).await,
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) {
+        (Ok(listener), Ok(terminate), Ok(interrupt)) => (listener, terminate, interrupt),
+        (Err(error), ..) => return unusable(&format!("cannot listen at {}: {error}", config.listen)),
+        (_, Err(error), _) | (_, _, Err(error)) => return unusable(&error),
+    };
+    let sockets = config.sockets.saturating_sub(OTHER_SOCKETS).max(2);
+    let most_clients = ((sockets as f64 * CLIENT_SHARE) as usize).max(1);
+    let settings = config.settings;
+    let backends = Backends::new(
+        config.connect_timeout,
+        config.backend_idle,
+        settings.reports,
+        sockets.saturating_sub(most_clients).max(1),
+    );
+    let engine = match Engine::start(settings.clone(), config.seed, backends.clone(), config.counter) {
+        Ok(engine) => engine,
+        Err(error) => return unusable(&error),
+    };
+    let front = Front::new(engine.clone(), &settings, most_clients);
+    let seq = config.known.seq;
+    discovery::tell(config.known, &backends, &engine);
+    spawn(backends.clone().keep_tidy());
+    spawn(discovery::watch(config.discovery, seq, backends, engine));
+    if let Ok(address) = listener.local_addr() {
+        eprintln!("fennelscale {}: listening at {address}", config.name);
+    }
+    let end = async {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    };
+    front.serve(listener, end).await;
+    ExitCode::SUCCESS
+}
--- a/simhost/src/lib.rs
+++ b/simhost/src/lib.rs
@@ -3,7 +3,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-mod settings;
+pub mod settings;
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
@@ -110,16 +110,21 @@
         let (key, value) =
             pair.split_once(':').ok_or_else(|| format!("load value without a colon: {pair}"))?;
         let value: f64 = value.parse().map_err(|_| format!("load value is not a number: {pair}"))?;
-        match key {
-            "outstanding" => report.inflight = Some(value),
-            "backlog" => report.queue = Some(value),
-            "recent_ms" => report.service = Some(value),
-            _ => {}
-        }
+        set_load(&mut report, key, value);
     }
     Ok(Some(report))
 }
 
+/// Puts one named value into a load report; values that the library has no use for are skipped.
+pub fn set_load(report: &mut LoadReport, key: &str, value: f64) {
+    match key {
+        "outstanding" => report.inflight = Some(value),
+        "backlog" => report.queue = Some(value),
+        "recent_ms" => report.service = Some(value),
+        _ => {}
+    }
+}
+
 fn entry(line: &str) -> Result<BackendEntry, String> {
     let mut fields = Fields(line.split('\t'));
     if fields.text("message")? != "ENTRY" {
--- a/simhost/src/settings.rs
+++ b/simhost/src/settings.rs
@@ -1,13 +1,18 @@
-//! Reads the settings object of a `START` line into the library's `Settings`.
+//! Reads the settings object, of a `START` line or of a real gateway's configuration, into the library's
+//! `Settings`.
 
 use doorcourse::{Class, Effect, Group, Name, Plan, Reports, Settings};
 use serde_json::Value;
 
 /// One object of the settings; a missing key reads as its zero, a value of the wrong type is a fault.
-struct Object<'a>(&'a Value);
+pub struct Object<'a>(&'a Value);
 
 impl<'a> Object<'a> {
-    fn of(value: &'a Value, key: &str) -> Result<Self, String> {
+    /// The object under a key.
+    ///
+    /// # Errors
+    /// When something else stands there.
+    pub fn of(value: &'a Value, key: &str) -> Result<Self, String> {
         match value.get(key) {
             None => Ok(Self(&Value::Null)),
             Some(v) if v.is_object() => Ok(Self(v)),
@@ -24,7 +29,11 @@
         }
     }
 
-    fn number(&self, key: &str) -> Result<f64, String> {
+    /// The number under a key.
+    ///
+    /// # Errors
+    /// When something else stands there.
+    pub fn number(&self, key: &str) -> Result<f64, String> {
         self.typed(key, "a number", 0.0, Value::as_f64)
     }
 
@@ -46,17 +55,24 @@
 }
 
 /// The settings in a `START` line; unknown keys are skipped.
-pub fn parse(text: &str) -> Result<Settings, String> {
-    let root: Value = serde_json::from_str(text).map_err(|e| format!("settings: {e}"))?;
+pub(crate) fn parse(text: &str) -> Result<Settings, String> {
+    read(&serde_json::from_str(text).map_err(|e| format!("settings: {e}"))?)
+}
+
+/// The settings in an object; unknown keys are skipped.
+///
+/// # Errors
+/// When a value is of the wrong type or a word unknown.
+pub fn read(root: &Value) -> Result<Settings, String> {
     if !root.is_object() {
         return Err("settings: not an object".into());
     }
-    let top = Object(&root);
-    let extra = Object::of(&root, "extra")?;
-    let permissions = Object::of(&root, "permissions")?;
-    let rules = Object::of(&root, "rules")?;
-    let prices = Object::of(&root, "prices")?;
-    let reports = match Object::of(&root, "load-info")?.text("source")? {
+    let top = Object(root);
+    let extra = Object::of(root, "extra")?;
+    let permissions = Object::of(root, "permissions")?;
+    let rules = Object::of(root, "rules")?;
+    let prices = Object::of(root, "prices")?;
+    let reports = match Object::of(root, "load-info")?.text("source")? {
         "inline" => Reports::Answers,
         "on_probe" => Reports::Probes,
         "off" | "" => Reports::None,
