--- /dev/null
+++ b/gateway/tests/counter.rs
@@ -0,0 +1,87 @@
+//! Quotas on the shared counter, and what is left of them when it fails.
+
+mod helper;
+
+use helper::{Backend, Counter, Discovery, Do, Gateway, Mood, Setup, World, ok, pause, request, row};
+use std::sync::atomic::Ordering;
+
+async fn statuses(gateway: &Gateway, count: usize) -> Vec<u16> {
+    let (mut client, mut statuses) = (gateway.client().await, Vec::new());
+    for _ in 0..count {
+        let reply = client.ask(&request("look", 900, "", "")).await;
+        if reply.status() == 429 {
+            let wait: f64 = reply.headers["retry-after"].parse().expect("seconds");
+            assert!((0.0..=1.0).contains(&wait));
+        }
+        statuses.push(reply.status());
+    }
+    statuses
+}
+
+fn served(statuses: &[u16]) -> usize {
+    assert!(statuses.iter().all(|s| [200, 429].contains(s)), "{statuses:?}");
+    statuses.iter().filter(|s| **s == 200).count()
+}
+
+/// A plan of ten units at once that fills in a quarter of an hour.
+fn small(backend: &Backend) -> Setup {
+    Setup { rate: 0.01, burst: 10.0, ..Setup::knowing(&[row("b", backend.at, "in_service")]) }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_gateways_share_one_quota() {
+    let backend = Backend::start(&[Do::Say(ok("x"))]).await;
+    let (discovery, counter) = (Discovery::start().await, Counter::start(Mood::Adds).await);
+    let mut sum = 0;
+    for number in 0..2 {
+        let setup = Setup { gateways: 2, number, ..small(&backend) };
+        let gateway = Gateway::start(discovery.at, counter.at, &setup).await;
+        let said = statuses(&gateway, 15).await;
+        sum += served(&said);
+    }
+    assert_eq!(sum, 10);
+    assert_eq!(backend.attempts(), 10);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_counter_that_fails_in_any_way_leaves_the_even_slice() {
+    for mood in [Mood::Silent, Mood::Busy, Mood::Babbles, Mood::Late(200)] {
+        let backend = Backend::start(&[Do::Say(ok("x"))]).await;
+        let world = World::set(&small(&backend), mood).await;
+        let said = statuses(&world.gateway, 15).await;
+        assert_eq!(served(&said), 10, "{mood:?}");
+        assert_eq!(backend.attempts(), 10, "{mood:?}");
+        assert!(world.counter.calls.load(Ordering::SeqCst) > 0, "{mood:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_answer_is_read_off_and_not_taken_for_that_of_the_next_call() {
+    let backend = Backend::start(&[Do::Say(ok("x"))]).await;
+    let world = World::set(&small(&backend), Mood::Late(150)).await;
+    assert_eq!(served(&statuses(&world.gateway, 1).await), 1);
+    *world.counter.mood.lock().expect("lock") = Mood::Adds;
+    pause(400).await;
+    // Another customer on any line: its own total, so its whole quota, no more.
+    let (mut client, mut count) = (world.gateway.client().await, 0);
+    for _ in 0..15 {
+        let text = request("look", 900, "", "").replace("b4d65521", "b4d65522");
+        count += usize::from(client.ask(&text).await.status() == 200);
+    }
+    assert_eq!(count, 10);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_counter_that_comes_back_is_called_again() {
+    let backend = Backend::start(&[Do::Say(ok("x"))]).await;
+    let world = World::set(&Setup { rate: 50.0, burst: 50.0, ..small(&backend) }, Mood::Babbles).await;
+    served(&statuses(&world.gateway, 5).await);
+    *world.counter.mood.lock().expect("lock") = Mood::Adds;
+    helper::soon("a total", async {
+        while world.counter.totals.lock().expect("lock").is_empty() {
+            statuses(&world.gateway, 1).await;
+            pause(50).await;
+        }
+    })
+    .await;
+}
--- /dev/null
+++ b/gateway/tests/helper/mod.rs
@@ -0,0 +1,420 @@
+//! Stand-ins on loopback sockets for all that a gateway talks to, and the gateway as a process of its own.
+//! Waits are on events, with limits that only a hang reaches.
+
+#![allow(dead_code)]
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::process::{Child, Command};
+use tokio::sync::watch;
+
+pub const LONG: Duration = Duration::from_secs(60);
+
+pub async fn soon<T>(what: &str, wanted: impl Future<Output = T>) -> T {
+    let Ok(value) = tokio::time::timeout(LONG, wanted).await else { panic!("waited in vain: {what}") };
+    value
+}
+
+pub async fn until(what: &str, met: impl Fn() -> bool) {
+    soon(what, async {
+        while !met() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    })
+    .await;
+}
+
+pub async fn pause(ms: u64) {
+    tokio::time::sleep(Duration::from_millis(ms)).await;
+}
+
+/// One HTTP message: its first line, its headers in lower case, its body.
+#[derive(Clone, Debug)]
+pub struct Heard {
+    pub line: String,
+    pub headers: HashMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+impl Heard {
+    pub fn status(&self) -> u16 {
+        self.line.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status")
+    }
+}
+
+/// Reads one message; none at the end of the connection.
+pub async fn hear(stream: &mut BufReader<TcpStream>) -> Option<Heard> {
+    let mut line = String::new();
+    if stream.read_line(&mut line).await.ok()? == 0 {
+        return None;
+    }
+    let mut headers = HashMap::new();
+    loop {
+        let mut header = String::new();
+        stream.read_line(&mut header).await.ok()?;
+        let Some((key, value)) = header.trim_end().split_once(':') else { break };
+        headers.insert(key.to_ascii_lowercase(), value.trim().to_owned());
+    }
+    let length = headers.get("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).await.ok()?;
+    Some(Heard { line: line.trim_end().to_owned(), headers, body })
+}
+
+/// What a backend does with a request.
+#[derive(Clone, Debug)]
+pub enum Do {
+    /// Writes this text.
+    Say(String),
+    /// Writes this text and closes.
+    SayAndClose(String),
+    /// Says nothing.
+    Hang,
+}
+
+pub fn ok(body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// A backend that notes all it hears and acts by a list of deeds, the last one for ever.
+pub struct Backend {
+    pub at: SocketAddr,
+    pub heard: Arc<Mutex<Vec<Heard>>>,
+    pub deeds: Arc<Mutex<Vec<Do>>>,
+    pub opened: Arc<AtomicU32>,
+    pub closed: Arc<AtomicU32>,
+}
+
+impl Backend {
+    pub async fn start(deeds: &[Do]) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let at = listener.local_addr().expect("an address");
+        let heard: Arc<Mutex<Vec<Heard>>> = Arc::default();
+        let deeds = Arc::new(Mutex::new(deeds.to_vec()));
+        let (opened, closed): (Arc<AtomicU32>, Arc<AtomicU32>) = Default::default();
+        let this = Self { at, heard, deeds, opened, closed };
+        let (heard, deeds) = (this.heard.clone(), this.deeds.clone());
+        let (opened, closed) = (this.opened.clone(), this.closed.clone());
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                opened.fetch_add(1, Ordering::SeqCst);
+                let (heard, deeds, closed) = (heard.clone(), deeds.clone(), closed.clone());
+                tokio::spawn(async move {
+                    let mut stream = BufReader::new(stream);
+                    while let Some(message) = hear(&mut stream).await {
+                        heard.lock().expect("lock").push(message);
+                        let deed = {
+                            let mut deeds = deeds.lock().expect("lock");
+                            if deeds.len() > 1 { deeds.remove(0) } else { deeds[0].clone() }
+                        };
+                        match deed {
+                            Do::Say(text) => stream.write_all(text.as_bytes()).await.unwrap_or(()),
+                            Do::SayAndClose(text) => {
+                                stream.write_all(text.as_bytes()).await.unwrap_or(());
+                                break;
+                            }
+                            Do::Hang => {}
+                        }
+                    }
+                    drop(stream);
+                    closed.fetch_add(1, Ordering::SeqCst);
+                });
+            }
+        });
+        this
+    }
+
+    pub fn attempts(&self) -> usize {
+        self.heard.lock().expect("lock").len()
+    }
+
+    pub fn opened(&self) -> u32 {
+        self.opened.load(Ordering::SeqCst)
+    }
+
+    pub fn closed(&self) -> u32 {
+        self.closed.load(Ordering::SeqCst)
+    }
+}
+
+/// One line of the list.
+pub fn row(name: &str, at: SocketAddr, health: &str) -> String {
+    format!(r#"{{"host":"{name}","dial":"{at}","site":"z","block":0,"health":"{health}","born_ms":0}}"#)
+}
+
+pub fn list(seq: u64, whole: bool, rows: &[String]) -> String {
+    format!(r#"{{"seq":{seq},"whole":{whole},"hosts":[{}]}}"#, rows.join(","))
+}
+
+/// Discovery: silent until told what to say; each text is said once to each call that comes.
+pub struct Discovery {
+    pub at: SocketAddr,
+    pub say: watch::Sender<Option<String>>,
+    pub calls: Arc<AtomicU32>,
+}
+
+impl Discovery {
+    pub async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let at = listener.local_addr().expect("an address");
+        let (say, hear_it) = watch::channel(None::<String>);
+        let calls = Arc::new(AtomicU32::new(0));
+        let count = calls.clone();
+        let seen = Arc::new(tokio::sync::Mutex::new(hear_it));
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (seen, count) = (seen.clone(), count.clone());
+                tokio::spawn(async move {
+                    let mut stream = BufReader::new(stream);
+                    while hear(&mut stream).await.is_some() {
+                        count.fetch_add(1, Ordering::SeqCst);
+                        let mut seen = seen.lock().await;
+                        if seen.changed().await.is_err() {
+                            return;
+                        }
+                        let text = seen.borrow_and_update().clone().unwrap_or_default();
+                        if stream.write_all(ok(&text).as_bytes()).await.is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        Self { at, say, calls }
+    }
+
+    pub fn tell(&self, text: String) {
+        self.say.send_replace(Some(text));
+    }
+
+    /// Waits until the gateway has taken in what was told so far: it has asked again.
+    pub async fn asked_again(&self, before: u32) {
+        until("a further call of the watch", || self.calls.load(Ordering::SeqCst) > before).await;
+    }
+}
+
+/// How the counter answers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Mood {
+    Adds,
+    Late(u64),
+    Busy,
+    Silent,
+    Babbles,
+}
+
+pub struct Counter {
+    pub at: SocketAddr,
+    pub totals: Arc<Mutex<HashMap<String, f64>>>,
+    pub calls: Arc<AtomicU32>,
+    pub mood: Arc<Mutex<Mood>>,
+}
+
+impl Counter {
+    pub async fn start(mood: Mood) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let at = listener.local_addr().expect("an address");
+        let this =
+            Self { at, totals: Arc::default(), calls: Arc::default(), mood: Arc::new(Mutex::new(mood)) };
+        let (totals, calls, mood) = (this.totals.clone(), this.calls.clone(), this.mood.clone());
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (totals, calls, mood) = (totals.clone(), calls.clone(), mood.clone());
+                tokio::spawn(async move {
+                    let mut stream = BufReader::new(stream);
+                    while let Some(words) = words(&mut stream).await {
+                        if words[0] == "PING" {
+                            stream.write_all(b"+PONG\r\n").await.unwrap_or(());
+                            continue;
+                        }
+                        assert_eq!((words[0].as_str(), words.len()), ("ADDGET", 4));
+                        calls.fetch_add(1, Ordering::SeqCst);
+                        let mood = *mood.lock().expect("lock");
+                        let reply = match mood {
+                            Mood::Adds | Mood::Late(_) => {
+                                let amount: f64 = words[2].parse().expect("an amount");
+                                assert!(words[3].parse::<u64>().expect("a whole life") >= 1);
+                                let mut totals = totals.lock().expect("lock");
+                                let total = totals.entry(words[1].clone()).or_default();
+                                *total += amount;
+                                let text = total.to_string();
+                                format!("${}\r\n{text}\r\n", text.len())
+                            }
+                            Mood::Busy => "-BUSY\r\n".into(),
+                            Mood::Babbles => "?what\r\n".into(),
+                            Mood::Silent => continue,
+                        };
+                        if let Mood::Late(ms) = mood {
+                            pause(ms).await;
+                        }
+                        stream.write_all(reply.as_bytes()).await.unwrap_or(());
+                    }
+                });
+            }
+        });
+        this
+    }
+}
+
+async fn words(stream: &mut BufReader<TcpStream>) -> Option<Vec<String>> {
+    let mut line = String::new();
+    stream.read_line(&mut line).await.ok()?;
+    let count: usize = line.trim_end().strip_prefix('*')?.parse().ok()?;
+    let mut words = Vec::new();
+    for _ in 0..count {
+        let (mut length, mut word) = (String::new(), String::new());
+        stream.read_line(&mut length).await.ok()?;
+        stream.read_line(&mut word).await.ok()?;
+        assert_eq!(length.trim_end(), format!("${}", word.trim_end().len()));
+        words.push(word.trim_end().to_owned());
+    }
+    Some(words)
+}
+
+/// How the settings differ from the usual ones.
+pub struct Setup {
+    pub rate: f64,
+    pub burst: f64,
+    pub gateways: u32,
+    pub number: u32,
+    pub known: String,
+    pub sockets: usize,
+}
+
+impl Setup {
+    pub fn knowing(rows: &[String]) -> Self {
+        Self { rate: 500.0, burst: 1000.0, gateways: 1, number: 0, known: list(1, true, rows), sockets: 1024 }
+    }
+}
+
+static FILES: AtomicU32 = AtomicU32::new(0);
+
+/// A gateway as a process.
+pub struct Gateway {
+    pub at: SocketAddr,
+    child: Child,
+    config: PathBuf,
+}
+
+impl Gateway {
+    pub async fn start(discovery: SocketAddr, counter: SocketAddr, setup: &Setup) -> Self {
+        let Setup { rate, burst, gateways, number, known, sockets } = setup;
+        let text = format!(
+            r#"{{"name":"t","listen":"127.0.0.1:0","discovery":"{discovery}","counter":"{counter}",
+            "seed":"{number}7f","limits":{{"sockets":{sockets}}},"known":{known},"settings":{{
+            "fleet-size":{gateways},"my-number":{number},"period-ms":4,"locality":"z","classes":[
+            {{"name":"look","effect":"idempotent","goal-time-ms":800,"worth":1}},
+            {{"name":"save","effect":"deduplicated","dedup-scope":"cell","window-ms":4000,"goal-time-ms":800,"worth":1}},
+            {{"name":"order","effect":"at_most_once","goal-time-ms":800,"worth":1}}],
+            "plans":[{{"name":"p","refill":{rate},"burst":{burst},"worth-factor":1}}],
+            "extra":{{"has-counter":true,"count-limit-ms":50,"units-top":1}},
+            "permissions":{{"most-tries":6,"may-cancel":true,"max-retry-after-ms":1000}},
+            "rules":{{"cold-from":0.2,"cold-ms":1000}}}}}}"#
+        );
+        let number = FILES.fetch_add(1, Ordering::SeqCst);
+        let config = std::env::temp_dir().join(format!("fennelscale-{}-{number}.json", std::process::id()));
+        std::fs::write(&config, text).expect("a file");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_fennelscale"))
+            .env("NODE_CONFIG", &config)
+            .env_remove("NODE_LISTEN")
+            .env_remove("NODE_DISCOVERY")
+            .stderr(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .expect("a gateway");
+        let mut log = BufReader::new(child.stderr.take().expect("its log")).lines();
+        let first = soon("the gateway's first line", log.next_line()).await.expect("a log").expect("a line");
+        let at = first.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
+        tokio::spawn(async move { while let Ok(Some(_)) = log.next_line().await {} });
+        Self { at, child, config }
+    }
+
+    pub async fn client(&self) -> Client {
+        Client(BufReader::new(TcpStream::connect(self.at).await.expect("a connection")))
+    }
+
+    pub fn terminate(&self) {
+        let id = self.child.id().expect("a process").to_string();
+        let sent = std::process::Command::new("kill").args(["-TERM", &id]).status().expect("kill");
+        assert!(sent.success());
+    }
+
+    pub async fn ended(&mut self) -> ExitStatus {
+        soon("the gateway's end", self.child.wait()).await.expect("a status")
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+static IDS: AtomicU32 = AtomicU32::new(0);
+
+/// A well-formed request of a class; more headers and a body may be given.
+pub fn request(class: &str, deadline: u64, more: &str, body: &str) -> String {
+    let id = IDS.fetch_add(1, Ordering::SeqCst);
+    let (method, key) = match class {
+        "look" => ("GET", String::new()),
+        "save" => ("POST", format!("Idempotency-Key: key-{id}\r\n")),
+        _ => ("POST", String::new()),
+    };
+    let length = if method == "POST" { format!("Content-Length: {}\r\n", body.len()) } else { String::new() };
+    format!(
+        "{method} /{class}/a%20b?c=d HTTP/1.1\r\nHost: service.internal\r\nReq-Id: id-{id}\r\nApi-Plan: p\r\n\
+         Api-Customer: 00000000b4d65521\r\nReq-Deadline-Ms: {deadline}\r\nApi-Terms: units=1,spread=1,first=0\r\n\
+         {key}{length}{more}\r\n{body}"
+    )
+}
+
+pub struct Client(pub BufReader<TcpStream>);
+
+impl Client {
+    pub async fn write(&mut self, text: &str) {
+        self.0.write_all(text.as_bytes()).await.expect("written");
+    }
+
+    pub async fn read(&mut self) -> Heard {
+        soon("an answer", hear(&mut self.0)).await.expect("an answer, not the end")
+    }
+
+    pub async fn ask(&mut self, text: &str) -> Heard {
+        self.write(text).await;
+        self.read().await
+    }
+
+    /// Nothing more comes for a while.
+    pub async fn stays_quiet(&mut self) {
+        let more = tokio::time::timeout(Duration::from_millis(300), self.0.fill_buf()).await;
+        assert!(more.is_err(), "something came after the final answer");
+    }
+}
+
+/// A gateway that knows some backends, with discovery silent and the counter in order.
+pub struct World {
+    pub gateway: Gateway,
+    pub discovery: Discovery,
+    pub counter: Counter,
+}
+
+impl World {
+    pub async fn with(backends: &[&Backend]) -> Self {
+        let rows: Vec<_> =
+            backends.iter().enumerate().map(|(i, b)| row(&format!("b{i}"), b.at, "in_service")).collect();
+        Self::set(&Setup::knowing(&rows), Mood::Adds).await
+    }
+
+    pub async fn set(setup: &Setup, mood: Mood) -> Self {
+        let (discovery, counter) = (Discovery::start().await, Counter::start(mood).await);
+        let gateway = Gateway::start(discovery.at, counter.at, setup).await;
+        Self { gateway, discovery, counter }
+    }
+}
--- /dev/null
+++ b/gateway/tests/process.rs
@@ -0,0 +1,84 @@
+//! Start, end and limits of the process.
+
+mod helper;
+
+use helper::{Backend, Do, Setup, World, ok, request, row};
+use std::process::Command;
+use tokio::io::AsyncReadExt;
+
+const UP: &str = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
+
+#[tokio::test(flavor = "multi_thread")]
+async fn sigterm_answers_what_was_taken_and_what_still_comes_and_ends_with_status_0() {
+    let backend = Backend::start(&[Do::Hang, Do::Say(ok("x"))]).await;
+    let mut world = World::with(&[&backend]).await;
+    let (mut early, mut free) = (world.gateway.client().await, world.gateway.client().await);
+    assert_eq!(free.ask(UP).await.status(), 200);
+    early.write(&request("order", 2000, "", "b")).await;
+    helper::until("the attempt", || backend.attempts() == 1).await;
+    world.gateway.terminate();
+    helper::soon("the drain", async {
+        loop {
+            let reply = world.gateway.client().await.ask(UP).await;
+            if reply.status() == 503 {
+                break assert_eq!(reply.headers["connection"], "close");
+            }
+        }
+    })
+    .await;
+    for client in [&mut world.gateway.client().await, &mut free] {
+        let reply = client.ask(&request("look", 900, "", "")).await;
+        assert_eq!((reply.status(), reply.headers["connection"].as_str()), (200, "close"));
+    }
+    // What was taken before waits for its backend to the end of its time, and is told so.
+    let reply = early.read().await;
+    assert_eq!((reply.status(), reply.headers["connection"].as_str()), (504, "close"));
+    let mut rest = Vec::new();
+    helper::soon("the close", early.0.read_to_end(&mut rest)).await.expect("a clean end");
+    assert_eq!(rest, b"");
+    assert_eq!(world.gateway.ended().await.code(), Some(0));
+    assert_eq!(backend.attempts(), 3);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_clients_beyond_the_budget_wait_and_are_served_when_others_leave() {
+    let backend = Backend::start(&[Do::Say(ok("x"))]).await;
+    let setup = Setup { sockets: 52, ..Setup::knowing(&[row("b", backend.at, "in_service")]) };
+    let world = World::set(&setup, helper::Mood::Adds).await;
+    let mut clients = Vec::new();
+    for _ in 0..20 {
+        clients.push(world.gateway.client().await);
+    }
+    let mut late = clients.pop().expect("a client");
+    late.write(&request("look", 20_000, "", "")).await;
+    late.stays_quiet().await;
+    clients.truncate(3);
+    assert_eq!(late.read().await.status(), 200);
+}
+
+#[test]
+fn an_unusable_configuration_is_one_line_and_status_2() {
+    let path = std::env::temp_dir().join(format!("fennelscale-bad-{}.json", std::process::id()));
+    let end = r#""seed":"1","settings":{"fleet-size":1,"classes":[{"name":"a","effect":"idempotent"}]}}"#;
+    let texts = [
+        String::new(),
+        "{}".into(),
+        r#"{"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1","settings":{}}"#.into(),
+        format!(r#"{{"discovery":"127.0.0.1:9",{end}"#),
+        format!(r#"{{"listen":"here","discovery":"127.0.0.1:9",{end}"#),
+        format!(r#"{{"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","known":{{"seq":1}},{end}"#),
+        format!(r#"{{"listen":"127.0.0.1:0","discovery":"127.0.0.1:9",{end}"#).replace("\"1\"", "\"z\""),
+    ];
+    for text in texts {
+        std::fs::write(&path, &text).expect("a file");
+        let output = Command::new(env!("CARGO_BIN_EXE_fennelscale"))
+            .env("NODE_CONFIG", &path)
+            .env_remove("NODE_LISTEN")
+            .env_remove("NODE_DISCOVERY")
+            .output()
+            .expect("a process");
+        assert_eq!(output.status.code(), Some(2), "{text}");
+        assert_eq!(String::from_utf8_lossy(&output.stderr).lines().count(), 1, "{text}");
+    }
+    std::fs::remove_file(&path).expect("removed");
+}
