--- a/gateway/tests/requests.rs
+++ b/gateway/tests/requests.rs
@@ -132,3 +132,18 @@
         pause(900).await;
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_client_that_leaves_speaks_against_no_backend() {
+    let backend = Backend::start(&[Do::Hang, Do::Say(ok("x"))]).await;
+    let world = World::with(&[&backend]).await;
+    let mut client = world.gateway.client().await;
+    client.write(&request("order", 50_000, "", "b")).await;
+    helper::until("the attempt", || backend.attempts() == 1).await;
+    // Longer than a request is held for a backend: one left alone for as long again would cost the next one.
+    pause(1000).await;
+    drop(client);
+    helper::until("the end of the attempt's connection", || backend.closed() == 1).await;
+    let reply = world.gateway.client().await.ask(&request("order", 900, "", "b")).await;
+    assert_eq!((reply.status(), backend.attempts()), (200, 2));
+}
