Drop free connections to a backend that timed out and has been silent since

Seen: connections to a machine that vanished stay open and silent; after one time-out the pool still handed out the others, each of which would hold a request in doubt to the end of its time (test: both connections stayed open; now both are closed after the one 504). At fault: nothing in backends.rs doubted a pooled connection that the kernel still holds up. Ruled out: dropping them after every time-out, as a merely slow backend would pay handshakes; it must have said nothing at all since the attempt began.

--- a/gateway/src/backends.rs
+++ b/gateway/src/backends.rs
@@ -77,6 +77,8 @@
 struct Backend {
     dial: SocketAddr,
     ready: bool,
+    /// When it last answered anything.
+    heard: Instant,
     /// Free connections, the one used last at the end, and since when.
     idle: Vec<(Link, Instant)>,
 }
@@ -130,6 +132,7 @@
             let backend = known.entry(host.entry.name.clone()).or_insert_with(|| Backend {
                 dial: host.dial,
                 ready,
+                heard: Instant::now(),
                 idle: Vec::new(),
             });
             if !ready || backend.dial != host.dial {
@@ -169,12 +172,27 @@
             }
             (builder, message.body.clone())
         };
+        let begun = Instant::now();
         // Each arm ends the exchange, which closes its connection, before the end is told.
-        tokio::select! {
+        let end = tokio::select! {
             biased;
             answer = self.exchange(name, build) => answer.map_or_else(End::from, |a| self.judge(a)),
             _ = called_off => Outcome::CalledOff.into(),
             () = sleep_until(until) => Outcome::TimedOut.into(),
+        };
+        if end.outcome == Outcome::TimedOut {
+            self.doubt(name, begun);
+        }
+        end
+    }
+
+    /// Guards against machines that vanish: connections to one stay open and silent, and each would take a
+    /// request into doubt until its time is over. A new one fails soon and for certain. A backend that has
+    /// answered anything since is merely slow.
+    fn doubt(&self, name: &Name, since: Instant) {
+        let mut known = self.known.borrow_mut();
+        if let Some(backend) = known.get_mut(name).filter(|b| b.heard < since) {
+            backend.idle.clear();
         }
     }
 
@@ -214,9 +232,8 @@
             let request = builder.body(Full::new(body)).map_err(|_| Outcome::NeverSent)?;
             match link.exchange(request, LARGEST_BODY).await {
                 Ok(answer) => {
-                    if link.is_free().await {
-                        self.put_back(name, dial, link);
-                    }
+                    let link = link.is_free().await.then_some(link);
+                    self.answered(name, dial, link);
                     return Ok(answer);
                 }
                 // Guards against a free connection that its backend closed just now: nothing was written,
@@ -265,10 +282,12 @@
         Some(Slot(self.busy.clone()))
     }
 
-    fn put_back(&self, name: &Name, dial: SocketAddr, link: Link) {
+    /// Notes that a backend answered, and keeps the connection if it is free again.
+    fn answered(&self, name: &Name, dial: SocketAddr, link: Option<Link>) {
         let mut known = self.known.borrow_mut();
-        if let Some(backend) = known.get_mut(name).filter(|b| b.ready && b.dial == dial) {
-            backend.idle.push((link, Instant::now()));
+        if let Some(backend) = known.get_mut(name).filter(|b| b.dial == dial) {
+            backend.heard = Instant::now();
+            backend.idle.extend(link.filter(|_| backend.ready).map(|link| (link, backend.heard)));
         }
     }
 
--- a/gateway/tests/backends.rs
+++ b/gateway/tests/backends.rs
@@ -180,3 +180,17 @@
         assert!(!link.stands());
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_time_out_casts_doubt_on_the_free_connections_to_that_backend() {
+    let backend = Backend::start(&[Do::SayLater(300, ok("x"))]).await;
+    let world = World::with(&[&backend]).await;
+    let (mut one, mut two) = (world.gateway.client().await, world.gateway.client().await);
+    let (first, second) = (request("look", 900, "", ""), request("look", 900, "", ""));
+    let (first, second) = tokio::join!(one.ask(&first), two.ask(&second));
+    assert_eq!((first.status(), second.status(), backend.opened(), backend.closed()), (200, 200, 2, 0));
+    *backend.deeds.lock().expect("lock") = vec![Do::Hang];
+    assert_eq!(one.ask(&request("order", 700, "", "b")).await.status(), 504);
+    helper::until("the end of both connections", || backend.closed() == 2).await;
+    assert_eq!(backend.attempts(), 3);
+}
--- a/gateway/tests/helper/mod.rs
+++ b/gateway/tests/helper/mod.rs
@@ -73,6 +73,8 @@
 pub enum Do {
     /// Writes this text.
     Say(String),
+    /// Writes this text after so many ms.
+    SayLater(u64, String),
     /// Writes this text and closes.
     SayAndClose(String),
     /// Says nothing.
@@ -116,6 +118,10 @@
                         };
                         match deed {
                             Do::Say(text) => stream.write_all(text.as_bytes()).await.unwrap_or(()),
+                            Do::SayLater(ms, text) => {
+                                pause(ms).await;
+                                stream.write_all(text.as_bytes()).await.unwrap_or(());
+                            }
                             Do::SayAndClose(text) => {
                                 stream.write_all(text.as_bytes()).await.unwrap_or(());
                                 break;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -711,9 +711,9 @@
                 *usual = if *usual == 0.0 { latency } else { *usual + USUAL_WEIGHT * (latency - *usual) };
                 latency > self.settings.classes[class].aim * ROOM_SHARE
             }
-            // A client that left, or one with little time left, proves nothing of the backend or the fleet.
             Outcome::Error | Outcome::NeverSent | Outcome::CalledOff => return,
             Outcome::Full => true,
+            // A client with little time left proves nothing of the fleet, one that left nothing at all.
             _ => latency > *usual * LATE_LATENCIES,
         };
         backend.note_latency(late);
