Close idle client connections while new ones are still taken

Seen: at SIGTERM idle connections were closed 50 ms after the listener; a request crossing that close is sent once more on a new connection, which was refused (test: connection refused; now answered 200). At fault: serve in clients.rs closed all at once at the end. Now idle ones close half-way through the 0.5 s. Found on the way, by the older drain test: the guard that watch's wait_for returns lived on while a connection finished, and the second round of closing then waited for its lock for ever on the one thread; it is dropped now.

--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -34,7 +34,7 @@
 const BODY: Duration = Duration::from_secs(10);
 /// A failed accept is tried again after this: descriptors may have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
-/// After the signal to end new connections are taken for this long ...
+/// After the signal to end new connections are taken for this long. Halfway idle ones are closed ...
 const LINGER: Duration = Duration::from_millis(500);
 /// ... and those that came last have this long for their first request.
 const LAST_CALL: Duration = Duration::from_millis(50);
@@ -97,11 +97,15 @@
     /// Serves clients until `end` resolves, then lets those finish that are there. Returns when the last one
     /// has gone.
     pub async fn serve(self: Rc<Self>, listener: TcpListener, end: impl Future<Output = ()>) {
-        let (close, closing) = watch::channel(false);
+        let (close, closing) = watch::channel(0);
         let ended = async {
             end.await;
             self.draining.set(true);
-            sleep(LINGER).await;
+            sleep(LINGER / 2).await;
+            // Guards requests that cross the close of an idle connection: these are sent once more on a new
+            // one, so new ones must still be taken.
+            close.send_modify(|round| *round += 1);
+            sleep(LINGER / 2).await;
         };
         let mut ended = pin!(ended);
         loop {
@@ -116,7 +120,7 @@
         }
         drop(listener);
         sleep(LAST_CALL).await;
-        let _ = close.send(true);
+        close.send_modify(|round| *round += 1);
         while self.clients.get() > 0 {
             self.left.notified().await;
         }
@@ -135,8 +139,9 @@
         }
     }
 
-    fn welcome(self: Rc<Self>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
+    fn welcome(self: Rc<Self>, stream: TcpStream, mut closing: watch::Receiver<u32>) {
         self.clients.set(self.clients.get() + 1);
+        let round = *closing.borrow();
         crate::backends::spawn(async move {
             let _ = stream.set_nodelay(true);
             let front = self.clone();
@@ -150,10 +155,13 @@
                 .max_buf_size(BUFFER)
                 .serve_connection(TokioIo::new(stream), service);
             let mut connection = pin!(connection);
+            // Lets go of what `wait_for` hands out: it locks the channel, and the next round would wait for
+            // it on this one thread for ever.
+            let mut closing = pin!(async { drop(closing.wait_for(|now| *now > round).await) });
             tokio::select! {
                 biased;
                 _ = connection.as_mut() => {}
-                _ = closing.wait_for(|closing| *closing) => {
+                () = closing.as_mut() => {
                     connection.as_mut().graceful_shutdown();
                     let _ = connection.await;
                 }
--- a/gateway/tests/process.rs
+++ b/gateway/tests/process.rs
@@ -40,6 +40,22 @@
     assert_eq!(backend.attempts(), 3);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn at_sigterm_idle_connections_close_while_new_ones_are_still_taken() {
+    let backend = Backend::start(&[Do::Say(ok("x"))]).await;
+    let mut world = World::with(&[&backend]).await;
+    let mut idle = world.gateway.client().await;
+    assert_eq!(idle.ask(UP).await.status(), 200);
+    world.gateway.terminate();
+    // A request that crossed this close is sent once more, on a new connection.
+    let mut rest = Vec::new();
+    helper::soon("the close", idle.0.read_to_end(&mut rest)).await.expect("a clean end");
+    assert_eq!(rest, b"");
+    let reply = world.gateway.client().await.ask(&request("order", 900, "", "b")).await;
+    assert_eq!((reply.status(), reply.headers["connection"].as_str()), (200, "close"));
+    assert_eq!(world.gateway.ended().await.code(), Some(0));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn idle_clients_beyond_the_budget_wait_and_are_served_when_others_leave() {
     let backend = Backend::start(&[Do::Say(ok("x"))]).await;
