Have idle clients make room when client slots run out

Seen: with every client slot held by connections that said nothing, or half a request, a new client waited the 60 s that headers may take (test: no answer in 30 s; now 200). At fault: accept in clients.rs waited for somebody to leave and asked nobody to. Now the client idle for longest is asked; one whose request comes just then is answered.

--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -12,7 +12,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
@@ -76,11 +76,19 @@
     plans: Vec<Name>,
     most_units: f64,
     most_clients: usize,
-    clients: Cell<usize>,
+    guests: RefCell<Vec<Rc<Guest>>>,
     left: Notify,
     draining: Cell<bool>,
 }
 
+/// One client's connection.
+struct Guest {
+    busy: Cell<bool>,
+    /// When it came or was last answered.
+    since: Cell<Instant>,
+    leave: Notify,
+}
+
 impl Front {
     /// A front side that takes at most `most_clients` connections at once.
     pub fn new(engine: Rc<Engine>, settings: &Settings, most_clients: usize) -> Rc<Self> {
@@ -90,7 +98,7 @@
             plans: settings.plans.iter().map(|p| p.name.clone()).collect(),
             most_units: settings.most_units,
             most_clients,
-            clients: Cell::new(0),
+            guests: RefCell::default(),
             left: Notify::new(),
             draining: Cell::new(false),
         })
@@ -126,7 +134,7 @@
         // Guards the end against clients that stop half-way: once nothing that was taken waits for its answer,
         // the last answers and the last bodies have this long.
         let mut quiet = Instant::now();
-        while self.clients.get() > 0 && quiet.elapsed() < LAST_WORDS {
+        while !self.guests.borrow().is_empty() && quiet.elapsed() < LAST_WORDS {
             let _ = timeout(LAST_WORDS / 10, self.left.notified()).await;
             if self.engine.waiting() > 0 {
                 quiet = Instant::now();
@@ -134,10 +142,23 @@
         }
     }
 
+    fn is_full(&self) -> bool {
+        self.guests.borrow().len() >= self.most_clients
+    }
+
+    fn ask_idle_to_leave(&self) {
+        let guests = self.guests.borrow();
+        if let Some(guest) = guests.iter().filter(|g| !g.busy.get()).min_by_key(|g| g.since.get()) {
+            guest.leave.notify_one();
+        }
+    }
+
     async fn accept(&self, listener: &TcpListener) -> TcpStream {
         loop {
-            // Guards the descriptors: who finds no room waits in the machine's line.
-            while self.clients.get() >= self.most_clients {
+            // Guards the descriptors: who finds no room waits in the machine's line, and guards those who wait
+            // there against clients that keep a connection and say nothing.
+            while self.is_full() {
+                self.ask_idle_to_leave();
                 self.left.notified().await;
             }
             match listener.accept().await {
@@ -148,14 +169,21 @@
     }
 
     fn welcome(self: Rc<Self>, stream: TcpStream, mut closing: watch::Receiver<u32>) {
-        self.clients.set(self.clients.get() + 1);
+        let (busy, since, leave) = (Cell::new(false), Cell::new(Instant::now()), Notify::new());
+        let guest = Rc::new(Guest { busy, since, leave });
+        self.guests.borrow_mut().push(guest.clone());
         let round = *closing.borrow();
         crate::backends::spawn(async move {
             let _ = stream.set_nodelay(true);
-            let front = self.clone();
-            let service = service_fn(move |request| {
-                let front = front.clone();
-                async move { Ok::<_, Infallible>(front.answer(request).await) }
+            let service = service_fn(|request| {
+                let (front, guest) = (self.clone(), guest.clone());
+                async move {
+                    guest.busy.set(true);
+                    let response = front.answer(request).await;
+                    guest.busy.set(false);
+                    guest.since.set(Instant::now());
+                    Ok::<_, Infallible>(response)
+                }
             });
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
@@ -173,8 +201,16 @@
                     connection.as_mut().graceful_shutdown();
                     let _ = connection.await;
                 }
+                () = guest.leave.notified() => {
+                    connection.as_mut().graceful_shutdown();
+                    // A request that came just now is answered still.
+                    let over = timeout(LAST_CALL, connection.as_mut()).await.is_ok();
+                    if !over && guest.busy.get() {
+                        let _ = connection.await;
+                    }
+                }
             }
-            self.clients.set(self.clients.get() - 1);
+            self.guests.borrow_mut().retain(|g| !Rc::ptr_eq(g, &guest));
             self.left.notify_one();
         });
     }
@@ -190,7 +226,7 @@
             }
         };
         // So that clients find another gateway, or make room for others here.
-        if self.draining.get() || self.clients.get() >= self.most_clients {
+        if self.draining.get() || self.is_full() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
--- a/gateway/tests/process.rs
+++ b/gateway/tests/process.rs
@@ -87,6 +87,27 @@
     assert_eq!(busy.read().await.status(), 200);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn clients_that_connect_and_say_nothing_do_not_keep_others_out() {
+    let backend = Backend::start(&[Do::Say(ok("x"))]).await;
+    let setup = Setup { sockets: 52, ..Setup::knowing(&[row("b", backend.at, "in_service")]) };
+    let world = World::set(&setup, helper::Mood::Adds).await;
+    let mut silent = Vec::new();
+    for n in 0..40 {
+        let mut client = world.gateway.client().await;
+        // Some have begun with a request that never comes whole.
+        if n % 2 == 0 {
+            client.write("GET /up HTTP/1.1\r\nHo").await;
+        }
+        silent.push(client);
+    }
+    let mut client = world.gateway.client().await;
+    client.write(&request("look", 5000, "", "")).await;
+    // Far less than the time that headers may take.
+    let reply = tokio::time::timeout(Duration::from_secs(30), client.read()).await;
+    assert_eq!(reply.expect("an answer").status(), 200);
+}
+
 #[test]
 fn an_unusable_configuration_is_one_line_and_status_2() {
     let path = std::env::temp_dir().join(format!("fennelscale-bad-{}.json", std::process::id()));
