Reconnect to the counter at once after a spoilt answer

At fault: Lane::run backed off by up to 500 ms after each spoilt answer and told every call meanwhile as not added; an answer that never ended held its lane for a second (SILENT); -ANYTHING was taken for 'nothing added'. Now: a lane that has answered connects again at once, calls line up while it does, a begun answer has the time of one call to end, and only -BUSY and -ERR mean that nothing was added. Lanes can be moved to another address.

--- a/gateway/src/counter.rs
+++ b/gateway/src/counter.rs
@@ -8,6 +8,7 @@
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -55,28 +56,39 @@
     pipeline: RefCell<Pipeline>,
     wake: Notify,
     told_bad: Cell<bool>,
+    /// The counter is elsewhere now: what is out gets its end, and that is all.
+    retired: Cell<bool>,
 }
 
 /// The gateway's side of the counter.
 pub struct Counter {
-    lanes: Vec<Rc<Lane>>,
+    address: Cell<SocketAddr>,
+    patience: Duration,
+    report: Rc<Report>,
+    lanes: RefCell<Vec<Rc<Lane>>>,
 }
 
 impl Counter {
     /// Connects and stays connected from now on. A call without an answer for `patience` is reported unknown.
     pub fn start(address: SocketAddr, patience: Duration, report: Rc<Report>) -> Self {
-        let lane = |_| {
-            let (pipeline, wake, told_bad) = (RefCell::default(), Notify::new(), Cell::new(false));
-            let lane = Rc::new(Lane { address, patience, report: report.clone(), pipeline, wake, told_bad });
-            tokio::task::spawn_local(lane.clone().run());
-            lane
-        };
-        Self { lanes: (0..LANES).map(lane).collect() }
+        let lanes = lanes(address, patience, &report).into();
+        Self { address: Cell::new(address), patience, report, lanes }
+    }
+
+    /// Makes further calls to another address; those that are out end as they would have.
+    pub fn move_to(&self, address: SocketAddr) {
+        if self.address.replace(address) == address {
+            return;
+        }
+        for lane in self.lanes.replace(lanes(address, self.patience, &self.report)) {
+            lane.retired.set(true);
+            lane.wake.notify_one();
+        }
     }
 
     /// Adds an amount to a name; the end is reported later or, with no connection, at once.
     pub fn add(&self, name: u64, amount: f64, keep: Millis) {
-        let lane = &self.lanes[name as usize % self.lanes.len()];
+        let lane = self.lanes.borrow()[name as usize % LANES].clone();
         let name_text = name.to_string();
         let amount = format!("{}", (amount * 1e6).round() / 1e6);
         let keep = (keep.ceil().max(1.0) as u64).to_string();
@@ -86,6 +98,17 @@
     }
 }
 
+fn lanes(address: SocketAddr, patience: Duration, report: &Rc<Report>) -> Vec<Rc<Lane>> {
+    let lane = |_| {
+        let (pipeline, wake) = (Pipeline { up: true, ..Pipeline::default() }.into(), Notify::new());
+        let (told_bad, retired, report) = (Cell::new(false), Cell::new(false), report.clone());
+        let lane = Rc::new(Lane { address, patience, report, pipeline, wake, told_bad, retired });
+        tokio::task::spawn_local(lane.clone().run());
+        lane
+    };
+    (0..LANES).map(lane).collect()
+}
+
 impl Lane {
     /// Puts a call in line, if there is a line.
     fn push(&self, name: Option<u64>, words: &[&str]) -> bool {
@@ -105,34 +128,50 @@
 
     async fn run(self: Rc<Self>) {
         let mut back_off = BACK_OFF[0];
-        loop {
-            let begun = Instant::now();
-            if let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await
-                && stream.set_nodelay(true).is_ok()
-            {
-                *self.pipeline.borrow_mut() = Pipeline { up: true, ..Pipeline::default() };
-                let end = self.session(&stream).await;
+        while !self.retired.get() {
+            let mut answered = false;
+            if let Some(stream) = self.connect().await {
+                let end = self.session(&stream, &mut answered).await;
                 drop(stream);
-                self.fail_all();
                 if let Err(error) = end
                     && error.kind() == io::ErrorKind::InvalidData
                     && !self.told_bad.replace(true)
                 {
                     eprintln!("counter: {error} (told once)");
                 }
-                // One that stood for a while was closed as idle or with its machine: no reason to wait.
-                if begun.elapsed() > SILENT {
-                    back_off = BACK_OFF[0];
-                }
+            }
+            // Calls made while the ends are told go on the next connection, if that comes at once.
+            self.fail_all(answered);
+            // Guards the quotas against spoilt answers: a counter that has answered is there, and each moment
+            // without a connection to it is one of silence. Only one that has not is spared.
+            if answered {
+                back_off = BACK_OFF[0];
+                continue;
             }
             sleep(back_off).await;
             back_off = (back_off * 2).min(BACK_OFF[1]);
         }
     }
 
+    /// Connects. Calls may be put in line meanwhile, for as long as one may take.
+    async fn connect(&self) -> Option<TcpStream> {
+        self.pipeline.borrow_mut().up = true;
+        let mut connecting = pin!(TcpStream::connect(self.address));
+        let stream = match timeout(self.patience, connecting.as_mut()).await {
+            Ok(stream) => stream.ok()?,
+            Err(_) => {
+                self.fail_all(false);
+                let stream = timeout(CONNECT_TIMEOUT, connecting).await.ok()?.ok()?;
+                self.pipeline.borrow_mut().up = true;
+                stream
+            }
+        };
+        stream.set_nodelay(true).ok().map(|()| stream)
+    }
+
     /// Tells of all that got no answer: what was not written whole was not added.
-    fn fail_all(&self) {
-        let Pipeline { calls, written, .. } = self.pipeline.take();
+    fn fail_all(&self, up: bool) {
+        let Pipeline { calls, written, .. } = self.pipeline.replace(Pipeline { up, ..Pipeline::default() });
         for call in calls {
             let added = if call.end <= written { CountOutcome::Unknown } else { CountOutcome::NotAdded };
             self.tell(&call, added);
@@ -145,15 +184,20 @@
         }
     }
 
-    async fn session(&self, stream: &TcpStream) -> io::Result<()> {
-        let (mut heard, mut input) = (Instant::now(), Vec::new());
+    async fn session(&self, stream: &TcpStream, answered: &mut bool) -> io::Result<()> {
+        let (mut heard, mut input, mut begun) = (Instant::now(), Vec::new(), None);
         loop {
             let (waiting, due) = {
                 let pipeline = self.pipeline.borrow();
                 let due = pipeline.calls.iter().find(|c| !c.told).map(|c| c.made + self.patience);
                 (!pipeline.out.is_empty(), due)
             };
+            if self.retired.get() && due.is_none() {
+                return Ok(());
+            }
             let silence = heard + if self.is_idle() { PING } else { SILENT };
+            // Guards against an answer that never ends: all calls behind it would wait for nothing.
+            let silence = begun.map_or(silence, |begun| begun + self.patience);
             tokio::select! {
                 () = self.wake.notified() => {}
                 ready = stream.readable() => ready?,
@@ -162,9 +206,13 @@
             }
             self.write(stream)?;
             // Before the time-outs: an answer that is there counts.
-            if self.read(stream, &mut input)? {
+            if self.read(stream, &mut input, answered)? {
                 heard = Instant::now();
             }
+            begun = (!input.is_empty()).then(|| begun.unwrap_or(heard));
+            if begun.is_some_and(|begun| begun.elapsed() >= self.patience) {
+                return Err(bad("an answer without end".into()));
+            }
             self.give_up_late();
             if heard.elapsed() >= PING && self.is_idle() {
                 heard = Instant::now();
@@ -197,7 +245,7 @@
     }
 
     /// Reads what is there and tells of the answers; true if anything came.
-    fn read(&self, stream: &TcpStream, input: &mut Vec<u8>) -> io::Result<bool> {
+    fn read(&self, stream: &TcpStream, input: &mut Vec<u8>, answered: &mut bool) -> io::Result<bool> {
         let (mut came, mut bytes) = (false, [0; 4096]);
         loop {
             match stream.try_read(&mut bytes) {
@@ -210,6 +258,7 @@
             while let Some((frame, length)) = decode(input).map_err(|e| bad(e.to_string()))? {
                 input.drain(..length);
                 self.answer(frame)?;
+                *answered = true;
             }
             if input.len() > MOST_BYTES {
                 return Err(bad("an answer without end".into()));
@@ -219,19 +268,25 @@
 
     /// Answers come in the order of the calls; one that comes late is taken off the line and told to nobody.
     fn answer(&self, frame: OwnedFrame) -> io::Result<()> {
-        let call = self.pipeline.borrow_mut().calls.pop_front();
-        let Some(call) = call else { return Err(bad("an answer to no call".into())) };
+        let name = self.pipeline.borrow().calls.front().map(|call| call.name);
+        let Some(name) = name else { return Err(bad("an answer to no call".into())) };
         let outcome = match frame {
             OwnedFrame::BulkString(text) => {
                 let total = std::str::from_utf8(&text).ok().and_then(|t| t.parse::<f64>().ok());
                 total.filter(|t| t.is_finite()).map(CountOutcome::Total)
             }
-            OwnedFrame::Error(_) => Some(CountOutcome::NotAdded),
-            OwnedFrame::SimpleString(_) if call.name.is_none() => return Ok(()),
+            // Any other word is a spoilt answer, and the amount was added.
+            OwnedFrame::Error(word) if word.starts_with("BUSY") || word.starts_with("ERR") => {
+                Some(CountOutcome::NotAdded)
+            }
+            OwnedFrame::SimpleString(_) if name.is_none() => Some(CountOutcome::NotAdded),
             _ => None,
         };
-        self.tell(&call, outcome.unwrap_or(CountOutcome::Unknown));
-        outcome.map(|_| ()).ok_or_else(|| bad("an answer that is no total".into()))
+        // A call with a spoilt answer stays in line, to be told of as unknown with those behind it.
+        let outcome = outcome.ok_or_else(|| bad("an answer that is no total".into()))?;
+        let call = self.pipeline.borrow_mut().calls.pop_front();
+        call.into_iter().for_each(|call| self.tell(&call, outcome));
+        Ok(())
     }
 
     /// Tells of calls whose time is over. They stay in line, as their answers are still to come; one that
--- a/gateway/tests/counter.rs
+++ b/gateway/tests/counter.rs
@@ -2,8 +2,11 @@
 
 mod helper;
 
+use doorcourse::CountOutcome;
 use helper::{Backend, Counter, Discovery, Do, Gateway, Mood, Setup, World, ok, pause, request, row};
+use std::rc::Rc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 async fn statuses(gateway: &Gateway, count: usize) -> Vec<u16> {
     let (mut client, mut statuses) = (gateway.client().await, Vec::new());
@@ -85,3 +88,35 @@
     })
     .await;
 }
+
+/// The counter's side alone: calls of one lane, and how each ended.
+async fn outcomes(spoilt: &'static str, moods: &[Mood]) -> Vec<CountOutcome> {
+    let stand_in = helper::Counter::start(Mood::Adds).await;
+    let (at, mood) = (stand_in.at, stand_in.mood.clone());
+    let moods = moods.to_vec();
+    tokio::task::LocalSet::new()
+        .run_until(async move {
+            let (report, mut ends) = tokio::sync::mpsc::unbounded_channel();
+            let report = Rc::new(move |_, outcome, _| report.send(outcome).expect("a listener"));
+            let counter = fennelscale::counter::Counter::start(at, Duration::from_secs(1), report);
+            let mut outcomes = Vec::new();
+            for next in moods {
+                *mood.lock().expect("lock") = next;
+                counter.add(2, 1.0, 10_000.0);
+                outcomes.push(helper::soon(spoilt, ends.recv()).await.expect("an end"));
+            }
+            outcomes
+        })
+        .await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn after_a_spoilt_answer_the_next_call_is_made_at_once_and_none_is_lost() {
+    // Noise, a word that says nothing of the amount, an answer without end.
+    for spoilt in ["#~\r\n", "-LOADING soon\r\n", "$900\r\n12"] {
+        let moods = [Mood::Adds, Mood::Spoils(spoilt), Mood::Adds, Mood::Spoils(spoilt), Mood::Adds];
+        let (total, unknown) = (CountOutcome::Total, CountOutcome::Unknown);
+        let expected = [total(1.0), unknown, total(3.0), unknown, total(5.0)];
+        assert_eq!(outcomes(spoilt, &moods).await, expected, "{spoilt}");
+    }
+}
--- a/gateway/tests/helper/mod.rs
+++ b/gateway/tests/helper/mod.rs
@@ -164,6 +164,8 @@
     pub at: SocketAddr,
     pub say: watch::Sender<Option<String>>,
     pub calls: Arc<AtomicU32>,
+    /// What was asked last.
+    pub asked: Arc<Mutex<String>>,
 }
 
 impl Discovery {
@@ -172,14 +174,16 @@
         let at = listener.local_addr().expect("an address");
         let (say, hear_it) = watch::channel(None::<String>);
         let calls = Arc::new(AtomicU32::new(0));
-        let count = calls.clone();
+        let (count, asked) = (calls.clone(), Arc::<Mutex<String>>::default());
+        let line = asked.clone();
         let seen = Arc::new(tokio::sync::Mutex::new(hear_it));
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let (seen, count) = (seen.clone(), count.clone());
+                let (seen, count, line) = (seen.clone(), count.clone(), line.clone());
                 tokio::spawn(async move {
                     let mut stream = BufReader::new(stream);
-                    while hear(&mut stream).await.is_some() {
+                    while let Some(message) = hear(&mut stream).await {
+                        *line.lock().expect("lock") = message.line;
                         count.fetch_add(1, Ordering::SeqCst);
                         let mut seen = seen.lock().await;
                         if seen.changed().await.is_err() {
@@ -193,7 +197,7 @@
                 });
             }
         });
-        Self { at, say, calls }
+        Self { at, say, calls, asked }
     }
 
     pub fn tell(&self, text: String) {
@@ -214,6 +218,8 @@
     Busy,
     Silent,
     Babbles,
+    /// Adds, but says something else.
+    Spoils(&'static str),
 }
 
 pub struct Counter {
@@ -244,7 +250,7 @@
                         calls.fetch_add(1, Ordering::SeqCst);
                         let mood = *mood.lock().expect("lock");
                         let reply = match mood {
-                            Mood::Adds | Mood::Late(_) => {
+                            Mood::Adds | Mood::Late(_) | Mood::Spoils(_) => {
                                 let amount: f64 = words[2].parse().expect("an amount");
                                 assert!(words[3].parse::<u64>().expect("a whole life") >= 1);
                                 let mut totals = totals.lock().expect("lock");
@@ -257,6 +263,7 @@
                             Mood::Babbles => "?what\r\n".into(),
                             Mood::Silent => continue,
                         };
+                        let reply = if let Mood::Spoils(text) = mood { text.into() } else { reply };
                         if let Mood::Late(ms) = mood {
                             pause(ms).await;
                         }
@@ -307,6 +314,8 @@
     pub at: SocketAddr,
     child: Child,
     config: PathBuf,
+    text: String,
+    pub log: Arc<Mutex<Vec<String>>>,
 }
 
 impl Gateway {
@@ -326,11 +335,11 @@
         );
         let number = FILES.fetch_add(1, Ordering::SeqCst);
         let config = std::env::temp_dir().join(format!("fennelscale-{}-{number}.json", std::process::id()));
-        std::fs::write(&config, text).expect("a file");
+        std::fs::write(&config, &text).expect("a file");
         let mut child = Command::new(env!("CARGO_BIN_EXE_fennelscale"))
             .env("NODE_CONFIG", &config)
             .env_remove("NODE_LISTEN")
-            .env_remove("NODE_DISCOVERY")
+            .env("NODE_DISCOVERY", discovery.to_string())
             .stderr(Stdio::piped())
             .kill_on_drop(true)
             .spawn()
@@ -338,8 +347,28 @@
         let mut log = BufReader::new(child.stderr.take().expect("its log")).lines();
         let first = soon("the gateway's first line", log.next_line()).await.expect("a log").expect("a line");
         let at = first.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
-        tokio::spawn(async move { while let Ok(Some(_)) = log.next_line().await {} });
-        Self { at, child, config }
+        let lines: Arc<Mutex<Vec<String>>> = Arc::default();
+        let noted = lines.clone();
+        tokio::spawn(async move {
+            while let Ok(Some(line)) = log.next_line().await {
+                noted.lock().expect("lock").push(line);
+            }
+        });
+        Self { at, child, config, text, log: lines }
+    }
+
+    /// Writes a new configuration, with some texts in place of others, and tells the gateway of it.
+    pub async fn reconfigure(&mut self, changes: &[(String, String)]) {
+        let changed = changes.iter().fold(self.text.clone(), |text, (old, new)| text.replace(old, new));
+        std::fs::write(&self.config, changed).expect("a file");
+        let before = self.log_lines("configuration ");
+        self.signal("-HUP");
+        until("a word on the configuration", || self.log_lines("configuration ") > before).await;
+    }
+
+    /// How many lines of the log begin so.
+    pub fn log_lines(&self, start: &str) -> usize {
+        self.log.lock().expect("lock").iter().filter(|line| line.starts_with(start)).count()
     }
 
     pub async fn client(&self) -> Client {
@@ -347,8 +376,12 @@
     }
 
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    fn signal(&self, signal: &str) {
         let id = self.child.id().expect("a process").to_string();
-        let sent = std::process::Command::new("kill").args(["-TERM", &id]).status().expect("kill");
+        let sent = std::process::Command::new("kill").args([signal, &id]).status().expect("kill");
         assert!(sent.success());
     }
 
