--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -102,14 +102,24 @@
     /// # Errors
     /// When either cannot be used.
     pub fn from_environment() -> Result<Self, ConfigError> {
-        let path = std::env::var_os("NODE_CONFIG").ok_or(ConfigError::NoFile)?;
-        let text = std::fs::read_to_string(path).map_err(ConfigError::Unreadable)?;
-        Self::parse(&text, |key| std::env::var(key).ok())
+        Self::read(|variable, file| variable.or(file))
     }
 
-    /// Reads the text of a file; what the environment says goes first.
-    fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
-        let file: File = serde_json::from_str(text).map_err(ConfigError::Malformed)?;
+    /// Reads the same again while the program runs. The environment is as old as the program, so what the file
+    /// says goes first now.
+    ///
+    /// # Errors
+    /// When either cannot be used.
+    pub fn again() -> Result<Self, ConfigError> {
+        Self::read(|variable, file| file.or(variable))
+    }
+
+    /// Reads both; of an address that both name, `choose` takes one.
+    fn read(choose: impl Fn(Option<String>, Option<String>) -> Option<String>) -> Result<Self, ConfigError> {
+        let path = std::env::var_os("NODE_CONFIG").ok_or(ConfigError::NoFile)?;
+        let text = std::fs::read_to_string(path).map_err(ConfigError::Unreadable)?;
+        let choose = |key, file| choose(std::env::var(key).ok(), file);
+        let file: File = serde_json::from_str(&text).map_err(ConfigError::Malformed)?;
         let address = |text: Option<String>, which| {
             text.and_then(|t| t.parse::<SocketAddr>().ok()).ok_or(ConfigError::Address(which))
         };
@@ -125,9 +135,9 @@
         };
         let counter = settings.counter.then(|| address(file.counter, "counter")).transpose()?;
         Ok(Self {
-            name: variable("NODE_NAME").unwrap_or(file.name),
-            listen: address(variable("NODE_LISTEN").or(file.listen), "NODE_LISTEN")?,
-            discovery: address(variable("NODE_DISCOVERY").or(file.discovery), "NODE_DISCOVERY")?,
+            name: choose("NODE_NAME", Some(file.name)).unwrap_or_default(),
+            listen: address(choose("NODE_LISTEN", file.listen), "NODE_LISTEN")?,
+            discovery: address(choose("NODE_DISCOVERY", file.discovery), "NODE_DISCOVERY")?,
             counter,
             seed: u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Seed)?,
             sockets: file.limits.sockets.unwrap_or(SOCKETS),
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -13,6 +13,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::watch;
 
 /// How long one call of the watch may wait for news.
 const WAIT: Duration = Duration::from_secs(10);
@@ -133,12 +134,28 @@
     engine.post(if list.whole { Event::BackendList(entries) } else { Event::BackendChanges(entries) });
 }
 
-/// Keeps a watch going for ever; while discovery is silent the last list stays.
-pub async fn watch(address: SocketAddr, mut seq: u64, backends: Rc<Backends>, engine: Rc<Engine>) {
+/// Keeps a watch going for ever, wherever discovery is by now; while it is silent the last list stays.
+pub async fn watch(
+    mut address: watch::Receiver<SocketAddr>, seq: u64, backends: Rc<Backends>, engine: Rc<Engine>,
+) {
+    let mut seq = Some(seq);
+    loop {
+        let at = *address.borrow_and_update();
+        tokio::select! {
+            () = stay(at, seq, &backends, &engine) => {}
+            Ok(()) = address.changed() => {}
+        }
+        // Guards against lists that count their versions differently: the new place is asked for all it has.
+        seq = None;
+    }
+}
+
+/// Keeps a watch going at one address, for ever.
+async fn stay(address: SocketAddr, mut seq: Option<u64>, backends: &Backends, engine: &Engine) {
     let mut told = false;
     loop {
         let fault = match Link::connect(address, CONNECT_TIMEOUT).await {
-            Ok(mut link) => calls(&mut link, address, &mut seq, &backends, &engine).await,
+            Ok(mut link) => calls(&mut link, address, &mut seq, backends, engine).await,
             Err(error) => format!("no connection: {error}"),
         };
         if !std::mem::replace(&mut told, true) {
@@ -150,10 +167,13 @@
 
 /// One call after another on one connection, until something is wrong with it.
 async fn calls(
-    link: &mut Link, address: SocketAddr, seq: &mut u64, backends: &Backends, engine: &Engine,
+    link: &mut Link, address: SocketAddr, seq: &mut Option<u64>, backends: &Backends, engine: &Engine,
 ) -> String {
     loop {
-        let uri = format!("/discovery/hosts?after={seq}&wait_ms={}", WAIT.as_millis());
+        let uri = match seq {
+            Some(seq) => format!("/discovery/hosts?after={seq}&wait_ms={}", WAIT.as_millis()),
+            None => "/discovery/hosts".into(),
+        };
         let request = Request::get(uri).header("Host", address.to_string()).body(Full::<Bytes>::default());
         let Ok(request) = request else { return "the call cannot be written".into() };
         let answer = tokio::time::timeout(WAIT + PATIENCE, link.exchange(request, LONGEST)).await;
@@ -165,7 +185,7 @@
         };
         match list {
             Ok(list) => {
-                *seq = list.seq;
+                *seq = Some(list.seq);
                 tell(list, backends, engine);
             }
             Err(error) => return error.to_string(),
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -91,6 +91,13 @@
         }))
     }
 
+    /// The counter is elsewhere from now on.
+    pub fn move_counter(&self, address: SocketAddr) {
+        if let Some(counter) = &self.counter {
+            counter.move_to(address);
+        }
+    }
+
     /// Takes in a request; the reply comes once, unless the client leaves first.
     pub fn open(
         &self, arrival: impl FnOnce(RequestId) -> Arrival, message: Message, until: Instant,
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -8,9 +8,12 @@
 use fennelscale::discovery;
 use fennelscale::engine::Engine;
 use std::fmt::Display;
+use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::rc::Rc;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::watch;
 use tokio::task::LocalSet;
 
 /// Descriptors for all but clients and backends: standard streams, the event loop, listener, counter, discovery.
@@ -36,14 +39,14 @@
 }
 
 async fn run(config: Config) -> ExitCode {
-    let (listener, mut terminate, mut interrupt) = match (
-        TcpListener::bind(config.listen).await,
-        signal(SignalKind::terminate()),
-        signal(SignalKind::interrupt()),
-    ) {
-        (Ok(listener), Ok(terminate), Ok(interrupt)) => (listener, terminate, interrupt),
-        (Err(error), ..) => return unusable(&format!("cannot listen at {}: {error}", config.listen)),
-        (_, Err(error), _) | (_, _, Err(error)) => return unusable(&error),
+    let signals = [SignalKind::terminate(), SignalKind::interrupt(), SignalKind::hangup()].map(signal);
+    let (mut terminate, mut interrupt, hangup) = match signals {
+        [Ok(terminate), Ok(interrupt), Ok(hangup)] => (terminate, interrupt, hangup),
+        [Err(error), ..] | [_, Err(error), _] | [.., Err(error)] => return unusable(&error),
+    };
+    let listener = match TcpListener::bind(config.listen).await {
+        Ok(listener) => listener,
+        Err(error) => return unusable(&format!("cannot listen at {}: {error}", config.listen)),
     };
     let sockets = config.sockets.saturating_sub(OTHER_SOCKETS).max(2);
     let most_clients = ((sockets as f64 * CLIENT_SHARE) as usize).max(1);
@@ -62,7 +65,9 @@
     let seq = config.known.seq;
     discovery::tell(config.known, &backends, &engine);
     spawn(backends.clone().keep_tidy());
-    spawn(discovery::watch(config.discovery, seq, backends, engine));
+    let (moved, discovery) = watch::channel(config.discovery);
+    spawn(discovery::watch(discovery, seq, backends, engine.clone()));
+    spawn(reload(hangup, moved, engine));
     if let Ok(address) = listener.local_addr() {
         eprintln!("fennelscale {}: listening at {address}", config.name);
     }
@@ -75,3 +80,20 @@
     front.serve(listener, end).await;
     ExitCode::SUCCESS
 }
+
+/// Reads the configuration again at each SIGHUP and moves to the addresses in it; the rest of it is for the next
+/// start. One that cannot be used changes nothing.
+async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>, engine: Rc<Engine>) {
+    while hangup.recv().await.is_some() {
+        match Config::again() {
+            Ok(config) => {
+                discovery.send_if_modified(|at| std::mem::replace(at, config.discovery) != config.discovery);
+                if let Some(counter) = config.counter {
+                    engine.move_counter(counter);
+                }
+                eprintln!("configuration read again: discovery at {}", config.discovery);
+            }
+            Err(error) => eprintln!("configuration not read again, the old one stays: {error}"),
+        }
+    }
+}
--- a/gateway/tests/process.rs
+++ b/gateway/tests/process.rs
@@ -2,8 +2,9 @@
 
 mod helper;
 
-use helper::{Backend, Do, Setup, World, ok, request, row};
+use helper::{Backend, Counter, Discovery, Do, Mood, Setup, World, list, ok, request, row};
 use std::process::Command;
+use std::sync::atomic::Ordering::SeqCst;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
 
@@ -108,6 +109,57 @@
     assert_eq!(reply.expect("an answer").status(), 200);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn sighup_moves_discovery_and_counter_while_requests_go_on() {
+    let old = Backend::start(&[Do::SayLater(600, ok("old")), Do::Say(ok("old"))]).await;
+    let new = Backend::start(&[Do::Say(ok("new"))]).await;
+    let mut world = World::with(&[&old]).await;
+    let mut early = world.gateway.client().await;
+    early.write(&request("order", 5000, "", "b")).await;
+    helper::until("the attempt", || old.attempts() == 1).await;
+    let (mut at, mut counter_at) = (world.discovery.at, world.counter.at);
+    // More than once, and each place counts its versions from far below the last one's.
+    for _ in 0..3 {
+        let (discovery, counter) = (Discovery::start().await, Counter::start(Mood::Adds).await);
+        let changes = [
+            (world.discovery.at.to_string(), discovery.at.to_string()),
+            (world.counter.at.to_string(), counter.at.to_string()),
+        ];
+        world.gateway.reconfigure(&changes).await;
+        helper::until("a call of the new discovery", || discovery.calls.load(SeqCst) == 1).await;
+        assert_eq!(*discovery.asked.lock().expect("lock"), "GET /discovery/hosts HTTP/1.1");
+        discovery.tell(list(0, true, &[row("c", new.at, "in_service")]));
+        discovery.asked_again(1).await;
+        let mut client = world.gateway.client().await;
+        // Another customer each time: its first block is asked of the counter.
+        let customer = format!("{:016x}", counter.at.port());
+        let text = request("look", 900, "", "").replace("00000000b4d65521", &customer);
+        assert_eq!(client.ask(&text).await.body, b"new");
+        helper::until("a call of the new counter", || counter.calls.load(SeqCst) > 0).await;
+        assert_ne!(std::mem::replace(&mut at, discovery.at), at);
+        assert_ne!(std::mem::replace(&mut counter_at, counter.at), counter_at);
+    }
+    // What was out all the while gets its one answer.
+    assert_eq!(early.read().await.body, b"old");
+    early.stays_quiet().await;
+    assert_eq!((old.attempts(), new.attempts()), (1, 3));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unusable_new_configuration_is_one_line_and_changes_nothing() {
+    let backend = Backend::start(&[Do::Say(ok("x"))]).await;
+    let mut world = World::with(&[&backend]).await;
+    let calls = world.discovery.calls.load(SeqCst);
+    world.gateway.reconfigure(&[("{".into(), String::new())]).await;
+    assert_eq!(world.gateway.log_lines("configuration not read again"), 1);
+    assert_eq!(world.gateway.client().await.ask(&request("look", 900, "", "")).await.status(), 200);
+    // The same once more, whole: no reason to go anywhere.
+    world.gateway.reconfigure(&[]).await;
+    assert_eq!(world.gateway.log_lines("configuration read again"), 1);
+    helper::pause(300).await;
+    assert!(world.discovery.calls.load(SeqCst) <= calls.max(1));
+}
+
 #[test]
 fn an_unusable_configuration_is_one_line_and_status_2() {
     let path = std::env::temp_dir().join(format!("fennelscale-bad-{}.json", std::process::id()));
