End spoilt answers soon, without leaving their backends alone

Ruled out: crashes (the backends eject and come back within 0.3 to 0.9 s, and no list tells of a change). At fault: link.rs set no limit on heads (hyper takes 400 KB) and waited for announced bytes for ever; on_backend ejects for each Broken. Now: an answer is whole 250 ms after its first byte (1xx ahead don't count) or spoilt, a head has 16 KB, and a spoilt answer is told as an error: it may have run, its connection is closed, its backend lives. A connection rests 5 ms before it is used again, as bytes may come behind an answer. Odd load is left out.

--- a/gateway/src/backends.rs
+++ b/gateway/src/backends.rs
@@ -22,6 +22,13 @@
 
 /// The largest body that is taken, either way.
 pub const LARGEST_BODY: usize = 64 * 1024;
+/// An answer that has begun must be whole after this: it is small and ready when its first byte is written.
+const ANSWER: Duration = Duration::from_millis(250);
+/// A connection that carried an answer is not used again for this long. Guards against bytes that a backend
+/// writes behind its answer, which would be taken for the answer to the next request.
+const REST: Duration = Duration::from_millis(5);
+/// Load figures above this say nothing.
+const LARGEST_LOAD: f64 = 1e6;
 /// Idle connections are looked after this often.
 const ROUND: Duration = Duration::from_secs(1);
 /// A connection is kept idle for this share of the time after which backends close it: well before.
@@ -230,7 +237,7 @@
             }
             let (builder, body) = build(dial);
             let request = builder.body(Full::new(body)).map_err(|_| Outcome::NeverSent)?;
-            match link.exchange(request, LARGEST_BODY).await {
+            match link.exchange(request, LARGEST_BODY, ANSWER).await {
                 Ok(answer) => {
                     let link = link.is_free().await.then_some(link);
                     self.answered(name, dial, link);
@@ -241,6 +248,9 @@
                 Err(Progress::Unsent) if from_pool => {}
                 Err(Progress::Unsent | Progress::Partly) => return Err(Outcome::ConnectFailed),
                 Err(Progress::Whole) => return Err(Outcome::Broken),
+                // The backend lives and may have run it. Guards the fleet against being left alone for
+                // answers that come spoilt from all alike: an error says no more than that.
+                Err(Progress::Spoilt) => return Err(Outcome::Error),
             }
         }
     }
@@ -254,7 +264,9 @@
     fn free_link(&self, name: &Name) -> Option<(SocketAddr, Option<Link>)> {
         let mut known = self.known.borrow_mut();
         let backend = known.get_mut(name).filter(|b| b.ready)?;
-        while let Some((link, since)) = backend.idle.pop() {
+        // Those that still rest are at the end.
+        while let Some(at) = backend.idle.iter().rposition(|(_, since)| since.elapsed() >= REST) {
+            let (link, since) = backend.idle.remove(at);
             // Guards unsafe requests: one written to a connection that is closed or about to be is lost in
             // doubt.
             if since.elapsed() < self.longest_idle && link.stands() {
@@ -319,7 +331,7 @@
     for pair in text.trim().strip_prefix("TEXT")?.split(',') {
         if let Some((key, value)) = pair.split_once('=')
             && let Ok(value) = value.trim().parse::<f64>()
-            && value.is_finite()
+            && (0.0..=LARGEST_LOAD).contains(&value)
         {
             set_load(&mut report, key.trim(), value);
         }
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -176,7 +176,7 @@
         };
         let request = Request::get(uri).header("Host", address.to_string()).body(Full::<Bytes>::default());
         let Ok(request) = request else { return "the call cannot be written".into() };
-        let answer = tokio::time::timeout(WAIT + PATIENCE, link.exchange(request, LONGEST)).await;
+        let answer = tokio::time::timeout(WAIT + PATIENCE, link.exchange(request, LONGEST, WAIT)).await;
         let list = match answer {
             Ok(Ok((head, body))) if head.status == StatusCode::OK => List::parse(&body),
             Ok(Ok((head, _))) => return format!("answered {}", head.status),
--- a/gateway/src/link.rs
+++ b/gateway/src/link.rs
@@ -18,6 +18,8 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::sleep;
 
 /// How far a request had got when its connection failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,12 +30,35 @@
     Partly,
     /// It was written whole.
     Whole,
+    /// It was written whole and something came back, but no answer that can be used.
+    Spoilt,
+}
+
+/// The longest head of an answer. Guards the memory against heads that don't end.
+const LONGEST_HEAD: usize = 16 * 1024;
+
+/// What the socket has seen of the present exchange.
+struct Trace {
+    progress: Cell<Progress>,
+    /// The first byte of an answer has come.
+    begun: Cell<bool>,
+    begins: Notify,
+}
+
+impl Trace {
+    fn note_read(&self, bytes: &[u8]) {
+        // Answers 1xx go ahead of the real one, by as long as they like.
+        let ahead = bytes.starts_with(b"HTTP/1.1 1") && bytes.ends_with(b"\r\n\r\n");
+        if !bytes.is_empty() && !ahead && !self.begun.replace(true) {
+            self.begins.notify_one();
+        }
+    }
 }
 
 /// The socket as the HTTP library sees it; it notes how far the present request has been written.
 struct Wire {
     stream: Rc<TcpStream>,
-    progress: Rc<Cell<Progress>>,
+    trace: Rc<Trace>,
 }
 
 impl AsyncRead for Wire {
@@ -43,6 +68,8 @@
             match self.stream.try_read(buf.initialize_unfilled()) {
                 Ok(read) => {
                     buf.advance(read);
+                    let filled = buf.filled();
+                    self.trace.note_read(&filled[filled.len() - read..]);
                     return Poll::Ready(Ok(()));
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
@@ -65,7 +92,7 @@
             match self.stream.try_write_vectored(bufs) {
                 Ok(written) => {
                     if written > 0 {
-                        self.progress.set(Progress::Partly);
+                        self.trace.progress.set(Progress::Partly);
                     }
                     return Poll::Ready(Ok(written));
                 }
@@ -82,8 +109,8 @@
     /// The HTTP library flushes once all that it holds has been written, and it holds whole requests: their
     /// bodies are in memory.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.progress.get() == Progress::Partly {
-            self.progress.set(Progress::Whole);
+        if self.trace.progress.get() == Progress::Partly {
+            self.trace.progress.set(Progress::Whole);
         }
         Poll::Ready(Ok(()))
     }
@@ -99,7 +126,7 @@
     /// Gone once it has ended.
     driver: Driver,
     stream: Rc<TcpStream>,
-    progress: Rc<Cell<Progress>>,
+    trace: Rc<Trace>,
 }
 
 impl Link {
@@ -110,10 +137,12 @@
     pub async fn connect(to: SocketAddr, timeout: Duration) -> io::Result<Self> {
         let stream = tokio::time::timeout(timeout, TcpStream::connect(to)).await??;
         stream.set_nodelay(true)?;
-        let (stream, progress) = (Rc::new(stream), Rc::new(Cell::new(Progress::Unsent)));
-        let wire = Wire { stream: stream.clone(), progress: progress.clone() };
-        let (sender, driver) = http1::handshake(TokioIo::new(wire)).await.map_err(io::Error::other)?;
-        Ok(Self { sender, driver: Some(Box::pin(driver)), stream, progress })
+        let (progress, begun, begins) = (Cell::new(Progress::Unsent), Cell::new(false), Notify::new());
+        let (stream, trace) = (Rc::new(stream), Rc::new(Trace { progress, begun, begins }));
+        let wire = TokioIo::new(Wire { stream: stream.clone(), trace: trace.clone() });
+        let handshake = http1::Builder::new().max_buf_size(LONGEST_HEAD).handshake(wire);
+        let (sender, driver) = handshake.await.map_err(io::Error::other)?;
+        Ok(Self { sender, driver: Some(Box::pin(driver)), stream, trace })
     }
 
     /// Whether the idle connection still stands, by the kernel's newest word: asks the socket itself, since
@@ -123,22 +152,37 @@
         self.driver.is_some() && peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Sends a request and waits for the whole answer, its body no larger than `most`.
+    /// Sends a request and waits for the whole answer, its body no larger than `most`, its end no later than
+    /// `rest` after its first byte. Guards against answers that are said to be longer than they are: nothing
+    /// else would end the wait.
     ///
     /// # Errors
     /// When the connection fails first or the answer cannot be read; says how far the request got.
     pub async fn exchange(
-        &mut self, request: Request<Full<Bytes>>, most: usize,
+        &mut self, request: Request<Full<Bytes>>, most: usize, rest: Duration,
     ) -> Result<(response::Parts, Bytes), Progress> {
-        self.progress.set(Progress::Unsent);
-        let (driver, progress) = (&mut self.driver, &self.progress);
+        self.trace.progress.set(Progress::Unsent);
+        // A word from before is of an answer from before.
+        if self.trace.begun.replace(false) {
+            let _ = pin!(self.trace.begins.notified()).as_mut().enable();
+        }
+        let (driver, trace) = (&mut self.driver, &self.trace);
         let sent = self.sender.send_request(request);
         let answer = drive(driver, async {
             let (head, body) = sent.await.map_err(|_| ())?.into_parts();
             let body = Limited::new(body, most).collect().await.map_err(|_| ())?;
             Ok((head, body.to_bytes()))
         });
-        answer.await.map_err(|()| progress.get())
+        let late = async {
+            trace.begins.notified().await;
+            sleep(rest).await;
+        };
+        tokio::select! {
+            biased;
+            answer = answer => answer,
+            () = late => Err(()),
+        }
+        .map_err(|()| if trace.begun.get() { Progress::Spoilt } else { trace.progress.get() })
     }
 
     /// Whether the connection can carry another request now.
--- a/gateway/tests/backends.rs
+++ b/gateway/tests/backends.rs
@@ -16,6 +16,12 @@
 const UNCLEAR: &str = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
 const CUT: &str = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nonly this";
 const GARBAGE: &str = "MUMBLE 7 FOO\r\n\r\n";
+const ENDLESS: &str = "HTTP/1.1 200 OK\r\nX-A";
+const HUGE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nand on it goes";
+
+fn long_head() -> String {
+    format!("HTTP/1.1 200 OK\r\nX-Long: {}", "y".repeat(20_000))
+}
 
 /// A port that is held but not listened at: it refuses, and nobody else can take it.
 fn refusing() -> (TcpSocket, SocketAddr) {
@@ -33,6 +39,11 @@
         Do::SayAndClose(String::new()),
         Do::SayAndClose(CUT.into()),
         Do::SayAndClose(GARBAGE.into()),
+        Do::Say(GARBAGE.into()),
+        Do::Say(CUT.into()),
+        Do::Say(ENDLESS.into()),
+        Do::Say(HUGE.into()),
+        Do::Say(long_head()),
     ] {
         let (a, b) = (
             Backend::start(std::slice::from_ref(&deed)).await,
@@ -175,7 +186,7 @@
             peer.read_exact(&mut bytes).await.expect("bytes");
             pause(100).await;
         };
-        let (end, ()) = tokio::join!(link.exchange(request, 100), close);
+        let (end, ()) = tokio::join!(link.exchange(request, 100, helper::LONG), close);
         assert_eq!(end.expect_err("a broken connection"), progress);
         assert!(!link.stands());
     }
@@ -190,7 +201,67 @@
     let (first, second) = tokio::join!(one.ask(&first), two.ask(&second));
     assert_eq!((first.status(), second.status(), backend.opened(), backend.closed()), (200, 200, 2, 0));
     *backend.deeds.lock().expect("lock") = vec![Do::Hang];
+    // A free connection rests for a moment before it is used again.
+    pause(50).await;
     assert_eq!(one.ask(&request("order", 700, "", "b")).await.status(), 504);
     helper::until("the end of both connections", || backend.closed() == 2).await;
     assert_eq!(backend.attempts(), 3);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn spoilt_answers_from_all_alike_leave_the_fleet_in_use() {
+    // One stands for all: left alone for as long as a cut answer took, it would be missed by the next request.
+    let spoilt = [Do::Say(GARBAGE.into()), Do::Say(CUT.into()), Do::Say(CUT.into()), Do::Say(ok("x"))];
+    let backend = Backend::start(&spoilt).await;
+    let world = World::with(&[&backend]).await;
+    let mut client = world.gateway.client().await;
+    for status in [502, 502, 502, 200] {
+        // Unsafe, so that each is sent once.
+        assert_eq!(client.ask(&request("order", 900, "", "b")).await.status(), status);
+    }
+    // What carried a spoilt answer carries nothing more.
+    assert_eq!((backend.attempts(), backend.opened()), (4, 4));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_good_answer_with_more_behind_it_is_served_and_its_connection_dropped() {
+    let good = ok("good");
+    for text in [good.clone() + &ok("bad"), good.clone() + "#~ noise", good.clone() + "HTTP/1.1 200"] {
+        let backend = Backend::start(&[Do::Say(text.clone()), Do::Say(good.clone())]).await;
+        let world = World::with(&[&backend]).await;
+        let mut client = world.gateway.client().await;
+        for _ in 0..2 {
+            assert_eq!(client.ask(&request("order", 900, "", "b")).await.body, b"good", "{text}");
+        }
+        client.stays_quiet().await;
+        assert_eq!((backend.attempts(), backend.opened()), (2, 2), "{text}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_comes_behind_an_answer_a_moment_later_answers_nothing_else() {
+    let backend = Backend::start(&[Do::SayAndThen(ok("good"), 2, ok("bad")), Do::Say(ok("good"))]).await;
+    let world = World::with(&[&backend]).await;
+    let mut client = world.gateway.client().await;
+    for _ in 0..2 {
+        assert_eq!(client.ask(&request("order", 900, "", "b")).await.body, b"good");
+    }
+    assert_eq!((backend.attempts(), backend.opened()), (2, 2));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_1xx_ahead_are_skipped_however_early_and_odd_load_reports_are_left_out() {
+    let early = "HTTP/1.1 102 Processing\r\n\r\n".to_owned();
+    let loads = ["TEXT inflight=-7, queue=1e300", "TEXT util=x,,=", ""];
+    for load in loads {
+        let answer = format!("HTTP/1.1 200 OK\r\nSrv-Load: {load}\r\nContent-Length: 4\r\n\r\ngood");
+        let deeds = [Do::SayAndThen(early.clone(), 400, answer.clone()), Do::Say(early.clone() + &answer)];
+        let backend = Backend::start(&deeds).await;
+        let world = World::with(&[&backend]).await;
+        let mut client = world.gateway.client().await;
+        for _ in 0..2 {
+            assert_eq!(client.ask(&request("order", 900, "", "b")).await.body, b"good", "{load}");
+        }
+        assert_eq!(backend.attempts(), 2);
+    }
+}
--- a/gateway/tests/helper/mod.rs
+++ b/gateway/tests/helper/mod.rs
@@ -77,6 +77,8 @@
     SayLater(u64, String),
     /// Writes this text and closes.
     SayAndClose(String),
+    /// Writes this text and, so many ms later, another.
+    SayAndThen(String, u64, String),
     /// Says nothing.
     Hang,
 }
@@ -122,6 +124,11 @@
                                 pause(ms).await;
                                 stream.write_all(text.as_bytes()).await.unwrap_or(());
                             }
+                            Do::SayAndThen(text, ms, more) => {
+                                stream.write_all(text.as_bytes()).await.unwrap_or(());
+                                pause(ms).await;
+                                stream.write_all(more.as_bytes()).await.unwrap_or(());
+                            }
                             Do::SayAndClose(text) => {
                                 stream.write_all(text.as_bytes()).await.unwrap_or(());
                                 break;
--- a/gateway/tests/requests.rs
+++ b/gateway/tests/requests.rs
@@ -33,6 +33,8 @@
     let mut client = world.gateway.client().await;
     for _ in 0..20 {
         assert_eq!(client.ask(&request("order", 900, "", "b")).await.status(), 200);
+        // A free connection rests for a moment before it is used again.
+        pause(20).await;
     }
     assert_eq!((backend.attempts(), backend.opened()), (20, 1));
 }
