Give clients 2.5 s for a request, and none that can't be theirs

Seen by probes over loopback (now tests): a silent client, a head or a body in single bytes stayed for 60 and 10 s, where 3 s are owed; a length behind a Transfer-Encoding was dropped by hyper before the check and the request passed on; sets beyond the fleet reached the module and changed what it keeps of their customer; an open Req-Id was passed on a second time; after an unusable request the connection stayed. Ruled out: hyper's own timer, which can't tell an idle connection from one within a head and is not there for bodies. At fault: IDLE and BODY, terms() and the missing look at the head's bytes in clients.rs. Now one time for each request that more bytes don't renew, 400 and close for all of these. When slots run short silent clients leave first, ahead of need: one at a time, 50 ms each, they held up the accepts.

--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -7,19 +7,26 @@
 use doorcourse::{Arrival, Effect, Name, RequestId, Settings};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING,
+};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::convert::Infallible;
-use std::pin::pin;
+use std::io;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::str::FromStr;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 /// The last byte of an answer must be out before the client's patience ends: the decisions are told of this
 /// much less, and of no less than the given share.
@@ -29,9 +36,10 @@
 const BACKSTOP: Duration = Duration::from_millis(10);
 /// No client waits longer than this; who claims so is not believed.
 const LONGEST_PATIENCE: u64 = 600_000;
-/// A connection may stand idle, or be in the middle of its headers, for this long, and of a body for this.
-const IDLE: Duration = Duration::from_secs(60);
-const BODY: Duration = Duration::from_secs(10);
+/// A connection on which no request is taken is closed after this: from its start, its last answer or the first
+/// byte of its next request. Guards against clients that ask once and stay, that say nothing, and that bring
+/// head or body in single bytes: more bytes don't renew it.
+const UNASKED: Duration = Duration::from_millis(2500);
 /// A failed accept is tried again after this: descriptors may have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// After the signal to end new connections are taken for this long. Halfway idle ones are closed ...
@@ -40,6 +48,10 @@
 const LAST_CALL: Duration = Duration::from_millis(50);
 /// After the last final answer connections have this long to be done with.
 const LAST_WORDS: Duration = Duration::from_millis(500);
+/// So much short of the most clients, those who are idle are asked to leave: it takes them a moment.
+const SPARE_SHARE: usize = 8;
+/// Who came less than this ago may be about to ask.
+const NEWCOMER: Duration = Duration::from_millis(100);
 /// Read buffers hold one request's headers.
 const BUFFER: usize = 16 * 1024;
 
@@ -52,8 +64,6 @@
     Bad(&'static str),
     /// The body is too large.
     TooLarge,
-    /// The body did not come in time.
-    TooSlow,
 }
 
 /// What a request says of itself.
@@ -75,6 +85,9 @@
     classes: Vec<(Name, Effect)>,
     plans: Vec<Name>,
     most_units: f64,
+    gateways: u32,
+    /// The ids of all requests without an answer.
+    ids: RefCell<HashSet<HeaderValue>>,
     most_clients: usize,
     guests: RefCell<Vec<Rc<Guest>>>,
     left: Notify,
@@ -83,12 +96,118 @@
 
 /// One client's connection.
 struct Guest {
+    /// A request that was taken whole has no answer yet.
     busy: Cell<bool>,
-    /// When it came or was last answered.
+    /// When it came, was last answered or began to ask.
     since: Cell<Instant>,
+    answered: Cell<bool>,
+    asked_to_leave: Cell<bool>,
+    /// What came since, up to the end of a head.
+    head: RefCell<Vec<u8>>,
     leave: Notify,
 }
 
+impl Guest {
+    fn new() -> Self {
+        Self {
+            busy: Cell::new(false),
+            since: Cell::new(Instant::now()),
+            answered: Cell::new(false),
+            asked_to_leave: Cell::new(false),
+            head: RefCell::default(),
+            leave: Notify::new(),
+        }
+    }
+
+    /// When its time to bring a request is over.
+    fn due(&self) -> Instant {
+        let since = if self.busy.get() { Instant::now() } else { self.since.get() };
+        since + UNASKED
+    }
+
+    /// Notes bytes that came.
+    fn note(&self, bytes: &[u8]) {
+        let mut head = self.head.borrow_mut();
+        if self.busy.get() || bytes.is_empty() || head.ends_with(HEAD_END) {
+            return;
+        }
+        if head.is_empty() && self.answered.get() {
+            self.since.set(Instant::now());
+        }
+        let from = head.len().saturating_sub(HEAD_END.len());
+        let room = BUFFER - head.len();
+        head.extend_from_slice(&bytes[..bytes.len().min(room)]);
+        if let Some(at) = head[from..].windows(HEAD_END.len()).position(|w| w == HEAD_END) {
+            head.truncate(from + at + HEAD_END.len());
+        }
+    }
+
+    /// Notes an answer.
+    fn done(&self) {
+        self.busy.set(false);
+        self.answered.set(true);
+        self.since.set(Instant::now());
+        self.head.take();
+    }
+
+    /// Whether a head with a `Transfer-Encoding` has no length beside it. The HTTP library drops a length that
+    /// stands behind, so the bytes themselves are asked: they must be those of this head.
+    fn is_plainly_chunked(&self, request: &Request<Incoming>) -> bool {
+        let start = format!("{} {} HTTP/1.1\r\n", request.method(), request.uri());
+        let head = self.head.borrow().to_ascii_lowercase();
+        let mut encodings = request.headers().get_all(TRANSFER_ENCODING).iter();
+        head.starts_with(start.to_ascii_lowercase().as_bytes())
+            && head.ends_with(HEAD_END)
+            && !head.split(|b| *b == b'\n').any(|line| line.starts_with(CONTENT_LENGTH.as_str().as_bytes()))
+            && encodings.next().is_some_and(|e| e.as_bytes().eq_ignore_ascii_case(b"chunked"))
+            && encodings.next().is_none()
+    }
+}
+
+/// What ends a head.
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+/// A client's socket as the HTTP library sees it.
+struct Tap {
+    stream: TcpStream,
+    guest: Rc<Guest>,
+}
+
+impl AsyncRead for Tap {
+    fn poll_read(
+        mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        self.guest.note(&buf.filled()[before..]);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Tap {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>, cx: &mut Context<'_>, bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
 impl Front {
     /// A front side that takes at most `most_clients` connections at once.
     pub fn new(engine: Rc<Engine>, settings: &Settings, most_clients: usize) -> Rc<Self> {
@@ -97,6 +216,8 @@
             classes: settings.classes.iter().map(|c| (c.name.clone(), c.effect)).collect(),
             plans: settings.plans.iter().map(|p| p.name.clone()).collect(),
             most_units: settings.most_units,
+            gateways: settings.gateways,
+            ids: RefCell::default(),
             most_clients,
             guests: RefCell::default(),
             left: Notify::new(),
@@ -147,8 +268,16 @@
     }
 
     fn ask_idle_to_leave(&self) {
-        let guests = self.guests.borrow();
-        if let Some(guest) = guests.iter().filter(|g| !g.busy.get()).min_by_key(|g| g.since.get()) {
+        let (guests, now) = (self.guests.borrow(), Instant::now());
+        // Those first who said they would ask and didn't, last those who just came.
+        let rank = |g: &Rc<Guest>| match (g.answered.get(), now.duration_since(g.since.get()) < NEWCOMER) {
+            (false, false) => 0,
+            (true, _) => 1,
+            (false, true) => 2,
+        };
+        let asleep = guests.iter().filter(|g| !g.busy.get() && !g.asked_to_leave.get());
+        if let Some(guest) = asleep.min_by_key(|g| (rank(g), g.since.get())) {
+            guest.asked_to_leave.set(true);
             guest.leave.notify_one();
         }
     }
@@ -157,9 +286,12 @@
         loop {
             // Guards the descriptors: who finds no room waits in the machine's line, and guards those who wait
             // there against clients that keep a connection and say nothing.
-            while self.is_full() {
+            if self.guests.borrow().len() >= self.most_clients - self.most_clients / SPARE_SHARE {
                 self.ask_idle_to_leave();
+            }
+            while self.is_full() {
                 self.left.notified().await;
+                self.ask_idle_to_leave();
             }
             match listener.accept().await {
                 Ok((stream, _)) => return stream,
@@ -169,8 +301,7 @@
     }
 
     fn welcome(self: Rc<Self>, stream: TcpStream, mut closing: watch::Receiver<u32>) {
-        let (busy, since, leave) = (Cell::new(false), Cell::new(Instant::now()), Notify::new());
-        let guest = Rc::new(Guest { busy, since, leave });
+        let guest = Rc::new(Guest::new());
         self.guests.borrow_mut().push(guest.clone());
         let round = *closing.borrow();
         crate::backends::spawn(async move {
@@ -178,25 +309,28 @@
             let service = service_fn(|request| {
                 let (front, guest) = (self.clone(), guest.clone());
                 async move {
-                    guest.busy.set(true);
-                    let response = front.answer(request).await;
-                    guest.busy.set(false);
-                    guest.since.set(Instant::now());
+                    let response = front.answer(request, &guest).await;
+                    guest.done();
                     Ok::<_, Infallible>(response)
                 }
             });
             let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(IDLE)
+                .header_read_timeout(None)
                 .max_buf_size(BUFFER)
-                .serve_connection(TokioIo::new(stream), service);
+                .serve_connection(TokioIo::new(Tap { stream, guest: guest.clone() }), service);
             let mut connection = pin!(connection);
             // Lets go of what `wait_for` hands out: it locks the channel, and the next round would wait for
             // it on this one thread for ever.
             let mut closing = pin!(async { drop(closing.wait_for(|now| *now > round).await) });
+            let over = async {
+                while Instant::now() < guest.due() {
+                    sleep_until(guest.due()).await;
+                }
+            };
             tokio::select! {
                 biased;
                 _ = connection.as_mut() => {}
+                () = over => {}
                 () = closing.as_mut() => {
                     connection.as_mut().graceful_shutdown();
                     let _ = connection.await;
@@ -216,17 +350,26 @@
     }
 
     /// The one answer to a request.
-    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn answer(&self, request: Request<Incoming>, guest: &Guest) -> Response<Full<Bytes>> {
+        let mut last = request.headers().contains_key(TRANSFER_ENCODING);
         let mut response = if request.uri().path() == "/up" {
             self.up(request.method())
         } else {
-            match self.take(request).await {
-                Ok(ticket) => self.decide(ticket).await,
-                Err(fault) => refuse(fault),
+            let taken = self.take(request, guest).await;
+            match taken.and_then(|ticket| Ok((self.enter(ticket.message.id.clone())?, ticket))) {
+                Ok((_entry, ticket)) => {
+                    guest.busy.set(true);
+                    self.decide(ticket).await
+                }
+                Err(fault) => {
+                    // Who asked wrongly may have meant something else with the bytes that follow.
+                    last = true;
+                    refuse(fault)
+                }
             }
         };
         // So that clients find another gateway, or make room for others here.
-        if self.draining.get() || self.is_full() {
+        if last || self.draining.get() || self.is_full() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
@@ -243,8 +386,18 @@
         }
     }
 
+    /// Notes that a request is open. Guards its answer against others that bear its id.
+    fn enter(&self, id: HeaderValue) -> Result<Entry<'_>, Fault> {
+        let new = self.ids.borrow_mut().insert(id.clone());
+        if new { Ok(Entry { ids: &self.ids, id }) } else { Err(Fault::Bad("Req-Id, open already")) }
+    }
+
     /// Reads a request whole.
-    async fn take(&self, request: Request<Incoming>) -> Result<Ticket, Fault> {
+    async fn take(&self, request: Request<Incoming>, guest: &Guest) -> Result<Ticket, Fault> {
+        // Guards against requests hidden in the body of another.
+        if request.headers().contains_key(TRANSFER_ENCODING) && !guest.is_plainly_chunked(&request) {
+            return Err(Fault::Bad("Transfer-Encoding"));
+        }
         let (head, body) = request.into_parts();
         let target = head.uri.path_and_query().ok_or(Fault::NoPath)?.clone();
         let mut ticket = self.read(head.method, target, &head.headers)?;
@@ -257,11 +410,11 @@
         if body.size_hint().lower() > LARGEST_BODY as u64 {
             return Err(Fault::TooLarge);
         }
-        match timeout(BODY, Limited::new(body, LARGEST_BODY).collect()).await {
-            Ok(Ok(body)) => ticket.message.body = body.to_bytes(),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(Fault::TooLarge),
-            Ok(Err(_)) => return Err(Fault::Bad("body")),
-            Err(_) => return Err(Fault::TooSlow),
+        // The connection's own time bounds this: it is closed when that is over.
+        match Limited::new(body, LARGEST_BODY).collect().await {
+            Ok(body) => ticket.message.body = body.to_bytes(),
+            Err(error) if error.is::<LengthLimitError>() => return Err(Fault::TooLarge),
+            Err(_) => return Err(Fault::Bad("body")),
         }
         Ok(ticket)
     }
@@ -292,7 +445,7 @@
         // One customer, one name: its quota does not double with the case of its digits.
         let customer = Name::from(customer.to_ascii_lowercase());
         let patience = text(headers, "req-deadline-ms")?
-            .and_then(|t| t.parse::<u64>().ok())
+            .and_then(number)
             .filter(|ms| (1..=LONGEST_PATIENCE).contains(ms))
             .ok_or(Fault::Bad("Req-Deadline-Ms"))?;
         let patience = Duration::from_millis(patience);
@@ -314,13 +467,15 @@
         for pair in text.split(',') {
             match pair.trim().split_once('=')? {
                 ("units", value) => units = value.parse::<f64>().ok()?,
-                ("spread", value) => spread = Some(value.parse().ok()?),
-                ("first", value) => first = Some(value.parse().ok()?),
+                ("spread", value) => spread = Some(number(value)?),
+                ("first", value) => first = Some(number(value)?),
                 _ => {}
             }
         }
+        // Guards what is kept of usual customers against requests in their name that can't be theirs.
         let most = if self.most_units > 0.0 { self.most_units } else { f64::MAX };
-        (units > 0.0 && units <= most).then_some((units, spread.filter(|s| *s > 0)?, first?))
+        let spread = spread.filter(|s| (1..=self.gateways).contains(s))?;
+        (units > 0.0 && units <= most).then_some((units, spread, first.filter(|f| *f < self.gateways)?))
     }
 
     async fn decide(&self, ticket: Ticket) -> Response<Full<Bytes>> {
@@ -369,6 +524,23 @@
     }
 }
 
+/// Keeps an id among those of open requests.
+struct Entry<'a> {
+    ids: &'a RefCell<HashSet<HeaderValue>>,
+    id: HeaderValue,
+}
+
+impl Drop for Entry<'_> {
+    fn drop(&mut self) {
+        self.ids.borrow_mut().remove(&self.id);
+    }
+}
+
+/// A number in digits alone: no sign, no space.
+fn number<T: FromStr>(text: &str) -> Option<T> {
+    text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse().ok()).flatten()
+}
+
 /// The only value of a header; a header given twice may be read differently by others.
 fn single<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a HeaderValue>, Fault> {
     let mut values = headers.get_all(name).iter();
@@ -388,7 +560,6 @@
     match fault {
         Fault::NoPath => plain(StatusCode::NOT_FOUND, "no such path\n"),
         Fault::TooLarge => plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"),
-        Fault::TooSlow => plain(StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n"),
         Fault::Bad(what) => {
             let mut response = plain(StatusCode::BAD_REQUEST, "");
             *response.body_mut() = Full::from(format!("unusable: {what}\n"));
--- a/gateway/tests/helper/mod.rs
+++ b/gateway/tests/helper/mod.rs
@@ -437,6 +437,14 @@
         self.read().await
     }
 
+    /// The gateway closes this connection, and nothing more comes on it before.
+    pub async fn is_closed(&mut self) {
+        let mut rest = Vec::new();
+        // A reset is a close too.
+        let _ = soon("the close", self.0.read_to_end(&mut rest)).await;
+        assert_eq!(String::from_utf8_lossy(&rest), "");
+    }
+
     /// Nothing more comes for a while.
     pub async fn stays_quiet(&mut self) {
         let more = tokio::time::timeout(Duration::from_millis(300), self.0.fill_buf()).await;
--- a/gateway/tests/requests.rs
+++ b/gateway/tests/requests.rs
@@ -3,6 +3,7 @@
 mod helper;
 
 use helper::{Backend, Do, World, ok, pause, request};
+use tokio::io::AsyncWriteExt;
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_goes_on_as_it_came_and_its_answer_comes_back_unchanged() {
@@ -72,15 +73,28 @@
         (400, good.replace("units=1", "units=1e300")),
         (400, good.replace("spread=1", "spread=0")),
         (400, good.replace("spread=1,", "")),
+        (400, good.replace("spread=1", "spread=2")),
+        (400, good.replace("spread=1", "spread=+1")),
+        (400, good.replace("first=0", "first=1")),
+        (400, good.replace("first=0", "first=99999999999")),
+        (400, good.replace("Req-Deadline-Ms: 900", "Req-Deadline-Ms: +900")),
         (400, good.replace("first=0", "first=x")),
         (400, request("look", 900, "Req-Retry: maybe\r\n", "")),
         (400, request("look", 900, "Content-Length: 1\r\n", "x")),
         (400, "what is this\r\n\r\n".into()),
+        (
+            400,
+            format!("GET /look HTTP/1.1\r\nX-Long: {}\r\n", "y".repeat(8)).replace("\r\nX", "\r\n X")
+                + "\r\n",
+        ),
+        (431, format!("GET /look HTTP/1.1\r\nX-Long: {}\r\n\r\n", "y".repeat(20_000))),
+        (400, post.replace("Content-Length: 0", "Content-Length: -1")),
         (400, post.replace("Content-Length: 0", "Content-Length: x")),
     ];
     for (status, text) in cases {
-        let reply = world.gateway.client().await.ask(&text).await;
-        assert_eq!(reply.status(), status, "{text}");
+        let mut client = world.gateway.client().await;
+        assert_eq!(client.ask(&text).await.status(), status, "{text}");
+        client.is_closed().await;
     }
     assert_eq!(backend.attempts(), 0);
     assert_eq!(world.gateway.client().await.ask(&good).await.status(), 200);
@@ -149,3 +163,73 @@
     let reply = world.gateway.client().await.ask(&request("order", 900, "", "b")).await;
     assert_eq!((reply.status(), backend.attempts()), (200, 2));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_with_both_a_length_and_a_transfer_encoding_hides_nothing() {
+    let backend = Backend::start(&[Do::Say(ok("x"))]).await;
+    let world = World::with(&[&backend]).await;
+    let hidden = request("order", 900, "", "");
+    let (length, encoding) = ("Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n");
+    let plain = request("order", 900, "", "").replace("Content-Length: 0\r\n", "HERE");
+    // The HTTP library forgets a length that stands behind the encoding.
+    for both in [[length, encoding], [encoding, length], [encoding, "content-LENGTH: 5\r\n"]] {
+        let text = plain.replace("HERE", &both.concat()) + "0\r\n\r\n" + &hidden;
+        let mut client = world.gateway.client().await;
+        assert_eq!(client.ask(&text).await.status(), 400, "{text}");
+        client.is_closed().await;
+        // The same in the middle of a connection, and behind another request.
+        let mut client = world.gateway.client().await;
+        assert_eq!(client.ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").await.status(), 200);
+        assert_eq!(client.ask(&text).await.status(), 400, "{text}");
+        let mut client = world.gateway.client().await;
+        client.write(&("GET /up HTTP/1.1\r\nHost: x\r\n\r\n".to_owned() + &text)).await;
+        assert_eq!((client.read().await.status(), client.read().await.status()), (200, 400), "{text}");
+        client.is_closed().await;
+    }
+    let gzip = plain.replace("HERE", "Transfer-Encoding: gzip, chunked\r\n") + "0\r\n\r\n";
+    assert_eq!(world.gateway.client().await.ask(&gzip).await.status(), 400);
+    assert_eq!(backend.attempts(), 0);
+    let chunked = plain.replace("HERE", encoding) + "5\r\nhello\r\n0\r\n\r\n";
+    assert_eq!(world.gateway.client().await.ask(&chunked).await.status(), 200);
+    assert_eq!(backend.heard.lock().expect("lock")[0].body, b"hello");
+    assert_eq!(backend.attempts(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_id_of_an_open_request_is_taken() {
+    let backend = Backend::start(&[Do::SayLater(500, ok("x"))]).await;
+    let world = World::with(&[&backend]).await;
+    let text = request("order", 5000, "", "b");
+    let mut client = world.gateway.client().await;
+    client.write(&text).await;
+    helper::until("the attempt", || backend.attempts() == 1).await;
+    assert_eq!(world.gateway.client().await.ask(&text).await.status(), 400);
+    assert_eq!(client.read().await.status(), 200);
+    assert_eq!(backend.attempts(), 1);
+    // Once it is answered, the id is as good as any.
+    assert_eq!(client.ask(&text).await.status(), 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn clients_that_bring_no_whole_request_are_let_go_of_however_many_bytes_they_bring() {
+    let world = World::with(&[]).await;
+    let half = request("order", 900, "", "").replace("Content-Length: 0", "Content-Length: 60000");
+    world.gateway.client().await.is_closed().await;
+    for start in ["GET /look HTTP/1.1\r\nX-Slow: ", half.as_str()] {
+        let mut client = world.gateway.client().await;
+        client.write(start).await;
+        let mut sent = 0;
+        helper::soon("the close", async {
+            while client.0.get_mut().write_all(b"y").await.is_ok() {
+                sent += 1;
+                pause(50).await;
+            }
+        })
+        .await;
+        assert!(sent < 1000, "closed after {sent} bytes");
+    }
+    // One that was answered and stays is let go of as well.
+    let mut client = world.gateway.client().await;
+    assert_eq!(client.ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").await.status(), 200);
+    client.is_closed().await;
+}
