Forget gone backends, and hand blocks back at SIGTERM

Forgetting one must not free a keyed repeat from its cell, which pick took from the backend (test): zone and cell are kept with the request now. on_backend judged the end of a forgotten request by class 0: not judged any more.

--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -44,7 +44,9 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// After the signal to end new connections are taken for this long. Halfway idle ones are closed ...
 const LINGER: Duration = Duration::from_millis(500);
-/// ... and those that came last have this long for their first request.
+/// ... and those that came last have this long for their first request, in which blocks go back to the quotas.
+const HAND_BACK: Duration = Duration::from_millis(200);
+/// Who is asked to leave is let go of after this.
 const LAST_CALL: Duration = Duration::from_millis(50);
 /// After the last final answer connections have this long to be done with.
 const LAST_WORDS: Duration = Duration::from_millis(500);
@@ -250,7 +252,7 @@
             self.clone().welcome(stream, closing.clone());
         }
         drop(listener);
-        sleep(LAST_CALL).await;
+        self.engine.hand_back(HAND_BACK).await;
         close.send_modify(|round| *round += 1);
         // Guards the end against clients that stop half-way: once nothing that was taken waits for its answer,
         // the last answers and the last bodies have this long.
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -11,6 +11,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
+use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -128,6 +129,12 @@
         }
     }
 
+    /// No more requests come: what is held of the quotas goes back. Takes effect within the time given.
+    pub async fn hand_back(&self, time: Duration) {
+        self.post(Event::Ending);
+        tokio::time::sleep(time).await;
+    }
+
     /// How many requests wait for their final answer.
     pub fn waiting(&self) -> usize {
         self.state.borrow().open.len()
--- a/gateway/tests/counter.rs
+++ b/gateway/tests/counter.rs
@@ -120,3 +120,16 @@
         assert_eq!(outcomes(spoilt, &moods).await, expected, "{spoilt}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn at_sigterm_what_is_not_spent_goes_back_to_the_counter() {
+    let backend = Backend::start(&[Do::Say(ok("x"))]).await;
+    let mut world = World::set(&small(&backend), Mood::Adds).await;
+    let totals =
+        |counter: &Counter| counter.totals.lock().expect("lock").values().copied().collect::<Vec<_>>();
+    assert_eq!(served(&statuses(&world.gateway, 3).await), 3);
+    assert_eq!(totals(&world.counter), [10.0]);
+    world.gateway.terminate();
+    assert_eq!(world.gateway.ended().await.code(), Some(0));
+    assert_eq!(totals(&world.counter), [3.0]);
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -320,6 +320,8 @@
         /// How long it took.
         latency: Millis,
     },
+    /// The gateway is about to end: no more requests come.
+    Ending,
     /// A message from another gateway.
     PeerMessage {
         /// The sender's number.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,6 +39,7 @@
 #![warn(missing_docs)]
 
 mod check;
+mod hash;
 mod interface;
 mod logic;
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,6 +4,7 @@
 //! its open cap, and a backend with room (`Backend`). What cannot pass yet waits a share of its aim.
 
 use crate::check::check;
+use crate::hash::{hash, mix, unit};
 use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -47,8 +48,7 @@
 const THIN_FADE: f64 = 4.0;
 /// Gateways that may talk tell of customers of whom less than this share fits, and again when it falls so.
 const THIN_NEWS: f64 = 0.7;
-/// A customer idle for this many turns has a full store again: it and its count are forgotten, which loses
-/// nothing and bounds the memory when many are seen once.
+/// A customer idle for this many turns has a full store again: it and its count are forgotten at no loss.
 const IDLE_TURNS: f64 = 2.0;
 /// No count and no word of a customer is kept for more than this many ms.
 const KEEP_MOST: Millis = 60_000.0;
@@ -100,25 +100,12 @@
 const SWEEP: Millis = 25.0;
 const SWEEP_TOKEN: u64 = 1;
 
-fn hash(text: &str) -> u64 {
-    mix(text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3)))
-}
-
-fn unit(x: u64) -> f64 {
-    (mix(x) >> 11) as f64 / (1u64 << 53) as f64
-}
-
-fn mix(mut x: u64) -> u64 {
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
-
 #[derive(Default)]
 struct Backend {
     zone: Name,
     cell: u64,
     ready: bool,
+    gone: bool,
     started: Option<Millis>,
     out: u32,
     /// How many this gateway keeps out here at most.
@@ -272,7 +259,7 @@
     hold_until: Millis,
     stage: Stage,
     attempts: u32,
-    may_have_run: Option<(Millis, Name)>,
+    may_have_run: Option<(Millis, Name, u64)>, // since when, in which zone and cell
     sent_at: Millis,
 }
 
@@ -300,6 +287,8 @@
     class_latency: Vec<f64>,
     late: f64,
     sweeping: bool,
+    /// No requests come any more: blocks in hand go back, as others can use them.
+    ending: bool,
 }
 
 impl Gateway {
@@ -314,6 +303,11 @@
         Ok(Self { settings, random: mix(seed | 1), ease: 1.0, plan_odds, class_latency, ..Self::default() })
     }
 
+    /// How many backends are remembered.
+    pub fn backends(&self) -> usize {
+        self.backends.len()
+    }
+
     /// Takes one event at a time and appends what the host is to do.
     pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
@@ -336,20 +330,19 @@
             Event::ClientLeft { id } => self.forget(id),
             Event::Timer { token: SWEEP_TOKEN } => self.on_sweep(out),
             Event::Timer { token } => self.on_hold_over(token / 2, out),
+            Event::Ending => self.ending = true,
             Event::Counted { name, outcome, latency } => self.on_counted(name, outcome, latency, out),
             Event::PeerMessage { bytes, .. } => self.on_told(&bytes),
             Event::StreamStarted { .. } | Event::ProbeEnded { .. } => {}
         }
     }
 
-    /// Whether each gateway sees too little of a backend: choice goes by chance then, and the fleet's state
-    /// shows in all answers together.
+    /// Whether each gateway sees too little of a backend: choice goes by chance and by all answers together.
     fn many(&self) -> bool {
         ROOM_FIRST < ROOM_LEAST * f64::from(self.settings.gateways)
     }
 
-    /// Guards a large fleet against overload of any cause: the more answers are late, the fewer fresh
-    /// requests are taken, those worth less first.
+    /// Guards a large fleet against overload: the more answers are late, the fewer fresh requests are taken.
     fn take(&self) -> f64 {
         (1.0 - TAKE_SLOPE * (self.late - ROOM_LATE)).clamp(TAKE_LEAST, 1.0)
     }
@@ -372,19 +365,20 @@
 
     fn on_list(&mut self, list: Vec<BackendEntry>, full: bool, out: &mut Vec<Action>) {
         if full {
-            self.backends.values_mut().for_each(|b| b.ready = false);
+            self.backends.values_mut().for_each(|b| (b.ready, b.gone) = (false, true));
         }
         for entry in list {
-            let (ready, known) = (entry.state == BackendState::Ready, self.backends.get_mut(&entry.name));
+            let (ready, gone) = (entry.state == BackendState::Ready, entry.state == BackendState::Gone);
+            let known = self.backends.get_mut(&entry.name);
             let out = known.as_ref().map_or(0, |b| b.out);
             if let Some(known) = known.filter(|b| b.started == entry.started) {
-                known.ready = ready;
+                (known.ready, known.gone) = (ready, gone);
                 continue;
             }
             let room = ROOM_FIRST / f64::from(self.settings.gateways);
             let BackendEntry { name, zone, cell, started, .. } = entry;
             self.backends
-                .insert(name, Backend { zone, cell, ready, started, out, room, ..Default::default() });
+                .insert(name, Backend { zone, cell, ready, gone, started, out, room, ..Default::default() });
         }
         self.drain_queue(out);
     }
@@ -423,8 +417,7 @@
         !self.settings.counter || self.silences > 1 && gap > self.settings.counter_timeout * SILENT_AFTER
     }
 
-    /// The quota's gate: the block in hand, else the silence rule, else refusal once block and count are
-    /// spent. True when the request has to wait.
+    /// The quota's gate: block in hand, else silence rule, else refusal once both are spent. True: it waits.
     fn admit(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
         let (now, silent) = (self.now, self.counter_silent());
         let Some(request) = self.requests.get(&id) else { return false };
@@ -658,7 +651,6 @@
         let request = self.requests.get(&id)?;
         let class = &self.settings.classes[request.class];
         let tied = request.may_have_run.as_ref().filter(|_| class.effect == Effect::Keyed);
-        let home = tied.and_then(|(_, home)| self.backends.get(home));
         let out: f64 = self.backends.values().map(|b| f64::from(b.out)).sum();
         if out >= self.room().max(1.0) {
             return None;
@@ -670,13 +662,13 @@
         let mut best: Option<(f64, &Name)> = None;
         for (name, backend) in &self.backends {
             let (group, zone, cell) = (class.group, &backend.zone, backend.cell);
-            let same = |h: &Backend| if group == Group::Zone { h.zone == *zone } else { h.cell == cell };
-            let in_group = group == Group::All || home.is_none_or(same);
+            let same =
+                |home: &(_, Name, u64)| if group == Group::Zone { home.1 == *zone } else { home.2 == cell };
+            let in_group = group == Group::All || tied.is_none_or(same);
             let full = f64::from(backend.out) >= backend.room.ceil();
             let luck = unit(salt ^ hash(name));
             let warmth = backend.warmth(self.now, &self.settings);
-            // The cold budget: by chance its share of an even part, from the first ms. Guards cold backends
-            // with no agreement and no warm backend.
+            // Guards cold backends with no agreement: by chance their share of an even part, from the start.
             let cold = warmth < 1.0 && luck * ready >= warmth * cold_share;
             if !backend.ready || !in_group || full || cold || self.now < backend.eject_until {
                 continue;
@@ -700,7 +692,8 @@
         let (now, name, latency) = (self.now, &end.backend, end.latency);
         let Some(backend) = self.backends.get_mut(name) else { return };
         backend.out = backend.out.saturating_sub(1);
-        let class = self.requests.get(&end.id).map_or(0, |r| r.class);
+        // Of a request that is forgotten neither class nor aim is known.
+        let Some(class) = self.requests.get(&end.id).map(|r| r.class) else { return };
         let usual = &mut self.class_latency[class];
         let late = match end.outcome {
             Outcome::Served => {
@@ -739,7 +732,8 @@
         request.stage = Stage::Queue;
         let never_ran = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NeverSent);
         if !never_ran && request.may_have_run.is_none() {
-            request.may_have_run = Some((request.sent_at, end.backend));
+            let home = self.backends.get(&end.backend).map(|b| (request.sent_at, b.zone.clone(), b.cell));
+            request.may_have_run = home.or(Some((request.sent_at, Name::default(), u64::MAX)));
         }
         if self.may_try_again(id) { self.place(id, out) } else { self.give_up(id, out) }
     }
@@ -750,7 +744,7 @@
         let allowed = match (&request.may_have_run, class.effect) {
             (None, _) => true,
             (_, Effect::Safe) => request.attempts < REPEAT_MOST,
-            (Some((sent, _)), Effect::Keyed) => self.now - sent < class.memory - last,
+            (Some((sent, ..)), Effect::Keyed) => self.now - sent < class.memory - last,
             (Some(_), Effect::Unsafe) => false,
         };
         allowed && request.deadline - self.now > last && request.attempts < self.settings.most_attempts
@@ -773,7 +767,9 @@
             first / self.ease.min(1.0)
         } else {
             let need: f64 = waiting.map(|r| r.units).sum();
-            (customer.block(need.min(customer.store.max(1.0)), plan) - customer.lease).max(0.0)
+            let need = need.min(customer.store.max(1.0));
+            let block = if self.ending { need } else { customer.block(need, plan) };
+            (block - customer.lease).max(0.0)
         };
         let owed = std::mem::take(&mut customer.owed);
         let count = mix(customer.salt ^ customer.window.wrapping_mul(0x9e37_79b9_7f4a_7c15)) >> 1;
@@ -823,8 +819,7 @@
                 customer.store = Customer::start_of(plan) - total;
                 customer.known = true;
             } else if total + 1e-6 < customer.added {
-                // Guards against an emptied count: what this gateway holds is told again, so that new blocks
-                // do not stack on those still held.
+                // Guards against an emptied count: what is held is told again, lest new blocks stack on it.
                 customer.owed += customer.added - total;
                 customer.store -= block;
             } else {
@@ -885,18 +880,21 @@
         out.push(Action::SetTimer { after: SWEEP, token: SWEEP_TOKEN });
         let now = self.now;
         let mut asking = Vec::new();
-        let plans = &self.settings.plans;
+        let (plans, ending) = (&self.settings.plans, self.ending);
         self.told.retain(|_, (_, at)| now - *at < KEEP_MOST);
+        // Guards the memory, and each choice, against a fleet that is replaced all day.
+        self.backends.retain(|_, backend| !backend.gone || backend.out > 0);
         self.customers.retain(|name, customer| {
             let plan = &plans[customer.plan];
             let (idle, turn) = (now - customer.demand_at, Customer::turn(plan));
             customer.roll(now, plan);
             let scarce = customer.store < plan.burst * NEAR_SHARE;
-            if scarce && idle > turn * BLOCK_SHARE && customer.lease >= 1.0 {
+            if (scarce && idle > turn * BLOCK_SHARE || ending) && customer.lease >= 1.0 {
                 let lease = std::mem::take(&mut customer.lease);
                 (customer.owed, customer.store) = (customer.owed - lease, customer.store + lease);
             }
-            let owes = !customer.thin(plan) && customer.owed.abs() >= (plan.burst * BLOCK_SHARE).max(1.0);
+            let least = if ending { 1.0 } else { (plan.burst * BLOCK_SHARE).max(1.0) };
+            let owes = !customer.thin(plan) && customer.owed.abs() >= least;
             if customer.call.is_none() && (owes || !customer.waiting.is_empty()) {
                 asking.push(name.clone());
             }
--- a/tests/backends.rs
+++ b/tests/backends.rs
@@ -90,3 +90,35 @@
     assert_eq!(sends(&door.ask(2, "c", "capped", "safe")), 0, "two at once for two gateways: one each");
     assert_eq!(sent(&door.end(1, 0, &at, Outcome::Served)).map(|(id, _)| id), Some(2));
 }
+
+#[test]
+fn gone_backends_are_forgotten_once_nothing_is_out_there() {
+    let mut door = Door::new(settings(), &["a0"]);
+    let at = door.served(1, "c", "plain", "safe");
+    for number in 1..=500 {
+        let (old, new) = (format!("a{}", number - 1), format!("a{number}"));
+        let changes = vec![backend(&old, BackendState::Gone, None), backend(&new, BackendState::Ready, None)];
+        // By changes and by whole lists alike.
+        let whole = vec![backend(&new, BackendState::Ready, None)];
+        door.tell(if number % 2 == 0 { Event::BackendChanges(changes) } else { Event::BackendList(whole) });
+        door.now += 25.0;
+        door.tell(Event::Timer { token: 1 });
+    }
+    assert_eq!(door.gateway.backends(), 2, "the last one, and the first, from which an end is still to come");
+    door.end(1, 0, &at, Outcome::Served);
+    door.tell(Event::Timer { token: 1 });
+    assert_eq!(door.gateway.backends(), 1);
+}
+
+#[test]
+fn a_keyed_repeat_stays_in_its_cell_when_its_first_backend_is_forgotten() {
+    let mut door = Door::new(settings(), &["a1"]);
+    let at = door.served(1, "c", "plain", "keyed");
+    door.tell(Event::BackendList(vec![backend("b1", BackendState::Ready, None)]));
+    assert_eq!(sends(&door.end(1, 0, &at, Outcome::Broken)), 0);
+    door.now += 25.0;
+    assert_eq!(sends(&door.tell(Event::Timer { token: 1 })), 0, "another cell does not know the key");
+    assert_eq!(door.gateway.backends(), 1);
+    let did = door.tell(Event::BackendChanges(vec![backend("a2", BackendState::Ready, None)]));
+    assert_eq!(sent(&did), Some((1, "a2".into())));
+}
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -110,3 +110,18 @@
     assert_eq!(sends(&door.ask(1, "c", "plain", "safe")), 0);
     assert_eq!(sends(&door.pass(100.0, &[1])), 1);
 }
+
+#[test]
+fn at_the_end_blocks_in_hand_go_back_and_no_new_ones_are_taken() {
+    let mut door = Door::new(settings(), &["a1", "a2"]);
+    let (name, amount) = count(&door.ask(1, "c", "plain", "safe")).expect("call");
+    door.total(name, amount);
+    door.tell(Event::Ending);
+    door.now += 25.0;
+    let did = door.tell(Event::Timer { token: 1 });
+    assert_eq!(count(&did), Some((name, 1.0 - amount)), "all but what was spent");
+    door.total(name, 1.0);
+    assert_eq!(count(&door.tell(Event::Timer { token: 1 })), None);
+    // A late one takes what it needs and no more.
+    assert_eq!(count(&door.ask(2, "c", "plain", "safe")), Some((name, 1.0)));
+}
