Wait for slow counter calls, and keep the blocks they bring

A probe that logged calls over 40 ms: 51 to 87 a gateway, all answered with totals after 40 to 180 ms, none lost, all connections up. Ruled out: a silent counter, lost connections, refusals for want of backends. At fault: engine.rs gave calls up after one time-out of the settings (50 ms), on_counted then let their blocks go, while the counter had added them: the count filled with blocks that nobody held. Now a call has four time-outs; its requests wait no longer for that (12% of their aim, then the slice), and what the slice lets in meanwhile is paid from the block (a test of the module fails without: 5 of 4 sent).

--- a/gateway/src/counter.rs
+++ b/gateway/src/counter.rs
@@ -23,6 +23,8 @@
 /// A connection on which calls wait and nothing has come for this long leads nowhere: a machine that vanished
 /// says nothing.
 const SILENT: Duration = Duration::from_secs(1);
+/// An answer that has begun is whole within this.
+const WHOLE: Duration = Duration::from_millis(50);
 /// An idle connection is kept up by a ping this often.
 const PING: Duration = Duration::from_secs(3);
 /// The most calls on one connection without an answer, and the most bytes of answers not understood yet.
@@ -197,7 +199,7 @@
             }
             let silence = heard + if self.is_idle() { PING } else { SILENT };
             // Guards against an answer that never ends: all calls behind it would wait for nothing.
-            let silence = begun.map_or(silence, |begun| begun + self.patience);
+            let silence = begun.map_or(silence, |begun| begun + WHOLE);
             tokio::select! {
                 () = self.wake.notified() => {}
                 ready = stream.readable() => ready?,
@@ -210,7 +212,7 @@
                 heard = Instant::now();
             }
             begun = (!input.is_empty()).then(|| begun.unwrap_or(heard));
-            if begun.is_some_and(|begun| begun.elapsed() >= self.patience) {
+            if begun.is_some_and(|begun| begun.elapsed() >= WHOLE) {
                 return Err(bad("an answer without end".into()));
             }
             self.give_up_late();
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -15,6 +15,11 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+/// A counter call is given up after so many of the settings' time-outs. Guards the quotas against a counter that is
+/// merely slow: it answers all the same, and a block whose call was given up is spent by nobody. No request waits as
+/// long: the decisions bound that by its aim.
+const COUNTER_PATIENCE: u32 = 4;
+
 /// The final answer of a request.
 #[derive(Debug)]
 pub enum Reply {
@@ -67,7 +72,7 @@
     pub fn start(
         settings: Settings, seed: u64, backends: Rc<Backends>, counter: Option<SocketAddr>,
     ) -> Result<Rc<Self>, SettingsError> {
-        let patience = span(settings.counter_timeout);
+        let patience = span(settings.counter_timeout) * COUNTER_PATIENCE;
         let gateway = Gateway::new(settings, seed)?;
         let state = State { gateway, open: HashMap::new(), out: HashMap::new(), last: 0 };
         Ok(Rc::new_cyclic(|me: &Weak<Self>| {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -37,12 +37,11 @@
 const EASE_LEAST: f64 = 0.1;
 /// All first tries of thin customers are asked about at 1, all repeats of clients at this.
 const EASE_MOST: f64 = 2.0;
-/// A customer is thin where its burst leaves each of its gateways less than this part of a unit: a block in
-/// hand everywhere would be its whole quota many times over.
+/// A customer is thin where its burst leaves each gateway less than this part of a unit: no blocks then.
 const THIN: f64 = 0.5;
 /// What a thin customer's window grants at once, as a share of the burst; the rest comes with the rate.
 const THIN_START: f64 = 0.75;
-/// How far a thin customer is beyond its quota is told by what the rate and this share of the burst grant ...
+/// How far a thin customer is over its quota is told by what the rate and this share of the burst grant ...
 const THIN_ODDS: f64 = 0.25;
 /// ... and fades over this many turns.
 const THIN_FADE: f64 = 4.0;
@@ -89,8 +88,7 @@
 const EJECT_TOLD: u32 = 2;
 /// A backend in another zone looks this much slower for each point of price: prices are small, so is this.
 const ZONE_BIAS: f64 = 5.0;
-/// One of many gateways keeps to about this many backends of its own, others look `STRANGE` times further:
-/// guards against full connection tables, and it hears more of each.
+/// Guards connection tables: one of many gateways has so many backends, others are `STRANGE` times further.
 const OWN_BACKENDS: f64 = 5.0;
 const STRANGE: f64 = 100.0;
 /// A cold backend gets this part of its capacity's share of an even part of all sends. Warm ones are not sent
@@ -543,8 +541,7 @@
         out.push(Action::SetTimer { after, token: id * 2 });
     }
 
-    /// Sends a request on, or has it wait in line: those worth more first. Refuses early in overload: a line
-    /// longer than what is out would not be served in time.
+    /// Sends a request on, or has it wait in line, those worth more first; no line outgrows what is out.
     fn place(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.stage = Stage::Queue;
@@ -814,6 +811,9 @@
         }
         customer.heard = now;
         if window == customer.window {
+            // What the slice let in while the call was out is paid from the block: it was added.
+            let paid = customer.owed.clamp(0.0, block);
+            (customer.owed, customer.store) = (customer.owed - paid, customer.store + paid);
             customer.added += block + owed;
             if !customer.known {
                 customer.store = Customer::start_of(plan) - total;
@@ -826,7 +826,7 @@
                 customer.store = (customer.store - (total - customer.seen - owed)).min(plan.burst);
             }
             customer.seen = total;
-            customer.lease += block;
+            customer.lease += block - paid;
             if customer.store < 0.0 {
                 let back = customer.lease.min((-customer.store).ceil()).min(block);
                 customer.lease -= back;
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -125,3 +125,16 @@
     // A late one takes what it needs and no more.
     assert_eq!(count(&door.ask(2, "c", "plain", "safe")), Some((name, 1.0)));
 }
+
+#[test]
+fn what_the_slice_let_in_while_a_call_was_out_is_paid_from_its_block() {
+    let mut door = Door::new(settings(), &["a1", "a2", "a3", "a4"]);
+    let (name, amount) = count(&door.ask(1, "c", "plain", "safe")).expect("call");
+    // The call is late: its request is let in from the slice, once it has waited its share.
+    door.now += 100.0;
+    assert_eq!(sends(&door.tell(Event::Timer { token: 2 })), 1);
+    let did = door.total(name, amount);
+    assert_eq!(count(&did), None, "nothing more to tell of");
+    let sent: usize = (2..=6).map(|id| sends(&door.ask(id, "c", "plain", "safe"))).sum();
+    assert_eq!(sent, 4, "the block of five has paid for the first");
+}
