Settings in a package of their own; no circle between the gateway's files

The gateway read its settings through the simulator's adapter, and backends, discovery and engine imported each other in a circle (the list of backends stood beside the watch that feeds both). crates/settings now holds what a gateway is told: the settings object, the configuration, the list of backends, load reports. Adapter and gateway both use it, the arrows between the gateway's files run one way, and `node` names the new folder.

No change of behaviour.

--- a/simhost/src/settings.rs
+++ b/crates/settings/src/decisions.rs
@@ -55,7 +55,10 @@
 }
 
 /// The settings in a `START` line; unknown keys are skipped.
-pub(crate) fn parse(text: &str) -> Result<Settings, String> {
+///
+/// # Errors
+/// When the text is no JSON, a value is of the wrong type or a word unknown.
+pub fn parse(text: &str) -> Result<Settings, String> {
     read(&serde_json::from_str(text).map_err(|e| format!("settings: {e}"))?)
 }
 
--- a/gateway/src/config.rs
+++ b/crates/settings/src/gateway.rs
@@ -1,9 +1,8 @@
 //! What a gateway is told at its start: the environment and the file that `NODE_CONFIG` names.
 
-use crate::clock::span;
-use crate::discovery::{List, ListError};
+use crate::decisions::{self, Object};
+use crate::list::{List, ListError};
 use doorcourse::Settings;
-use doorcourse_simhost::settings::{self, Object};
 use serde::Deserialize;
 use serde_json::Value;
 use std::fmt;
@@ -123,10 +122,10 @@
         let address = |text: Option<String>, which| {
             text.and_then(|t| t.parse::<SocketAddr>().ok()).ok_or(ConfigError::Address(which))
         };
-        let settings = settings::read(&file.settings).map_err(ConfigError::Settings)?;
+        let settings = decisions::read(&file.settings).map_err(ConfigError::Settings)?;
         let permissions = Object::of(&file.settings, "permissions").map_err(ConfigError::Settings)?;
         let time = |key, usual| match permissions.number(key).map_err(ConfigError::Settings)? {
-            ms if ms > 0.0 => Ok(span(ms)),
+            ms if ms > 0.0 => Ok(Duration::try_from_secs_f64(ms / 1000.0).unwrap_or(usual)),
             _ => Ok(usual),
         };
         let known = match &file.known {
--- a/gateway/src/backends.rs
+++ b/gateway/src/backends.rs
@@ -1,11 +1,11 @@
 //! The backends' side: where they listen, the connections to them, attempts and probes and how they end.
 
 use crate::clock::millis;
-use crate::discovery::List;
 use crate::link::{Link, Progress};
 use bytes::Bytes;
 use doorcourse::{BackendState, LoadReport, Name, Outcome, Reports};
-use doorcourse_simhost::set_load;
+use fennelscale_settings::list::List;
+use fennelscale_settings::load;
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use hyper::http::request::Builder;
@@ -13,7 +13,6 @@
 use hyper::{Method, Request, StatusCode};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -27,8 +26,6 @@
 /// A connection that carried an answer is not used again for this long. Guards against bytes that a backend
 /// writes behind its answer, which would be taken for the answer to the next request.
 const REST: Duration = Duration::from_millis(5);
-/// Load figures above this say nothing.
-const LARGEST_LOAD: f64 = 1e6;
 /// Idle connections are looked after this often.
 const ROUND: Duration = Duration::from_secs(1);
 /// A connection is kept idle for this share of the time after which backends close it: well before.
@@ -259,7 +256,7 @@
         let build = |dial: SocketAddr| (Request::get(path).header("Host", dial.to_string()), Bytes::new());
         match tokio::time::timeout(self.connect_timeout, self.exchange(name, true, build)).await {
             Ok(Ok((head, body))) if head.status == StatusCode::OK => {
-                let load = std::str::from_utf8(&body).ok().and_then(load);
+                let load = std::str::from_utf8(&body).ok().and_then(load::read);
                 End { outcome: Outcome::Served, answer: None, load }
             }
             Ok(Ok(_)) => Outcome::Error.into(),
@@ -368,7 +365,7 @@
             _ => Outcome::Error,
         };
         let report = head.headers.remove(LOAD).filter(|_| self.reports == Reports::Answers);
-        let load = report.as_ref().and_then(|r| r.to_str().ok()).and_then(load);
+        let load = report.as_ref().and_then(|r| r.to_str().ok()).and_then(load::read);
         let answer = (outcome == Outcome::Served).then(|| {
             for name in
                 ["connection", "keep-alive", "transfer-encoding", "content-length", "upgrade", "trailer"]
@@ -380,22 +377,3 @@
         End { outcome, answer, load }
     }
 }
-
-/// Reads a report like `TEXT inflight=7, queue=2`; what it cannot read it leaves out.
-fn load(text: &str) -> Option<LoadReport> {
-    let mut report = LoadReport::default();
-    for pair in text.trim().strip_prefix("TEXT")?.split(',') {
-        if let Some((key, value)) = pair.split_once('=')
-            && let Ok(value) = value.trim().parse::<f64>()
-            && (0.0..=LARGEST_LOAD).contains(&value)
-        {
-            set_load(&mut report, key.trim(), value);
-        }
-    }
-    Some(report)
-}
-
-/// Runs a task for as long as the program runs.
-pub fn spawn(task: impl Future<Output = ()> + 'static) {
-    tokio::task::spawn_local(task);
-}
--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -309,7 +309,7 @@
         let guest = Rc::new(Guest::new());
         self.guests.borrow_mut().push(guest.clone());
         let round = *closing.borrow();
-        crate::backends::spawn(async move {
+        crate::task::spawn(async move {
             let _ = stream.set_nodelay(true);
             let service = service_fn(|request| {
                 let (front, guest) = (self.clone(), guest.clone());
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -1,9 +1,10 @@
 //! The one place where the decisions are asked: events go in, actions come out and are carried out. It owns
 //! the tables of requests that have no final answer yet and of attempts that are out.
 
-use crate::backends::{Answer, Backends, End, Message, spawn};
+use crate::backends::{Answer, Backends, End, Message};
 use crate::clock::{Clock, millis, span};
 use crate::counter::Counter;
+use crate::task::spawn;
 use doorcourse::{
     Action, Arrival, AttemptEnd, Event, Gateway, Millis, Name, Outcome, RequestId, Settings, SettingsError,
 };
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -7,8 +7,8 @@
 pub mod backends;
 pub mod clients;
 pub mod clock;
-pub mod config;
 pub mod counter;
 pub mod discovery;
 pub mod engine;
 pub mod link;
+pub mod task;
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -2,11 +2,12 @@
 
 #![forbid(unsafe_code)]
 
-use fennelscale::backends::{Backends, spawn};
+use fennelscale::backends::Backends;
 use fennelscale::clients::Front;
-use fennelscale::config::Config;
 use fennelscale::discovery;
 use fennelscale::engine::Engine;
+use fennelscale::task::spawn;
+use fennelscale_settings::gateway::Config;
 use std::fmt::Display;
 use std::net::SocketAddr;
 use std::process::ExitCode;
--- a/simhost/src/lib.rs
+++ b/simhost/src/lib.rs
@@ -3,14 +3,13 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-pub mod settings;
-
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use doorcourse::{
     Action, Arrival, AttemptEnd, BackendEntry, BackendState, CountOutcome, Event, Gateway, LoadReport,
     Millis, Name, Outcome,
 };
+use fennelscale_settings::{decisions, load::set_load};
 use std::collections::BTreeMap;
 use std::fmt::{self, Write as _};
 use std::io::{BufRead, Write};
@@ -115,16 +114,6 @@
     Ok(Some(report))
 }
 
-/// Puts one named value into a load report; values that the library has no use for are skipped.
-pub fn set_load(report: &mut LoadReport, key: &str, value: f64) {
-    match key {
-        "outstanding" => report.inflight = Some(value),
-        "backlog" => report.queue = Some(value),
-        "recent_ms" => report.service = Some(value),
-        _ => {}
-    }
-}
-
 fn entry(line: &str) -> Result<BackendEntry, String> {
     let mut fields = Fields(line.split('\t'));
     if fields.text("message")? != "ENTRY" {
@@ -212,7 +201,7 @@
             "START" => {
                 let instance = fields.number("i")?;
                 let seed = fields.number("init-seed")?;
-                let settings = settings::parse(&fields.rest())?;
+                let settings = decisions::parse(&fields.rest())?;
                 let gateway = Gateway::new(settings, seed).map_err(|e| e.to_string())?;
                 self.gateways.insert(instance, gateway);
             }
