Add the rehearsal kit: play a scenario on loopback, judge the five rules, report

The package crates/rehearsal starts gateways as child processes beside stand-in nodes, counter, discovery and clients, plays a timeline of troubles and writes an event log of its own, from which a judge with no I/O decides the five rules and scores service. `fennelscale rehearse` plays, lists, shows and judges again; with no argument the program is the gateway as before.

--- /dev/null
+++ b/gateway/src/cli.rs
@@ -0,0 +1,77 @@
+//! The command line. With no argument the program is the gateway; everything else is asked for by name.
+
+use clap::{Parser, Subcommand};
+use std::path::PathBuf;
+
+/// A quota gateway. With no argument it is the gateway itself, told by NODE_CONFIG, NODE_LISTEN and NODE_DISCOVERY.
+#[derive(Debug, Parser)]
+#[command(name = "fennelscale", version, arg_required_else_help = true)]
+pub struct Cli {
+    /// What to do.
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+/// What the program does beside being the gateway.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Starts a fleet on loopback, breaks it, scores its service and checks the five rules
+    Rehearse(Rehearse),
+    /// Becomes the gateway and dies with the process of the given id (used by rehearsals)
+    #[command(hide = true)]
+    Tethered {
+        /// The process to die with.
+        parent: i32,
+    },
+}
+
+/// The arguments of `rehearse`.
+#[derive(Debug, clap::Args)]
+#[command(
+    args_conflicts_with_subcommands = true,
+    after_help = "Exit status: 0 all rules kept, 1 a rule broken, 2 unusable scenario, log or arguments, 3 a gateway \
+                  ended by itself, 4 the machine was too slow for the verdict to count."
+)]
+pub struct Rehearse {
+    /// A shipped scenario's name, or a scenario file
+    #[arg(default_value = fennelscale_rehearsal::shipped::DEFAULT)]
+    pub scenario: String,
+    /// Decides all that is drawn: arrivals, whom troubles strike, how late news come
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Writes report.html, the event log and the gateways' logs into this folder
+    #[arg(long, value_name = "DIR")]
+    pub report: Option<PathBuf>,
+    /// Writes what was found as JSON; - for standard output
+    #[arg(long, value_name = "FILE")]
+    pub json: Option<PathBuf>,
+    /// Keeps the event log and the gateways' logs also without a report, and says where
+    #[arg(long)]
+    pub keep_logs: bool,
+    /// What else there is to do.
+    #[command(subcommand)]
+    pub further: Option<Further>,
+}
+
+/// What `rehearse` does beside playing.
+#[derive(Debug, Subcommand)]
+pub enum Further {
+    /// Lists the shipped scenarios
+    List,
+    /// Prints a shipped scenario's file, to start one's own from
+    Show {
+        /// Its name
+        name: String,
+    },
+    /// Judges a recorded run again
+    Judge {
+        /// The event log of a run, events.jsonl
+        log: PathBuf,
+        /// Writes report.html into this folder
+        #[arg(long, value_name = "DIR")]
+        report: Option<PathBuf>,
+        /// Writes what was found as JSON; - for standard output
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+    },
+}
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -1,7 +1,12 @@
-//! `fennelscale`: one real gateway.
+//! `fennelscale`: one real gateway, and the rehearsal of many.
 
 #![forbid(unsafe_code)]
 
+mod cli;
+mod rehearse;
+
+use clap::Parser;
+use cli::{Cli, Command};
 use fennelscale::backends::Backends;
 use fennelscale::clients::Front;
 use fennelscale::discovery;
@@ -23,6 +28,17 @@
 const CLIENT_SHARE: f64 = 0.55;
 
 fn main() -> ExitCode {
+    // With no argument this is the gateway, at no cost of reading any.
+    if std::env::args_os().len() <= 1 {
+        return gateway();
+    }
+    match Cli::parse().command {
+        Command::Rehearse(arguments) => rehearse::run(&arguments),
+        Command::Tethered { parent } => rehearse::tethered(parent),
+    }
+}
+
+fn gateway() -> ExitCode {
     let config = match Config::from_environment() {
         Ok(config) => config,
         Err(error) => return unusable(&error),
