--- a/crates/rehearsal/src/judge/mod.rs
+++ b/crates/rehearsal/src/judge/mod.rs
@@ -166,7 +166,8 @@
         }
     }
     let mut breaks = rules.finish();
-    breaks.sort_by(|a, b| a.t.total_cmp(&b.t));
+    // Nothing of the order may come from a table's: the same log gives the same verdict to the letter.
+    breaks.sort_by(|a, b| a.t.total_cmp(&b.t).then_with(|| a.lines.cmp(&b.lines)).then(a.rule.cmp(&b.rule)));
     let (score, figures) = score.finish();
     let void = too_late(scenario, &lateness);
     Verdict { breaks, crashes, score, figures, lateness, void, whole }
--- a/crates/rehearsal/src/judge/rules.rs
+++ b/crates/rehearsal/src/judge/rules.rs
@@ -5,7 +5,7 @@
 use crate::log::{Answer, Event, GatewayState, NodeState, Reply, TryId, What};
 use crate::node::{Budget, Cold};
 use crate::scenario::{Effect, Scenario};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 /// A cold node that fell is the gateways' doing if this part of the work came from ones that knew of its start.
 const INFORMED: f64 = 2.0 / 3.0;
@@ -98,7 +98,7 @@
     cold: Cold,
     requests: HashMap<u32, Request>,
     tries: HashMap<TryId, Try>,
-    attempts: HashMap<u32, Attempt>,
+    attempts: BTreeMap<u32, Attempt>,
     nodes: HashMap<usize, Node>,
     gateways: HashMap<usize, Gateway>,
     told: HashMap<(usize, usize), Told>,
@@ -121,7 +121,7 @@
             cold,
             requests: HashMap::new(),
             tries: HashMap::new(),
-            attempts: HashMap::new(),
+            attempts: BTreeMap::new(),
             nodes: HashMap::new(),
             gateways: HashMap::new(),
             told: HashMap::new(),
--- a/crates/rehearsal/src/judge/score.rs
+++ b/crates/rehearsal/src/judge/score.rs
@@ -4,7 +4,7 @@
 use super::store::Store;
 use crate::log::{Answer, Event, TryId, What};
 use crate::scenario::Scenario;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// Weights of the score's three parts.
 const WHOLE: f64 = 0.65;
@@ -95,7 +95,8 @@
     /// Tries by whether the quota held their units when they were sent on.
     sent_inside: HashMap<TryId, bool>,
     left: HashSet<TryId>,
-    attempts: HashMap<u32, (TryId, f64)>,
+    /// In order, as sums of their work must not depend on a table's.
+    attempts: BTreeMap<u32, (TryId, f64)>,
     seen: HashSet<TryId>,
     credited: HashSet<u32>,
     beyond_cost: f64,
@@ -110,7 +111,7 @@
             offered: HashMap::new(),
             sent_inside: HashMap::new(),
             left: HashSet::new(),
-            attempts: HashMap::new(),
+            attempts: BTreeMap::new(),
             seen: HashSet::new(),
             credited: HashSet::new(),
             beyond_cost: 0.0,
--- a/crates/rehearsal/src/play/mod.rs
+++ b/crates/rehearsal/src/play/mod.rs
@@ -128,8 +128,8 @@
     clients.sweep();
     gateways.count_cpu();
     kit.tell_lateness();
-    kit.note(What::Over);
     gateways.end().await;
+    kit.note(What::Over);
     show(progress(&kit, of));
     kit.take_events().map_err(io("the log cannot be written"))
 }
--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -3,6 +3,7 @@
 use crate::backends::{LARGEST_BODY, Message};
 use crate::clock::millis;
 use crate::engine::{Engine, Reply};
+use crate::faults;
 use bytes::Bytes;
 use doorcourse::{Arrival, Effect, Name, RequestId, Settings};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -191,7 +192,11 @@
 
 impl AsyncWrite for Tap {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, buf))?;
+        if faults::on(faults::Fault::AnswerTwice) && buf.starts_with(b"HTTP/1.1 200") {
+            let _ = self.stream.try_write(buf);
+        }
+        Poll::Ready(Ok(written))
     }
 
     fn poll_write_vectored(
@@ -201,7 +206,7 @@
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        !faults::on(faults::Fault::AnswerTwice) && self.stream.is_write_vectored()
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -497,6 +502,9 @@
         // Guards the one final answer: should the decisions forget a request, it still gets one in time.
         let reply = timeout_at(now + patience + BACKSTOP.min(margin / 2), reply).await;
         drop(waiting);
+        if faults::strikes(faults::Fault::NeverAnswer, id) {
+            std::future::pending::<()>().await;
+        }
         match reply {
             Ok(Ok(Reply::Served(answer))) => {
                 let mut response = Response::new(Full::new(answer.body));
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -2,6 +2,7 @@
 
 use crate::backends::Backends;
 use crate::engine::Engine;
+use crate::faults;
 use crate::link::Link;
 use bytes::Bytes;
 use doorcourse::Event;
@@ -29,6 +30,7 @@
 
 /// Brings a list to the connections first, so that nothing is sent by an older word, then to the decisions.
 pub fn tell(list: List, backends: &Backends, engine: &Engine) {
+    let list = faults::list(list);
     backends.update(&list);
     let entries = list.hosts.into_iter().map(|h| h.entry).collect();
     engine.post(if list.whole { Event::BackendList(entries) } else { Event::BackendChanges(entries) });
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -4,6 +4,7 @@
 use crate::backends::{Answer, Backends, End, Message};
 use crate::clock::{Clock, millis, span};
 use crate::counter::Counter;
+use crate::faults::{self, Fault};
 use crate::task::spawn;
 use doorcourse::{
     Action, Arrival, AttemptEnd, Event, Gateway, Millis, Name, Outcome, RequestId, Settings, SettingsError,
@@ -166,6 +167,9 @@
         match action {
             Action::Send { id, backend, timeout } => self.send(id, backend, timeout),
             Action::Refuse { id, retry_after } => self.finish(id, |_| Reply::Refused(retry_after)),
+            Action::Fail { id } if faults::on(Fault::RefuseInDoubt) => {
+                self.finish(id, |_| Reply::Refused(0.0))
+            }
             Action::Fail { id } => self.finish(id, |open| Reply::Failed(open.timed_out)),
             Action::CallOff { id, attempt } => {
                 let mut state = self.state.borrow_mut();
@@ -238,8 +242,16 @@
         let (call_off, called_off) = oneshot::channel();
         out.insert(id, Out { number, call_off: Some(call_off) });
         let (message, backends, me) = (request.message.clone(), self.backends.clone(), self.me.clone());
+        if faults::strikes(Fault::SecondCopy, id) {
+            let (message, backends, backend) = (message.clone(), backends.clone(), backend.clone());
+            spawn(async move {
+                let (_never, called_off) = oneshot::channel();
+                backends.attempt(&backend, message, until, called_off).await;
+            });
+        }
         spawn(async move {
-            let end = backends.attempt(&backend, message, until, called_off).await;
+            let to = faults::backend(&backend, &message.method);
+            let end = backends.attempt(&to, message, until, called_off).await;
             if let Some(engine) = me.upgrade() {
                 engine.ended(id, number, backend, end, millis(begun.elapsed()));
             }
@@ -248,6 +260,7 @@
 
     fn ended(&self, id: RequestId, attempt: u32, backend: Name, end: End, latency: Millis) {
         let End { outcome, answer, load } = end;
+        let outcome = faults::outcome(outcome);
         self.state.borrow_mut().out.remove(&id);
         if let Some(answer) = answer {
             self.finish(id, |_| Reply::Served(answer));
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod counter;
 pub mod discovery;
 pub mod engine;
+pub mod faults;
 pub mod link;
 pub mod task;
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -11,6 +11,7 @@
 use fennelscale::clients::Front;
 use fennelscale::discovery;
 use fennelscale::engine::Engine;
+use fennelscale::faults;
 use fennelscale::task::spawn;
 use fennelscale_settings::gateway::Config;
 use std::fmt::Display;
@@ -67,7 +68,7 @@
     };
     let sockets = config.sockets.saturating_sub(OTHER_SOCKETS).max(2);
     let most_clients = ((sockets as f64 * CLIENT_SHARE) as usize).max(1);
-    let settings = config.settings;
+    let settings = faults::settings(config.settings);
     let backends = Backends::new(
         config.connect_timeout,
         config.backend_idle,
--- /dev/null
+++ b/gateway/tests/broken_builds.rs
@@ -0,0 +1,78 @@
+//! Builds with a deliberate fault fail the rehearsal, each by its own rule and on every seed. These runs need the feature
+//! `broken-builds`, which debug builds alone can have.
+
+#![cfg(feature = "broken-builds")]
+
+use fennelscale_rehearsal::judge::{Ending, Rule, judge};
+use fennelscale_rehearsal::play::{Order, play};
+use fennelscale_rehearsal::scenario::Scenario;
+use fennelscale_rehearsal::shipped::shipped;
+use std::path::PathBuf;
+
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=5;
+
+fn fails(fault: &'static str, rule: Rule) {
+    let runs: Vec<_> = SEEDS
+        .map(|seed| {
+            std::thread::spawn(move || {
+                let folder =
+                    std::env::temp_dir().join(format!("fennelscale-{fault}-{seed}-{}", std::process::id()));
+                std::fs::create_dir_all(&folder).expect("a folder");
+                let text = shipped("drill").expect("shipped").to_owned();
+                let scenario = Scenario::parse("drill", &text).expect("a scenario");
+                let program = PathBuf::from(env!("CARGO_BIN_EXE_fennelscale"));
+                let environment = vec![("FENNELSCALE_FAULT".to_owned(), fault.to_owned())];
+                let order = Order { scenario, text, seed, program, folder: folder.clone(), environment };
+                let (_, events) = play(&order, &mut |_| {}).expect("a run");
+                let verdict = judge(&order.scenario, &events);
+                assert_eq!(verdict.ending(), Ending::Broken, "{fault}, seed {seed}: {:?}", verdict.void);
+                assert!(verdict.broken(rule) > 0, "{fault}, seed {seed}: {:?}", verdict.breaks);
+                // No other rule is blamed for it.
+                let other = verdict.breaks.iter().find(|found| found.rule != rule);
+                assert_eq!(other, None, "{fault}, seed {seed}");
+                let _ = std::fs::remove_dir_all(folder);
+            })
+        })
+        .collect();
+    runs.into_iter().for_each(|run| run.join().expect("a verdict"));
+}
+
+#[test]
+fn a_build_that_answers_twice_fails() {
+    fails("answer-twice", Rule::OneAnswer);
+}
+
+#[test]
+fn a_build_that_leaves_requests_without_an_answer_fails() {
+    fails("never-answer", Rule::OneAnswer);
+}
+
+#[test]
+fn a_build_that_resends_a_licence_order_in_doubt_fails() {
+    fails("resend-in-doubt", Rule::NoRepeat);
+}
+
+#[test]
+fn a_build_that_refuses_in_doubt_fails() {
+    fails("refuse-in-doubt", Rule::NoRepeat);
+}
+
+#[test]
+fn a_build_that_has_two_attempts_out_at_once_fails() {
+    fails("second-copy", Rule::NoRepeat);
+}
+
+#[test]
+fn a_build_that_ignores_drains_fails() {
+    fails("ignore-drains", Rule::Drains);
+}
+
+#[test]
+fn a_build_that_ignores_the_cold_share_fails() {
+    fails("ignore-cold-share", Rule::Cold);
+}
+
+#[test]
+fn a_build_that_ignores_the_ceiling_fails() {
+    fails("ignore-ceiling", Rule::Ceiling);
+}
