--- a/crates/rehearsal/src/play/mod.rs
+++ b/crates/rehearsal/src/play/mod.rs
@@ -6,6 +6,8 @@
 mod gateways;
 mod kit;
 mod node;
+#[cfg(test)]
+mod tests;
 mod troubles;
 mod wire;
 
--- a/crates/rehearsal/src/play/node.rs
+++ b/crates/rehearsal/src/play/node.rs
@@ -29,6 +29,8 @@
 const SPOILT: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 9x\r\n\x01\x02\x03\r\n\r\n";
 /// Load reports speak of this long at least, in ms.
 const REPORT_OVER: f64 = 1000.0;
+/// How often a node that comes back tries for its address, 2 ms apart.
+const LISTEN_TRIES: u32 = 250;
 /// Keys are looked through for forgotten ones when a rack has this many.
 const MANY_KEYS: usize = 4096;
 
@@ -134,7 +136,7 @@
     pub(super) async fn revive(&self, number: usize) -> io::Result<()> {
         let stand = &self.all[number];
         if !stand.is_up() {
-            let listener = TcpListener::bind(stand.at).await?;
+            let listener = stand.listen_again().await?;
             stand.clone().live(listener, true);
         }
         self.tell(number, NodeState::InService);
@@ -171,6 +173,17 @@
         self.life.borrow().is_some()
     }
 
+    /// Listens at its old address. The last life's listener may need a moment to be gone.
+    async fn listen_again(&self) -> io::Result<TcpListener> {
+        for _ in 0..LISTEN_TRIES {
+            match TcpListener::bind(self.at).await {
+                Err(error) if error.kind() == io::ErrorKind::AddrInUse => self.kit.pause(2.0).await,
+                done => return done,
+            }
+        }
+        TcpListener::bind(self.at).await
+    }
+
     /// Begins a life: lives are odd numbers, being gone even ones.
     fn live(self: Rc<Self>, listener: TcpListener, cold: bool) {
         let now = self.kit.now();
@@ -262,7 +275,6 @@
 
     /// Moves the node's work on.
     async fn work(self: Rc<Self>, mut life: watch::Receiver<u32>) {
-        life.mark_unchanged();
         loop {
             let wakes = self.life.borrow().as_ref().and_then(|l| l.model.wakes());
             let due = async {
@@ -282,7 +294,6 @@
     }
 
     async fn listen(self: Rc<Self>, listener: TcpListener, mut life: watch::Receiver<u32>) {
-        life.mark_unchanged();
         loop {
             let stream = tokio::select! {
                 biased;
@@ -441,7 +452,9 @@
         let mut life = self.life.borrow_mut();
         let Some(life) = life.as_mut() else { return String::new() };
         life.done.retain(|(at, _)| now - at < every.max(REPORT_OVER));
-        let (count, took) = (life.done.len(), life.done.iter().map(|(_, took)| took).sum::<f64>());
+        let count = life.done.len();
+        // A sum of nothing would be told as -0.0.
+        let took = life.done.iter().fold(0.0, |sum, (_, took)| sum + took);
         let (service, queue) = (took / count.max(1) as f64, life.model.queue());
         format!("TEXT recent_ms={service:.1}, backlog={queue}, throughput={count}")
     }
--- a/gateway/tests/rehearse.rs
+++ b/gateway/tests/rehearse.rs
@@ -222,6 +222,25 @@
     }
 }
 
+#[test]
+fn no_gateway_outlives_a_kit_that_panics() {
+    let place = Place::new();
+    let folder = place.0.clone();
+    let run = std::thread::spawn(move || {
+        let text = short("60s", "");
+        let scenario = Scenario::parse("short", &text).expect("a scenario");
+        let program = PathBuf::from(PROGRAM);
+        let order = Order { scenario, text, seed: 1, program, folder, environment: Vec::new() };
+        let _ = play(&order, &mut |_| panic!("as this test wants it"));
+    });
+    run.join().expect_err("a panic");
+    for n in 0..3 {
+        let at = listening(&place.file(&format!("gateway-{n}.log"))).expect("an address");
+        until("the gateway's end", || TcpStream::connect(at).is_err());
+        std::net::TcpListener::bind(at).expect("a free address");
+    }
+}
+
 #[test]
 fn rehearsals_side_by_side_have_networks_of_their_own() {
     let (here, there) = (Place::new(), Place::new());
