--- a/crates/rehearsal/src/play/node.rs
+++ b/crates/rehearsal/src/play/node.rs
@@ -439,7 +439,7 @@
     }
 
     /// The work of a request: the same for all its attempts, whoever asks.
-    fn work_of(&self, id: TryId, mean: f64) -> f64 {
+    pub(super) fn work_of(&self, id: TryId, mean: f64) -> f64 {
         use rand::SeedableRng;
         let seed = self.kit.seed ^ u64::from(id.request).wrapping_mul(0x9e37_79b9_7f4a_7c15);
         let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
--- a/crates/rehearsal/src/play/tests.rs
+++ b/crates/rehearsal/src/play/tests.rs
@@ -235,6 +235,35 @@
     });
 }
 
+/// How long a node worked on a try, by the log.
+async fn work_time(scene: &Scene, id: TryId) -> f64 {
+    scene.kit.note(What::Asked { id, gateway: 0, patience: 1000.0, fresh: true });
+    let mut connection = scene.connect(0).await;
+    assert_eq!(ask(&mut connection, &look(&id.to_string())).await.expect("an answer").status, 200);
+    let events = scene.events();
+    let at = |met: &dyn Fn(&What) -> bool| events.iter().find(|e| met(&e.what)).map_or(0.0, |e| e.t);
+    at(&|w| matches!(w, What::Replied { .. })) - at(&|w| matches!(w, What::Ran { .. }))
+}
+
+#[test]
+fn a_node_that_is_back_works_slowly_at_first_and_as_before_when_it_is_warm() {
+    // All tries of a request ask for the same work, of some 100 ms here and so too little to fell the node.
+    let changes = [("work = \"60ms\"", "work = \"100ms\""), ("cold-for = \"20s\"", "cold-for = \"3s\"")];
+    among(&changes, "", async |scene| {
+        let request =
+            (0..).find(|n| (50.0..150.0).contains(&scene.nodes.all[0].work_of(scene.id(*n), 100.0)));
+        let of = |go| TryId { request: request.unwrap_or(0), go };
+        let before = work_time(scene, of(1)).await;
+        scene.nodes.kill(0);
+        scene.nodes.revive(0).await.expect("its address");
+        let cold = work_time(scene, of(2)).await;
+        scene.kit.pause(3000.0).await;
+        let after = work_time(scene, of(3)).await;
+        // From 4% of its capacity in 3 s: several times as long. Ratios within one run, far from their bounds.
+        assert!(cold > 2.0 * before && cold > 2.0 * after, "{before} {cold} {after}");
+    });
+}
+
 #[test]
 fn a_cold_node_that_is_sent_too_much_falls_and_takes_all_with_it() {
     among(&[("work = \"60ms\"", "work = \"900ms\"")], "", async |scene| {
