--- a/gateway/tests/rehearse.rs
+++ b/gateway/tests/rehearse.rs
@@ -257,19 +257,24 @@
     }
 }
 
-#[test]
-fn a_kit_that_stood_still_gives_no_verdict_and_says_by_how_much() {
-    let place = Place::new();
-    let scenario = place.scenario("stopped.toml", &short("4s", ""));
+/// A rehearsal in the background through which requests flow: its log has grown far beyond its header.
+fn under_load(place: &Place) -> Child {
+    let scenario = place.scenario("short.toml", &short("4s", ""));
     let folder = place.file("report").display().to_string();
     let run = fennelscale(&["rehearse", &scenario, "--report", &folder])
         .stderr(Stdio::null())
         .stdout(Stdio::piped())
         .spawn()
         .expect("a process");
-    // Requests flow by now: the log has grown far beyond its header.
     let log = place.file("report").join(LOG);
     until("the run's beginning", || std::fs::metadata(&log).is_ok_and(|m| m.len() > 20_000));
+    run
+}
+
+#[test]
+fn a_kit_that_stood_still_gives_no_verdict_and_says_by_how_much() {
+    let place = Place::new();
+    let run = under_load(&place);
     signal("-STOP", &run);
     std::thread::sleep(Duration::from_millis(900));
     signal("-CONT", &run);
@@ -282,15 +287,7 @@
 #[test]
 fn a_gateway_that_ends_by_itself_is_told_with_status_3() {
     let place = Place::new();
-    let scenario = place.scenario("crash.toml", &short("4s", ""));
-    let folder = place.file("report").display().to_string();
-    let run = fennelscale(&["rehearse", &scenario, "--report", &folder])
-        .stderr(Stdio::null())
-        .stdout(Stdio::piped())
-        .spawn()
-        .expect("a process");
-    let log = place.file("report").join(LOG);
-    until("the run's beginning", || std::fs::metadata(&log).is_ok_and(|m| m.len() > 20_000));
+    let run = under_load(&place);
     // A gateway is ended by somebody else than the kit: to the kit it has ended by itself.
     let children =
         std::fs::read_to_string(format!("/proc/{0}/task/{0}/children", run.id())).expect("children");
