--- a/crates/life-check/src/explore.rs
+++ b/crates/life-check/src/explore.rs
@@ -52,7 +52,7 @@
     }
 
     fn next_state(&self, world: &World, step: Step) -> Option<World> {
-        Some(world.after(step, &self.bounds, self.mutant))
+        Some(world.after(step, self.mutant))
     }
 
     fn properties(&self) -> Vec<Property<Self>> {
@@ -101,7 +101,7 @@
     let mut out = String::new();
     for (n, step) in steps.iter().enumerate() {
         let _ = writeln!(out, "{:>3}. at {} ms: {}", n + 1, u32::from(world.now) * 100, words(&world, *step));
-        world = world.after(*step, &system.bounds, system.mutant);
+        world = world.after(*step, system.mutant);
     }
     if let Some(violation) = system.violation(&world) {
         let _ = writeln!(out, "     broken: {violation:?}");
--- a/crates/life-check/src/properties.rs
+++ b/crates/life-check/src/properties.rs
@@ -32,21 +32,6 @@
     Unsettled,
 }
 
-/// The name that a report gives to a property.
-pub const NAMES: [(Violation, &str); 11] = [
-    (Violation::SecondAnswer, "exactly one final answer"),
-    (Violation::SentAfterTheAnswer, "nothing after the final answer"),
-    (Violation::TwoOut, "never two attempts out at once"),
-    (Violation::UnsafeTwice, "unsafe resent only when every earlier attempt never ran"),
-    (Violation::KeyedOutside, "keyed resent only inside its rack and its memory"),
-    (Violation::RefusedInDoubt, "a refusal only where repeating is harmless"),
-    (Violation::SentToDrained, "nothing new to a drained node"),
-    (Violation::FalseCertainty, "never ran is said only of what never ran"),
-    (Violation::LateAnswer, "the final answer comes before the client's time is up"),
-    (Violation::Illegal, "no transition outside the tables"),
-    (Violation::Unsettled, "everything comes to its end, and no count leaks"),
-];
-
 #[derive(Clone, Debug, Default)]
 struct Of {
     answers: u8,
--- a/crates/life-check/src/world.rs
+++ b/crates/life-check/src/world.rs
@@ -447,13 +447,13 @@
     }
 
     /// What follows from something that happens.
-    pub fn after(&self, step: Step, bounds: &Bounds, mutant: Option<Mutant>) -> Self {
+    pub fn after(&self, step: Step, mutant: Option<Mutant>) -> Self {
         let mut next = self.clone();
-        next.happen(step, bounds, mutant);
+        next.happen(step, mutant);
         next
     }
 
-    fn happen(&mut self, step: Step, _bounds: &Bounds, mutant: Option<Mutant>) {
+    fn happen(&mut self, step: Step, mutant: Option<Mutant>) {
         match step {
             Step::Arrives(n) => {
                 self.arrived[usize::from(n)] = Some(self.now);
--- a/crates/life/src/core.rs
+++ b/crates/life/src/core.rs
@@ -109,11 +109,6 @@
         self.requests.get(&id)?.kept.as_ref()
     }
 
-    /// Where a request is.
-    pub fn life(&self, id: RequestId) -> Option<Request> {
-        self.requests.get(&id).map(|entry| entry.life)
-    }
-
     /// Requests that are owed an answer.
     pub fn open_requests(&self) -> usize {
         self.open
--- a/crates/rehearsal/src/log.rs
+++ b/crates/rehearsal/src/log.rs
@@ -56,24 +56,15 @@
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let (request, go) = text.split_once('.').ok_or("a try is written 17.0")?;
-        let plain = |t: &str| t.bytes().all(|b| b.is_ascii_digit());
+        // Digits alone: a number may otherwise bear a sign.
+        let plain = [request, go].iter().all(|part| part.bytes().all(|b| b.is_ascii_digit()));
         match (request.parse(), go.parse()) {
-            (Ok(request), Ok(go)) if plain(request_text(text)) && plain(go_text(text)) => {
-                Ok(Self { request, go })
-            }
+            (Ok(request), Ok(go)) if plain => Ok(Self { request, go }),
             _ => Err("a try is written 17.0"),
         }
     }
 }
 
-fn request_text(text: &str) -> &str {
-    text.split('.').next().unwrap_or("")
-}
-
-fn go_text(text: &str) -> &str {
-    text.split_once('.').map_or("", |(_, go)| go)
-}
-
 impl Serialize for TryId {
     fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
         to.collect_str(self)
