--- a/crates/rehearsal/src/play/counter.rs
+++ b/crates/rehearsal/src/play/counter.rs
@@ -1,6 +1,7 @@
 //! The shared quota counter on sockets: RESP2, answers in the order of the calls. What it can do is in [`crate::tally`].
 
 use super::kit::Kit;
+use super::place::{Moved, Place};
 use crate::log::What;
 use crate::scenario::TroubleKind;
 use crate::tally::{Answer, Figures, Tally};
@@ -11,8 +12,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedWriteHalf;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
 
@@ -22,8 +23,6 @@
 const MOST_WAITING: usize = 4096;
 /// The longest input that is not a call yet.
 const LONGEST_CALL: usize = 4096;
-/// An old place goes on for this long after a move, in ms.
-const OLD_PLACE: f64 = 1500.0;
 const LONGEST_NAME: usize = 64;
 const LARGEST_AMOUNT: f64 = 1e9;
 
@@ -31,10 +30,9 @@
 pub(super) struct Counter {
     kit: Rc<Kit>,
     tally: RefCell<Tally>,
-    at: Cell<SocketAddr>,
+    place: Place,
     open: Cell<usize>,
-    /// Which place is the present one; which counter stands there.
-    places: watch::Sender<u32>,
+    /// Which counter stands there.
     replaced: watch::Sender<u32>,
 }
 
@@ -49,9 +47,8 @@
         let this = Rc::new(Self {
             kit: kit.clone(),
             tally: RefCell::new(tally),
-            at: Cell::new(kit.address(HOST)),
+            place: Place::new(kit, HOST),
             open: Cell::new(0),
-            places: watch::channel(0).0,
             replaced: watch::channel(0).0,
         });
         this.clone().move_on().await?;
@@ -60,28 +57,13 @@
 
     /// Where it listens now.
     pub(super) fn at(&self) -> SocketAddr {
-        self.at.get()
+        self.place.at()
     }
 
     /// Listens elsewhere from now on; the old place takes nothing new and soon closes what it has.
     pub(super) async fn move_on(self: Rc<Self>) -> io::Result<()> {
-        let listener = TcpListener::bind(self.kit.address(HOST)).await?;
-        self.at.set(listener.local_addr()?);
-        self.places.send_modify(|place| *place += 1);
-        let mut place = self.places.subscribe();
-        spawn_local(async move {
-            loop {
-                tokio::select! {
-                    biased;
-                    _ = place.changed() => return,
-                    accepted = listener.accept() => match accepted {
-                        Ok((stream, _)) => self.clone().take(stream, place.clone()),
-                        Err(_) => self.kit.pause(5.0).await,
-                    },
-                }
-            }
-        });
-        Ok(())
+        let this = self.clone();
+        self.place.move_on(move |stream, moved| this.clone().take(stream, moved)).await
     }
 
     /// Another counter stands there, at zero; connections end.
@@ -90,7 +72,7 @@
         self.replaced.send_modify(|n| *n += 1);
     }
 
-    fn take(self: Rc<Self>, stream: TcpStream, mut place: watch::Receiver<u32>) {
+    fn take(self: Rc<Self>, stream: TcpStream, moved: Moved) {
         let _ = socket2::SockRef::from(&stream).set_linger(Some(std::time::Duration::ZERO));
         if self.open.get() >= self.kit.scenario.counter.connections {
             return;
@@ -99,14 +81,10 @@
         self.open.set(self.open.get() + 1);
         let mut replaced = self.replaced.subscribe();
         spawn_local(async move {
-            let moved = async {
-                let _ = place.changed().await;
-                self.kit.pause(OLD_PLACE).await;
-            };
             tokio::select! {
                 biased;
                 _ = replaced.changed() => {}
-                () = moved => {}
+                () = moved.over() => {}
                 () = self.serve(stream) => {}
             }
             self.open.set(self.open.get() - 1);
--- a/crates/rehearsal/src/play/discovery.rs
+++ b/crates/rehearsal/src/play/discovery.rs
@@ -3,6 +3,7 @@
 
 use super::kit::Kit;
 use super::node::Nodes;
+use super::place::{Moved, Place};
 use super::wire::{Connection, answer, ok};
 use crate::log::{NodeState, What};
 use crate::scenario::TroubleKind;
@@ -10,14 +11,11 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 
 /// Of a run's network, agents have this address.
 const HOST: u8 = 251;
-/// An old place goes on for this long after a move, in ms.
-const OLD_PLACE: f64 = 1500.0;
 /// The longest wait of a watch, in ms.
 const LONGEST_WAIT: f64 = 60_000.0;
 /// How often a silence is looked at for its end, in ms.
@@ -41,10 +39,9 @@
     kit: Rc<Kit>,
     nodes: Rc<Nodes>,
     gateway: usize,
-    at: Cell<SocketAddr>,
+    place: Place,
     rows: RefCell<Vec<Row>>,
     seq: watch::Sender<u64>,
-    places: watch::Sender<u32>,
 }
 
 /// All agents.
@@ -61,10 +58,9 @@
                 kit: kit.clone(),
                 nodes: nodes.clone(),
                 gateway,
-                at: Cell::new(kit.address(HOST)),
+                place: Place::new(kit, HOST),
                 rows: RefCell::new(vec![row.clone(); nodes.all.len()]),
                 seq: watch::channel(1).0,
-                places: watch::channel(0).0,
             });
             agent.clone().move_on().await?;
             agents.push(agent);
@@ -82,40 +78,22 @@
 impl Agent {
     /// Where it listens now.
     pub(super) fn at(&self) -> SocketAddr {
-        self.at.get()
+        self.place.at()
     }
 
     /// Listens elsewhere from now on.
     pub(super) async fn move_on(self: Rc<Self>) -> io::Result<()> {
-        let listener = TcpListener::bind(self.kit.address(HOST)).await?;
-        self.at.set(listener.local_addr()?);
-        self.places.send_modify(|place| *place += 1);
-        let mut place = self.places.subscribe();
-        spawn_local(async move {
-            loop {
-                let stream = tokio::select! {
-                    biased;
-                    _ = place.changed() => return,
-                    accepted = listener.accept() => accepted,
-                };
-                let Ok((stream, _)) = stream else {
-                    self.kit.pause(5.0).await;
-                    continue;
-                };
-                let (this, mut place) = (self.clone(), place.clone());
-                spawn_local(async move {
-                    let moved = async {
-                        let _ = place.changed().await;
-                        this.kit.pause(OLD_PLACE).await;
-                    };
-                    tokio::select! {
-                        () = moved => {}
-                        () = this.serve(Connection::new(stream)) => {}
-                    }
-                });
-            }
-        });
-        Ok(())
+        let this = self.clone();
+        let take = move |stream, moved: Moved| {
+            let this = this.clone();
+            spawn_local(async move {
+                tokio::select! {
+                    () = moved.over() => {}
+                    () = this.serve(Connection::new(stream)) => {}
+                }
+            });
+        };
+        self.place.move_on(take).await
     }
 
     /// A change happened; this agent hears of it late.
--- a/crates/rehearsal/src/play/mod.rs
+++ b/crates/rehearsal/src/play/mod.rs
@@ -6,6 +6,7 @@
 mod gateways;
 mod kit;
 mod node;
+mod place;
 #[cfg(test)]
 mod tests;
 mod troubles;
