--- a/crates/life-check/src/explore.rs
+++ b/crates/life-check/src/explore.rs
@@ -3,14 +3,20 @@
 use crate::mutants::Mutant;
 use crate::properties::Violation;
 use crate::world::{Bounds, Step, World};
+use life::tables::Transition;
 use stateright::{Checker, HasDiscoveries, Model, Property};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::fmt::Write as _;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
 
 /// Two requests of different effect, two nodes in two racks, three attempts, one drain, one cancel, one fault of any kind
-/// anywhere, and time-outs. Too many orders for CI, which takes parts of it; `explain` takes it whole.
+/// anywhere, and time-outs.
 pub const ALL_AT_ONCE: Bounds =
-    Bounds { requests: 2, nodes: 2, attempts: 3, cancels: 1, drains: 1, faults: 1, steps: 4 };
+    Bounds { requests: 2, nodes: 2, attempts: 3, cancels: 1, drains: 1, faults: 1, reuses: 0, steps: 4 };
+
+/// The one property that the checker is given: all of those in `properties`.
+const PROPERTY: &str = "all properties hold";
 
 /// The composed system as the checker sees it.
 #[derive(Clone, Copy, Debug)]
@@ -33,9 +39,13 @@
     /// What does not hold in a state, if something does not. Every step spends of a bound, so all ways end; where no
     /// step is possible any more, everything must have had its end.
     pub fn violation(&self, world: &World) -> Option<Violation> {
-        let stuck =
-            || (self.possible(world).is_empty() && !world.is_settled()).then_some(Violation::Unsettled);
-        world.violation().or_else(stuck)
+        let at_the_end = || match (world.is_settled(), world.units_add_up()) {
+            (false, _) => Some(Violation::Unsettled),
+            (true, false) => Some(Violation::Units),
+            (true, true) => None,
+        };
+        let over = || self.possible(world).is_empty();
+        world.violation().or_else(|| if over() { at_the_end() } else { None })
     }
 }
 
@@ -56,9 +66,7 @@
     }
 
     fn properties(&self) -> Vec<Property<Self>> {
-        vec![Property::always("all properties hold", |system: &System, world: &World| {
-            system.violation(world).is_none()
-        })]
+        vec![Property::always(PROPERTY, |system: &System, world: &World| system.violation(world).is_none())]
     }
 }
 
@@ -77,15 +85,41 @@
     pub story: Option<(Vec<Step>, Violation)>,
 }
 
-/// Explores all that can be reached within the bounds, breadth first, so that a story is a shortest one.
+impl std::fmt::Display for Found {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let (states, transitions, depth, took) = (self.states, self.transitions, self.depth, self.took);
+        write!(f, "{states} states, {transitions} transitions, depth {depth}, {:.1} s", took.as_secs_f64())?;
+        // Of the whole process, where the system tells it.
+        let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        peak.map_or(Ok(()), |peak| write!(f, ", peak memory {}", peak.trim()))
+    }
+}
+
+/// Explores all that can be reached within the bounds, depth first: what waits to be looked at is then a few ways and not
+/// a whole layer of states, each of some kilobytes. If something does not hold, [`shortest`] seeks its shortest story.
 pub fn explore(system: System, threads: usize) -> Found {
+    let begun = Instant::now();
+    let checker = system.checker().threads(threads).finish_when(HasDiscoveries::Any).spawn_dfs().join();
+    match checker.discovery(PROPERTY) {
+        None => found(&checker, begun, None),
+        Some(_) => shortest(system, threads),
+    }
+}
+
+/// Explores breadth first, so that a story is a shortest one.
+pub fn shortest(system: System, threads: usize) -> Found {
     let begun = Instant::now();
     let checker = system.checker().threads(threads).finish_when(HasDiscoveries::Any).spawn_bfs().join();
-    let story = checker.discovery("all properties hold").and_then(|path| {
+    let story = checker.discovery(PROPERTY).and_then(|path| {
         let last = path.last_state().clone();
         let violation = system.violation(&last)?;
         Some((path.into_actions(), violation))
     });
+    found(&checker, begun, story)
+}
+
+fn found(checker: &impl Checker<System>, begun: Instant, story: Option<(Vec<Step>, Violation)>) -> Found {
     Found {
         states: checker.unique_state_count(),
         transitions: checker.state_count(),
@@ -95,6 +129,29 @@
     }
 }
 
+/// All steps of the machines that are taken anywhere within the bounds, by the machine's name. Depth first and on one
+/// thread: for small bounds.
+pub fn coverage(system: System) -> BTreeMap<&'static str, BTreeSet<Transition>> {
+    let mut covered: BTreeMap<_, BTreeSet<_>> = BTreeMap::new();
+    let mut start = World::start(&system.bounds, system.mutant);
+    start.note();
+    let (mut seen, mut next) = (HashSet::new(), vec![start]);
+    while let Some(world) = next.pop() {
+        for step in system.possible(&world) {
+            let mut then = world.after(step, system.mutant);
+            for (machine, transition) in then.noted() {
+                covered.entry(machine).or_default().insert(transition);
+            }
+            let mut state = DefaultHasher::new();
+            then.hash(&mut state);
+            if seen.insert(state.finish()) {
+                next.push(then);
+            }
+        }
+    }
+    covered
+}
+
 /// A counterexample as a numbered story.
 pub fn tell(system: System, steps: &[Step]) -> String {
     let mut world = World::start(&system.bounds, system.mutant);
@@ -119,6 +176,10 @@
             let effect = crate::world::effect(u64::from(n) + 1);
             format!("request {} ({effect:?}) is taken", n + 1)
         }
+        Step::ArrivesAgain(n) => {
+            let effect = crate::world::effect(u64::from(n) + 1);
+            format!("request {} ({effect:?}) comes under the id of request {n}", n + 1)
+        }
         Step::Cancels(n) => format!("the client of request {} cancels", n + 1),
         Step::Tick => "time goes on".into(),
         Step::Places(n) => format!("{} seeks a connection", attempt(n)),
@@ -126,15 +187,18 @@
         Step::IsRefused(n) => format!("{}: its connection is refused", attempt(n)),
         Step::Writes(n) => format!("{}: its first bytes are due", attempt(n)),
         Step::Flushes(n) => format!("{}: its last byte is written", attempt(n)),
-        Step::Runs(n) => format!("{}: the node runs it", attempt(n)),
         Step::Replies(n, reply) => format!("{}: the node writes {reply:?}", attempt(n)),
         Step::Reads(n) => format!("{}: the gateway reads that", attempt(n)),
         Step::Breaks(n) => format!("{}: its connection breaks", attempt(n)),
+        Step::FindsBroken(n) => format!("{}: its connection turns out to be broken", attempt(n)),
         Step::GivesUp(n) => format!("{}: writing it is given up", attempt(n)),
         Step::Stops(n) => format!("{} notices that it was stopped", attempt(n)),
         Step::TimesOut(n) => format!("{}: its time is up", attempt(n)),
         Step::Drains(n) => format!("the list says that node {n} drains"),
         Step::Dies(n) => format!("node {n} dies, and the list says so"),
+        Step::Returns(n) => format!("node {n} is there again, and the list says so"),
+        Step::CountDelays => "the counter takes its time".into(),
+        Step::CountUnheard => "the counter's answer is lost".into(),
         Step::Counts => "the counter answers".into(),
         Step::CountLost => "a call of the counter is lost".into(),
         Step::Terminates => "the gateway is told to end".into(),
--- a/crates/life-check/src/lib.rs
+++ b/crates/life-check/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod explore;
 pub mod mutants;
 pub mod properties;
+pub mod trace;
 pub mod world;
--- a/crates/life-check/src/mutants.rs
+++ b/crates/life-check/src/mutants.rs
@@ -31,12 +31,20 @@
     BeginTwice,
     /// A time-out is not told to an attempt that waits for its connection.
     NoTimeoutWhileDialling,
+    /// An attempt that was called off before its first byte counts as one that may have run.
+    CallOffIsDoubt,
+    /// The ids of open requests are not asked.
+    IdsNotAsked,
+    /// What is behind an answer is not looked for.
+    KeepOverlong,
+    /// The counter adds twice what it is told, so that the quota pays what nobody used.
+    CountTwice,
     /// A keyed repeat may be written however late its connection comes up.
     NoWriteBy,
 }
 
 /// All faults.
-pub const ALL: [Mutant; 15] = [
+pub const ALL: [Mutant; 19] = [
     Mutant::ResendAfterCancel,
     Mutant::ForgetWhole,
     Mutant::ForgetFlush,
@@ -51,5 +59,9 @@
     Mutant::LongMemory,
     Mutant::BeginTwice,
     Mutant::NoTimeoutWhileDialling,
+    Mutant::CallOffIsDoubt,
+    Mutant::IdsNotAsked,
+    Mutant::KeepOverlong,
+    Mutant::CountTwice,
     Mutant::NoWriteBy,
 ];
--- a/crates/life-check/src/properties.rs
+++ b/crates/life-check/src/properties.rs
@@ -1,9 +1,9 @@
 //! What must hold, of every state that can be reached. Each is judged by what the nodes and clients of the world saw,
 //! not by what the gateway believes.
 
-use crate::world::{Sent, effect};
+use crate::world::{NODES, REQUESTS, Sent, effect};
 use doorcourse::{Effect as Repeat, Outcome};
-use std::collections::BTreeMap;
+use std::hash::{Hash, Hasher};
 
 /// A property that does not hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -26,26 +26,52 @@
     FalseCertainty,
     /// A request had no final answer when its client's time was up.
     LateAnswer,
+    /// An attempt of which no byte was written was reported as one that may have run.
+    FalseDoubt,
+    /// Two requests were open under one id.
+    TwoOfOneId,
+    /// A connection with bytes behind an answer was kept.
+    ForeignBytes,
+    /// At the end, units are lost or were won: those of requests that never ran did not go back exactly once.
+    Units,
     /// A machine was given an event that its state does not allow.
     Illegal,
     /// At the end something had no end: a request without answer, an attempt in a table, a count that is not zero.
     Unsettled,
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Hash)]
 struct Of {
     answers: u8,
     left: bool,
-    /// Attempts that reached a node whole: number, node, when; and whether it was declined.
-    reached: Vec<(u32, u8, f64, bool)>,
-    runs: u8,
+    reached: Vec<Reached>,
+    /// An attempt was reported as one that may have run.
+    doubt: bool,
+}
+
+/// An attempt that reached a node whole.
+#[derive(Clone, Copy, Debug)]
+struct Reached {
+    number: u32,
+    node: u8,
+    /// In ms.
+    at: f64,
+    declined: bool,
+}
+
+impl Hash for Reached {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        let Self { number, node, at, declined } = *self;
+        (number, node, at.to_bits(), declined).hash(state);
+    }
 }
 
 /// What was seen so far.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Hash)]
 pub struct Ledger {
-    requests: BTreeMap<u64, Of>,
-    away: Vec<u8>,
+    /// By their numbers from 1, those that have come.
+    requests: [Option<Of>; REQUESTS],
+    away: [bool; NODES],
     /// The first property that was broken.
     pub violation: Option<Violation>,
 }
@@ -55,27 +81,49 @@
         self.violation.get_or_insert(violation);
     }
 
-    pub(crate) fn arrived(&mut self, id: u64) {
-        self.requests.insert(id, Of::default());
+    fn of(&mut self, id: u64) -> &mut Of {
+        self.requests[id as usize - 1].get_or_insert_default()
+    }
+
+    pub(crate) fn arrived(&mut self, id: u64, of_open_id: bool) {
+        *self.of(id) = Of::default();
+        if of_open_id {
+            self.broke(Violation::TwoOfOneId);
+        }
+    }
+
+    /// It was not taken: nothing of it may follow.
+    pub(crate) fn turned_away(&mut self, id: u64) {
+        *self.of(id) = Of { left: true, ..Of::default() };
+    }
+
+    /// Requests whose units are used.
+    pub(crate) fn used(&self) -> u32 {
+        self.requests.iter().flatten().map(|of| u32::from(of.doubt)).sum()
+    }
+
+    pub(crate) fn kept_with_bytes_behind(&mut self) {
+        self.broke(Violation::ForeignBytes);
     }
 
     pub(crate) fn left(&mut self, id: u64) {
-        self.requests.entry(id).or_default().left = true;
+        self.of(id).left = true;
     }
 
     pub(crate) fn is_open(&self, id: u64) -> bool {
-        self.requests.get(&id).is_some_and(|of| of.answers == 0 && !of.left)
+        self.requests[id as usize - 1].as_ref().is_some_and(|of| of.answers == 0 && !of.left)
     }
 
     pub(crate) fn all_closed(&self) -> bool {
-        self.requests.values().all(|of| of.left || of.answers == 1)
+        self.requests.iter().flatten().all(|of| of.left || of.answers == 1)
     }
 
     pub(crate) fn answered(&mut self, id: u64, refused: bool) {
-        let of = self.requests.entry(id).or_default();
+        let of = self.of(id);
         of.answers += 1;
         let twice = of.answers > 1 || of.left;
-        let doubt = of.reached.iter().any(|(.., declined)| !declined);
+        let doubt = of.reached.iter().any(|r| !r.declined);
+        of.reached.clear();
         if twice {
             self.broke(Violation::SecondAnswer);
         }
@@ -94,10 +142,10 @@
     }
 
     pub(crate) fn reached(&mut self, id: u64, number: u32, node: u8, now: f64, memory: f64) {
-        let of = self.requests.entry(id).or_default();
-        let doubtful = of.reached.iter().find(|(.., declined)| !declined).copied();
-        of.reached.push((number, node, now, false));
-        let Some((_, first, at, _)) = doubtful else { return };
+        let of = self.of(id);
+        let doubtful = of.reached.iter().find(|r| !r.declined).copied();
+        of.reached.push(Reached { number, node, at: now, declined: false });
+        let Some(Reached { node: first, at, .. }) = doubtful else { return };
         match effect(id) {
             Repeat::Unsafe => self.broke(Violation::UnsafeTwice),
             // Each node is a rack of its own.
@@ -106,13 +154,9 @@
         }
     }
 
-    pub(crate) fn ran(&mut self, id: u64) {
-        self.requests.entry(id).or_default().runs += 1;
-    }
-
     pub(crate) fn declined(&mut self, id: u64, number: u32) {
-        for reached in &mut self.requests.entry(id).or_default().reached {
-            reached.3 |= reached.0 == number;
+        for reached in &mut self.of(id).reached {
+            reached.declined |= reached.number == number;
         }
     }
 
@@ -121,19 +165,36 @@
     }
 
     pub(crate) fn told_away(&mut self, node: u8) {
-        self.away.push(node);
+        self.away[usize::from(node)] = true;
+    }
+
+    pub(crate) fn told_back(&mut self, node: u8) {
+        self.away[usize::from(node)] = false;
     }
 
     pub(crate) fn written(&mut self, node: u8) {
-        if self.away.contains(&node) {
+        if self.away[usize::from(node)] {
             self.broke(Violation::SentToDrained);
         }
     }
 
-    pub(crate) fn ended(&mut self, sent: &Sent, outcome: Outcome) {
+    /// An attempt has ended. If its client has left, nothing more may be begun (that alone breaks a property), so where its
+    /// attempts have been matters no more; the same holds from the final answer on.
+    pub(crate) fn forget_what_is_over(&mut self, id: u64) {
+        if !self.is_open(id) {
+            self.of(id).reached.clear();
+        }
+    }
+
+    /// `early`: nothing of it was written.
+    pub(crate) fn ended(&mut self, sent: &Sent, outcome: Outcome, early: bool) {
         let never = matches!(outcome, Outcome::ConnectFailed | Outcome::NeverSent | Outcome::Full);
-        let of = self.requests.entry(sent.id).or_default();
-        let reached = of.reached.iter().any(|(number, .., declined)| *number == sent.number && !declined);
+        let of = self.of(sent.id);
+        let reached = of.reached.iter().any(|r| r.number == sent.number && !r.declined);
+        of.doubt |= !never;
+        if early && !never {
+            self.broke(Violation::FalseDoubt);
+        }
         if never && reached {
             self.broke(Violation::FalseCertainty);
         }
--- a/crates/life-check/src/world.rs
+++ b/crates/life-check/src/world.rs
@@ -10,10 +10,12 @@
     Action as Wish, Arrival, BackendEntry, BackendState, Class, CountOutcome, Effect as Repeat, Event,
     Gateway, Group, Name, Outcome, Plan, Settings,
 };
-use life::attempt::{self, Attempt};
+use life::attempt::{self, Attempt, Certainty};
 use life::connection::{self, Connection};
-use life::core::{Answered, Core, Effect, Ended};
-use life::request::Final;
+use life::core::{Answered, Core, Effect, Ended, Observer};
+use life::inbound::{self, Inbound, OpenIds};
+use life::request::{self, Final, Request};
+use life::tables::Transition;
 use std::hash::{Hash, Hasher};
 
 /// A step of time, in ms.
@@ -22,6 +24,10 @@
 pub const PATIENCE: u8 = 3;
 /// How long a rack remembers a key, in ms: its end lies within a request's life.
 const MEMORY: f64 = 150.0;
+/// The most requests and nodes that a world holds.
+pub const REQUESTS: usize = 3;
+/// The most nodes that a world holds.
+pub const NODES: usize = 4;
 /// What requests are worth waiting for, in ms.
 const AIM: f64 = 200.0;
 
@@ -38,8 +44,11 @@
     pub cancels: u8,
     /// Drains.
     pub drains: u8,
-    /// Faults of any other kind: refused, reset, spoilt, error, decline, a node gone, counter trouble, SIGTERM.
+    /// Faults of any other kind: refused, reset, spoilt, error, decline, an answer too early or with bytes behind it, a
+    /// node gone (and back), counter trouble, SIGTERM.
     pub faults: u8,
+    /// Requests that come under the id of an open one.
+    pub reuses: u8,
     /// Steps of time.
     pub steps: u8,
 }
@@ -49,10 +58,8 @@
 pub enum AtNode {
     /// Nothing, or not all of it.
     Nothing,
-    /// It waits there.
-    Queued,
-    /// It ran; the answer is not written.
-    Ran,
+    /// It waits there or runs, which only the node can tell apart: what it writes is one choice in either case.
+    Held,
     /// Bytes of an answer are on their way.
     Answering(Reply),
     /// The node knows no more of it.
@@ -70,6 +77,8 @@
     Declined,
     /// What cannot be read.
     Spoilt,
+    /// A whole 200 with bytes behind it.
+    Overlong,
 }
 
 /// One attempt that was begun.
@@ -89,6 +98,8 @@
     pub at: AtNode,
     /// It was stopped, and has not noticed yet.
     pub stopped: bool,
+    /// The process at the other end of its connection is gone.
+    cut: bool,
     begun: u8,
     /// Its last byte must be written by then, in ms.
     write_by: Option<f64>,
@@ -99,10 +110,13 @@
 struct Call {
     name: u64,
     amount: f64,
+    since: u8,
+    /// It is not answered within its step.
+    late: bool,
 }
 
 /// A node as it is.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug, Hash)]
 struct Node {
     up: bool,
     draining: bool,
@@ -110,12 +124,36 @@
     ready: bool,
     /// A free connection to it is kept.
     kept: bool,
+    /// When its process started, if that was within the story.
+    started: Option<u8>,
+}
+
+/// The steps that the machines took, if somebody wants to know. No part of the state.
+#[derive(Clone, Debug, Default)]
+pub struct Noted {
+    on: bool,
+    /// Each with its machine's name.
+    pub steps: Vec<(&'static str, Transition)>,
+}
+
+impl Noted {
+    fn note(&mut self, machine: &'static str, from: &'static str, event: &'static str, to: &'static str) {
+        if self.on {
+            self.steps.push((machine, Transition { from, event, to }));
+        }
+    }
+}
+
+impl Observer for Noted {
+    fn stepped(&mut self, state: Request, event: request::Event, next: Option<Request>) {
+        self.note("request", state.name(), event.name(), next.map_or("over", |next| next.name()));
+    }
 }
 
 /// The whole system.
 #[derive(Clone, Debug)]
 pub struct World {
-    core: Core<()>,
+    core: Core<(), Noted>,
     /// Steps since the start.
     pub now: u8,
     timers: Vec<(f64, u64)>,
@@ -123,11 +161,19 @@
     total: f64,
     /// Attempts that have not ended.
     pub sent: Vec<Sent>,
-    nodes: Vec<Node>,
-    arrived: Vec<Option<u8>>,
+    nodes: [Node; NODES],
+    arrived: [Option<u8>; REQUESTS],
+    /// The connections on which the requests come.
+    inbound: [Inbound; REQUESTS],
+    /// The ids that clients gave to their requests, and those that are open. The second follows from the rest.
+    ids: [u8; REQUESTS],
+    open: OpenIds<u8>,
     cancels: u8,
     drains: u8,
     faults: u8,
+    reuses: u8,
+    /// A call of the counter was lost: units may be lost with it, for safety.
+    lost: bool,
     /// What was seen, for the properties.
     pub ledger: Ledger,
     /// The core's and the machines' complaints.
@@ -141,9 +187,42 @@
 }
 
 impl Hash for World {
+    /// Each field; floats by their bits, what has no order in the order in which it came to be.
     fn hash<H: Hasher>(&self, state: &mut H) {
-        // The decision module holds floats and ordered maps: its text is canonical, as every map in it is ordered.
-        format!("{self:?}").hash(state);
+        let Self {
+            core,
+            now,
+            timers,
+            calls,
+            total,
+            sent,
+            nodes,
+            arrived,
+            inbound,
+            ids,
+            open: _,
+            cancels,
+            drains,
+            faults,
+            reuses,
+            lost,
+            ledger,
+            illegal,
+        } = self;
+        (core, now, sent, nodes, arrived, inbound, ids).hash(state);
+        (cancels, drains, faults, reuses, lost, ledger, illegal).hash(state);
+        state.write_usize(timers.len());
+        timers.iter().for_each(|(at, token)| (at.to_bits(), token).hash(state));
+        state.write_usize(calls.len());
+        calls.iter().for_each(|call| (call.name, call.amount.to_bits(), call.since, call.late).hash(state));
+        total.to_bits().hash(state);
+    }
+}
+
+impl Hash for Sent {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        let Self { id, number, node, life, link, at, stopped, cut, begun, write_by } = self;
+        (id, number, node, life, link, at, stopped, cut, begun, write_by.map(f64::to_bits)).hash(state);
     }
 }
 
@@ -152,6 +231,8 @@
 pub enum Step {
     /// A client asks.
     Arrives(u8),
+    /// A client asks under the id of the request before.
+    ArrivesAgain(u8),
     /// A client cancels.
     Cancels(u8),
     /// Time goes on.
@@ -166,14 +247,14 @@
     Writes(usize),
     /// Its last byte is written.
     Flushes(usize),
-    /// Its node begins with it.
-    Runs(usize),
     /// Its node writes an answer.
     Replies(usize, Reply),
     /// The gateway reads what was written.
     Reads(usize),
     /// Its connection breaks.
     Breaks(usize),
+    /// Its connection turns out to be broken when the first bytes are due.
+    FindsBroken(usize),
     /// The gateway gives up writing it: those who know its key are about to forget it.
     GivesUp(usize),
     /// It notices that it was stopped.
@@ -184,10 +265,16 @@
     Drains(u8),
     /// A node's process ends; the list says so at once.
     Dies(u8),
+    /// A node's process is there again, at the same address; the list says so at once.
+    Returns(u8),
     /// The counter answers its oldest call.
     Counts,
-    /// The counter's oldest call ends without an answer.
+    /// The counter does not answer its oldest call within this step.
+    CountDelays,
+    /// The counter's oldest call ends without an answer, and nothing was added.
     CountLost,
+    /// The counter's oldest call ends without an answer, and all was added.
+    CountUnheard,
     /// SIGTERM.
     Terminates,
 }
@@ -253,19 +340,24 @@
     /// If the settings above cannot be used.
     pub fn start(bounds: &Bounds, mutant: Option<Mutant>) -> Self {
         let gateway = Gateway::new(settings(bounds, mutant), 1).expect("settings");
-        let node = Node { up: true, draining: false, ready: true, kept: false };
+        let node = Node { up: true, draining: false, ready: true, kept: false, started: None };
         let mut world = Self {
-            core: Core::new(gateway),
+            core: Core::observed(gateway, Noted::default()),
             now: 0,
             timers: Vec::new(),
             calls: Vec::new(),
             total: 0.0,
             sent: Vec::new(),
-            nodes: vec![node; bounds.nodes.into()],
-            arrived: vec![None; bounds.requests.into()],
+            nodes: [node; NODES],
+            arrived: [None; REQUESTS],
+            inbound: [Inbound::accepted(); REQUESTS],
+            ids: [0, 1, 2],
+            open: OpenIds::default(),
             cancels: bounds.cancels,
             drains: bounds.drains,
             faults: bounds.faults,
+            reuses: bounds.reuses,
+            lost: false,
             ledger: Ledger::default(),
             illegal: Vec::new(),
         };
@@ -280,7 +372,8 @@
 
     fn entry(&self, node: u8, state: BackendState, mutant: Option<Mutant>) -> BackendEntry {
         let cell = if mutant == Some(Mutant::OneRack) { 0 } else { u64::from(node) };
-        BackendEntry { name: node_name(node), zone: "z".into(), cell, state, started: None }
+        let started = self.nodes[usize::from(node)].started.map(|step| f64::from(step) * STEP);
+        BackendEntry { name: node_name(node), zone: "z".into(), cell, state, started }
     }
 
     fn ms(&self) -> f64 {
@@ -289,7 +382,7 @@
 
     fn run(
         &mut self, mutant: Option<Mutant>,
-        deed: impl FnOnce(&mut Core<()>, f64, &mut Vec<Effect>, &mut Vec<Answered<()>>),
+        deed: impl FnOnce(&mut Core<(), Noted>, f64, &mut Vec<Effect>, &mut Vec<Answered<()>>),
     ) {
         let (mut effects, mut answers) = (Vec::new(), Vec::new());
         let now = self.ms();
@@ -298,6 +391,7 @@
             let refused = answer == Final::Refused
                 || mutant == Some(Mutant::RefuseForFail) && matches!(answer, Final::Failed { .. });
             self.ledger.answered(id, refused);
+            self.move_inbound(id, inbound::Event::Answered);
             if mutant == Some(Mutant::AnswerTwice) && answer == Final::Served {
                 self.ledger.answered(id, refused);
             }
@@ -314,6 +408,7 @@
                         link: None,
                         at: AtNode::Nothing,
                         stopped: false,
+                        cut: false,
                         begun: self.now,
                         write_by: write_by
                             .map(|left| now + left)
@@ -323,31 +418,59 @@
                     if mutant == Some(Mutant::BeginTwice) {
                         self.ledger.begun(id, true);
                     }
-                    self.sent.push(sent);
+                    // In the order of requests, whatever the order in which they were begun: that says nothing.
+                    let at = self.sent.partition_point(|s| s.id <= id);
+                    self.sent.insert(at, sent);
                 }
                 Effect::Stop { id } => {
                     self.sent.iter_mut().filter(|s| s.id == id).for_each(|s| s.stopped = true);
                 }
-                Effect::Other(Wish::SetTimer { after, token }) => self.timers.push((now + after, token)),
-                Effect::Other(Wish::Count { name, amount, .. }) => self.calls.push(Call { name, amount }),
+                Effect::Other(Wish::SetTimer { after, token }) => {
+                    let timer = (now + after, token);
+                    let at = self.timers.partition_point(|t| *t <= timer);
+                    self.timers.insert(at, timer);
+                }
+                Effect::Other(Wish::Count { name, amount, .. }) => {
+                    self.calls.push(Call { name, amount, since: self.now, late: false });
+                }
                 Effect::Other(_) => {}
             }
         }
         self.illegal.extend(self.core.take_illegal());
     }
 
+    /// Moves a client's connection on. Whatever ends its request frees the id.
+    fn move_inbound(&mut self, id: u64, event: inbound::Event) {
+        let n = id as usize - 1;
+        let before = self.inbound[n];
+        match before.step(event) {
+            Ok(next) => {
+                self.core.observer().note("inbound", before.name(), event.name(), next.name());
+                self.inbound[n] = next;
+            }
+            Err(illegal) => self.illegal.push(illegal),
+        }
+        if matches!(event, inbound::Event::Answered | inbound::Event::Closed) {
+            self.open.leave(&self.ids[n]);
+        }
+    }
+
     fn event(&mut self, mutant: Option<Mutant>, event: Event) {
         self.run(mutant, |core, now, out, answers| core.handle(now, event, out, answers));
     }
 
     /// All that may happen now.
     pub fn possible(&self, bounds: &Bounds, mutant: Option<Mutant>, out: &mut Vec<Step>) {
-        for (n, arrived) in self.arrived.iter().enumerate() {
+        for (n, arrived) in self.arrived.iter().enumerate().take(bounds.requests.into()) {
             let (request, id) = (n as u8, n as u64 + 1);
             // In the order of their numbers, as ids are given so; each may come at any time.
             let next = n == 0 || self.arrived[n - 1].is_some();
             if arrived.is_none() && next && self.now + PATIENCE < bounds.steps {
                 out.push(Step::Arrives(request));
+                // Only the last, so that the core's numbers are those of the requests whether it is taken or not.
+                if self.reuses > 0 && request > 0 && request + 1 == bounds.requests {
+                    out.push(Step::ArrivesAgain(request));
+                }
             }
             if arrived.is_some() && self.cancels > 0 && self.ledger.is_open(id) {
                 out.push(Step::Cancels(request));
@@ -375,11 +498,17 @@
             }
             self.moves_of(n, sent, out);
         }
-        if !self.calls.is_empty() {
+        if let Some(call) = self.calls.first() {
             out.push(Step::Counts);
-            if self.faults > 0 {
+            if self.faults > 0 || call.late {
                 out.push(Step::CountLost);
             }
+            if self.faults > 0 {
+                out.push(Step::CountUnheard);
+            }
+            if self.faults > 0 && !call.late {
+                out.push(Step::CountDelays);
+            }
         }
         for n in 0..bounds.nodes {
             let node = &self.nodes[usize::from(n)];
@@ -389,12 +518,16 @@
             if node.up && self.faults > 0 {
                 out.push(Step::Dies(n));
             }
+            if !node.up {
+                out.push(Step::Returns(n));
+            }
         }
         if self.faults > 0 && self.arrived.iter().any(Option::is_some) {
             out.push(Step::Terminates);
         }
-        // Deadlines and stops are noticed within their step; the counter's patience is shorter than one.
-        if self.now < bounds.steps && !urgent && self.calls.is_empty() {
+        // Deadlines and stops are noticed within their step; a late call of the counter is given up after two.
+        let waits = self.calls.iter().all(|call| call.late && self.now < call.since + 1);
+        if self.now < bounds.steps && !urgent && waits {
             out.push(Step::Tick);
         }
     }
@@ -416,26 +549,33 @@
                     out.push(Step::IsRefused(n));
                 }
             }
-            (Attempt::Placed { .. }, _) => out.push(Step::Writes(n)),
+            (Attempt::Placed { .. }, _) => {
+                out.push(Step::Writes(n));
+                if node.ready && (fault || sent.cut) {
+                    out.push(Step::FindsBroken(n));
+                }
+            }
             (Attempt::Exchanging { .. }, Some(Connection::Busy { written, heard })) => {
-                if written == connection::Written::Part && node.up {
+                if written == connection::Written::Part {
+                    // To a process that is gone too: the kernel takes it.
                     out.push(Step::Flushes(n));
+                    if fault && sent.at == AtNode::Nothing && !sent.cut {
+                        out.push(Step::Replies(n, Reply::Error));
+                    }
                 }
-                if !heard && (fault || !node.up) {
+                if !heard && (fault || sent.cut) {
                     out.push(Step::Breaks(n));
                 }
                 match sent.at {
-                    AtNode::Queued => {
-                        out.push(Step::Runs(n));
+                    AtNode::Held => {
+                        out.push(Step::Replies(n, Reply::Whole));
                         if fault || node.draining {
                             out.push(Step::Replies(n, Reply::Declined));
                         }
-                    }
-                    AtNode::Ran => {
-                        out.push(Step::Replies(n, Reply::Whole));
                         if fault {
                             out.push(Step::Replies(n, Reply::Error));
                             out.push(Step::Replies(n, Reply::Spoilt));
+                            out.push(Step::Replies(n, Reply::Overlong));
                         }
                     }
                     AtNode::Answering(_) => out.push(Step::Reads(n)),
@@ -456,8 +596,16 @@
     fn happen(&mut self, step: Step, mutant: Option<Mutant>) {
         match step {
             Step::Arrives(n) => {
+                let id = u64::from(n) + 1;
                 self.arrived[usize::from(n)] = Some(self.now);
-                self.ledger.arrived(u64::from(n) + 1);
+                self.move_inbound(id, inbound::Event::Bytes);
+                let free = self.open.enter(self.ids[usize::from(n)]);
+                if !free && mutant != Some(Mutant::IdsNotAsked) {
+                    self.ledger.turned_away(id);
+                    return self.move_inbound(id, inbound::Event::TurnedAway);
+                }
+                self.move_inbound(id, inbound::Event::Taken);
+                self.ledger.arrived(id, !free);
                 let class: Name = CLASSES[usize::from(n) % 3].into();
                 let arrival = move |id| Arrival {
                     id,
@@ -474,6 +622,11 @@
                     core.open(now, arrival, (), out, answers);
                 });
             }
+            Step::ArrivesAgain(n) => {
+                self.reuses -= 1;
+                self.ids[usize::from(n)] = self.ids[usize::from(n) - 1];
+                self.happen(Step::Arrives(n), mutant);
+            }
             Step::Cancels(n) => {
                 self.cancels -= 1;
                 let id = u64::from(n) + 1;
@@ -481,6 +634,7 @@
                     self.sent.iter_mut().filter(|s| s.id == id).for_each(|s| s.stopped = true);
                     return;
                 }
+                self.move_inbound(id, inbound::Event::Closed);
                 self.ledger.left(id);
                 self.run(mutant, |core, now, out, answers| core.client_left(now, id, out, answers));
             }
@@ -493,28 +647,31 @@
                     self.ledger.late();
                 }
                 let now = self.ms();
-                let (due, later) =
-                    std::mem::take(&mut self.timers).into_iter().partition(|(at, _)| *at <= now);
-                self.timers = later;
-                let mut due: Vec<(f64, u64)> = due;
-                due.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-                for (_, token) in due {
+                let later = self.timers.split_off(self.timers.partition_point(|(at, _)| *at <= now));
+                for (_, token) in std::mem::replace(&mut self.timers, later) {
                     self.event(mutant, Event::Timer { token });
                 }
             }
             Step::Counts => {
                 let call = self.calls.remove(0);
                 self.total += call.amount;
+                self.total += if mutant == Some(Mutant::CountTwice) { call.amount } else { 0.0 };
                 let outcome = CountOutcome::Total(self.total);
-                self.event(mutant, Event::Counted { name: call.name, outcome, latency: 1.0 });
+                let latency = 1.0 + f64::from(self.now - call.since) * STEP;
+                self.event(mutant, Event::Counted { name: call.name, outcome, latency });
             }
-            Step::CountLost => {
+            Step::CountDelays => {
                 self.faults -= 1;
+                self.calls[0].late = true;
+            }
+            Step::CountLost | Step::CountUnheard => {
                 let call = self.calls.remove(0);
-                self.event(
-                    mutant,
-                    Event::Counted { name: call.name, outcome: CountOutcome::Unknown, latency: 50.0 },
-                );
+                self.faults -= u8::from(!call.late || step == Step::CountUnheard);
+                self.lost = true;
+                self.total += if step == Step::CountUnheard { call.amount } else { 0.0 };
+                let latency = 50.0 + f64::from(self.now - call.since) * STEP;
+                let outcome = CountOutcome::Unknown;
+                self.event(mutant, Event::Counted { name: call.name, outcome, latency });
             }
             Step::Drains(n) => {
                 self.drains -= 1;
@@ -530,14 +687,24 @@
                 let node = &mut self.nodes[usize::from(n)];
                 (node.up, node.ready, node.kept) = (false, false, false);
                 self.ledger.told_away(n);
-                for sent in
-                    self.sent.iter_mut().filter(|s| s.node == n && !matches!(s.at, AtNode::Answering(_)))
-                {
-                    sent.at = AtNode::Gone;
+                for sent in self.sent.iter_mut().filter(|s| s.node == n) {
+                    // What it wrote is on its way still.
+                    if sent.at != AtNode::Nothing && !matches!(sent.at, AtNode::Answering(_)) {
+                        sent.at = AtNode::Gone;
+                    }
+                    sent.cut |= sent.link.is_some();
                 }
                 let entry = self.entry(n, BackendState::Gone, mutant);
                 self.event(mutant, Event::BackendChanges(vec![entry]));
             }
+            Step::Returns(n) => {
+                let node =
+                    Node { up: true, draining: false, ready: true, kept: false, started: Some(self.now) };
+                self.nodes[usize::from(n)] = node;
+                self.ledger.told_back(n);
+                let entry = self.entry(n, BackendState::Ready, mutant);
+                self.event(mutant, Event::BackendChanges(vec![entry]));
+            }
             Step::Terminates => {
                 self.faults -= 1;
                 self.event(mutant, Event::Ending);
@@ -555,13 +722,12 @@
             }
             Step::Writes(n) => self.writes(n, mutant),
             Step::Flushes(n) => self.flushes(n, mutant),
-            Step::Runs(n) => {
-                self.sent[n].at = AtNode::Ran;
-                self.ledger.ran(self.sent[n].id);
-            }
             Step::Replies(n, reply) => {
+                let early = self.sent[n].at == AtNode::Nothing;
                 let free = reply == Reply::Whole
-                    || reply == Reply::Declined && self.nodes[usize::from(self.sent[n].node)].draining;
+                    || !early
+                        && reply == Reply::Declined
+                        && self.nodes[usize::from(self.sent[n].node)].draining;
                 self.faults -= u8::from(!free);
                 if reply == Reply::Declined {
                     self.ledger.declined(self.sent[n].id, self.sent[n].number);
@@ -569,11 +735,17 @@
                 self.sent[n].at = AtNode::Answering(reply);
             }
             Step::Reads(n) => self.reads(n, mutant),
+            Step::FindsBroken(n) => {
+                self.faults -= u8::from(!self.sent[n].cut);
+                let Some(link) = self.sent[n].link.take() else { return };
+                let begun = self.link(link, connection::Event::Begin).unwrap_or(link);
+                self.move_attempt(n, attempt::Event::Begin, mutant);
+                self.sent[n].cut = false;
+                self.move_attempt(n, attempt::Event::Broke(begun.progress()), mutant);
+            }
             Step::Breaks(n) => {
-                let sent = &mut self.sent[n];
-                if self.nodes[usize::from(sent.node)].up {
-                    self.faults -= 1;
-                }
+                let sent = &self.sent[n];
+                self.faults -= u8::from(!sent.cut);
                 let Some(link) = sent.link else { return };
                 // What its node has of it stays there and may yet run.
                 let progress = link.progress();
@@ -588,7 +760,7 @@
                     }
                     other => other,
                 };
-                self.sent[n].link = None;
+                (self.sent[n].link, self.sent[n].cut) = (None, false);
                 self.move_attempt(n, attempt::Event::Broke(progress), mutant);
             }
             Step::GivesUp(n) => {
@@ -603,7 +775,10 @@
     /// A connection's next state; an illegal step is noted.
     fn link(&mut self, from: Connection, event: connection::Event) -> Option<Connection> {
         match from.step(event) {
-            Ok(next) => Some(next),
+            Ok(next) => {
+                self.core.observer().note("connection", from.name(), event.name(), next.name());
+                Some(next)
+            }
             Err(illegal) => {
                 self.illegal.push(illegal);
                 Some(from)
@@ -642,7 +817,11 @@
             self.sent[n].link = self.link(link, connection::Event::Flushed);
         }
         let (id, number, node, now) = (self.sent[n].id, self.sent[n].number, self.sent[n].node, self.ms());
-        self.sent[n].at = AtNode::Queued;
+        if self.sent[n].cut || self.sent[n].at != AtNode::Nothing {
+            // Nobody has it, or who answered early has no use for the rest.
+            return;
+        }
+        self.sent[n].at = AtNode::Held;
         self.ledger.reached(id, number, node, now, MEMORY);
     }
 
@@ -650,20 +829,29 @@
         let (Some(link), AtNode::Answering(reply)) = (self.sent[n].link, self.sent[n].at) else { return };
         let heard = self.link(link, connection::Event::Heard).unwrap_or(link);
         if reply == Reply::Spoilt {
-            let spoilt = self.link(heard, connection::Event::Spoilt).unwrap_or(heard);
-            self.sent[n].link = Some(spoilt);
+            self.sent[n].link = Some(heard);
             if mutant == Some(Mutant::SpoiltNeverSent) {
                 return self.move_attempt(n, attempt::Event::Answered(Outcome::NeverSent), mutant);
             }
-            return self.move_attempt(n, attempt::Event::Broke(spoilt.progress()), mutant);
+            return self.move_attempt(n, attempt::Event::Broke(heard.progress()), mutant);
         }
         let whole = self.link(heard, connection::Event::Whole).unwrap_or(heard);
-        let free = self.link(whole, connection::Event::Quiet);
-        self.sent[n].link = free;
-        let node = usize::from(self.sent[n].node);
-        self.nodes[node].kept |= free == Some(Connection::Free) && self.nodes[node].ready;
+        let behind = match (whole, reply) {
+            (_, Reply::Overlong) if mutant == Some(Mutant::KeepOverlong) => Some(connection::Event::Quiet),
+            (Connection::Answered, Reply::Overlong) => Some(connection::Event::Heard),
+            (Connection::Answered, _) => Some(connection::Event::Quiet),
+            _ => None,
+        };
+        let after = behind.map_or(Some(whole), |event| self.link(whole, event));
+        self.sent[n].link = after;
+        let (node, cut) = (usize::from(self.sent[n].node), self.sent[n].cut);
+        let free = after == Some(Connection::Free);
+        if free && reply == Reply::Overlong {
+            self.ledger.kept_with_bytes_behind();
+        }
+        self.nodes[node].kept |= free && self.nodes[node].ready && !cut;
         let outcome = match reply {
-            Reply::Whole => Outcome::Served,
+            Reply::Whole | Reply::Overlong => Outcome::Served,
             Reply::Error if mutant == Some(Mutant::ErrorIsDecline) => Outcome::Full,
             Reply::Error => Outcome::Error,
             Reply::Declined | Reply::Spoilt => Outcome::Full,
@@ -673,16 +861,25 @@
 
     /// Moves an attempt on; if that ends it, tells the core.
     fn move_attempt(&mut self, n: usize, event: attempt::Event, mutant: Option<Mutant>) {
-        match self.sent[n].life.step(event) {
-            Ok(next) => self.sent[n].life = next,
+        let before = self.sent[n].life;
+        match before.step(event) {
+            Ok(next) => {
+                self.core.observer().note("attempt", before.name(), event.name(), next.name());
+                self.sent[n].life = next;
+            }
             Err(illegal) => return self.illegal.push(illegal),
         }
         let Some(mut outcome) = self.sent[n].life.outcome() else { return };
+        let early = before.certainty() == Certainty::Never;
+        if early && event == attempt::Event::CalledOff && mutant == Some(Mutant::CallOffIsDoubt) {
+            outcome = Outcome::CalledOff;
+        }
         if outcome == Outcome::CalledOff && mutant == Some(Mutant::ResendAfterCancel) {
             outcome = Outcome::ConnectFailed;
         }
         let sent = self.sent.remove(n);
-        self.ledger.ended(&sent, outcome);
+        self.ledger.ended(&sent, outcome, early);
+        self.ledger.forget_what_is_over(sent.id);
         if outcome == Outcome::CalledOff && mutant == Some(Mutant::LoseStoppedEnd) {
             return;
         }
@@ -692,6 +889,16 @@
         self.run(mutant, |core, now, out, answers| core.attempt_ended(now, ended, out, answers));
     }
 
+    /// From now on all steps of the machines are noted.
+    pub fn note(&mut self) {
+        self.core.observer().on = true;
+    }
+
+    /// What was noted since the last call.
+    pub fn noted(&mut self) -> Vec<(&'static str, Transition)> {
+        std::mem::take(&mut self.core.observer().steps)
+    }
+
     /// The first property that does not hold here, if one does not.
     pub fn violation(&self) -> Option<Violation> {
         if !self.illegal.is_empty() {
@@ -709,4 +916,12 @@
             && (backends, customers) == (0, 0)
             && self.ledger.all_closed()
     }
+
+    /// At the end of all time: whether every unit that was counted is in hand or was used by a request that may have run,
+    /// and what such requests used was counted. With a lost call of the counter units may be lost, and none may be won.
+    pub fn units_add_up(&self) -> bool {
+        let (held, owed) = self.core.gateway().units();
+        let spare = self.total + owed - held - f64::from(self.ledger.used());
+        spare.abs() < 1e-6 || self.lost && spare > 0.0
+    }
 }
--- a/crates/life/src/attempt.rs
+++ b/crates/life/src/attempt.rs
@@ -98,8 +98,12 @@
         let illegal = Err(Illegal { machine: "attempt", state: self.name(), event: event.name() });
         Ok(match (self, event) {
             (Self::Over(_), _) => return illegal,
-            (_, Event::TimedOut) => Self::Over(Outcome::TimedOut),
-            (_, Event::CalledOff) => Self::Over(Outcome::CalledOff),
+            // Nothing of it is written: it is sure never to run.
+            (Self::Decided | Self::Placed { .. }, Event::TimedOut | Event::CalledOff)
+            | (Self::Dialling, Event::CalledOff) => Self::Over(Outcome::NeverSent),
+            (Self::Dialling, Event::TimedOut) => Self::Over(Outcome::ConnectFailed),
+            (Self::Exchanging { .. }, Event::TimedOut) => Self::Over(Outcome::TimedOut),
+            (Self::Exchanging { .. }, Event::CalledOff) => Self::Over(Outcome::CalledOff),
             (Self::Decided, Event::Kept) => Self::Placed { kept: true },
             (Self::Decided, Event::Dial) => Self::Dialling,
             (Self::Dialling, Event::Connected) => Self::Placed { kept: false },
--- a/crates/life/src/connection.rs
+++ b/crates/life/src/connection.rs
@@ -32,7 +32,7 @@
     },
     /// The answer is whole; whether more is behind it is not known yet.
     Answered,
-    /// Bytes came that belong to nothing, or an answer that cannot be read: of no further use.
+    /// Bytes came that belong to nothing, or an answer ahead of its request's end: of no further use.
     Poisoned,
     /// The other side has ended its sending, or all of it.
     Ended,
@@ -55,8 +55,6 @@
     Whole,
     /// Nothing is behind the answer.
     Quiet,
-    /// The answer cannot be read, or is not whole in time.
-    Spoilt,
     /// The other side ended it.
     Ended,
 }
@@ -70,7 +68,7 @@
     Partly,
     /// It was written whole.
     Whole,
-    /// Something came back, but no answer that can be used.
+    /// Something came back, but no answer that can be used, or none that is whole in time.
     Spoilt,
 }
 
@@ -120,16 +118,18 @@
             (Self::Busy { written: Written::Part, heard }, Event::Flushed) => {
                 Self::Busy { written: Written::Whole, heard }
             }
+            (Self::Dialling, Event::Flushed) => return illegal,
             // Nothing was there to be written.
             (_, Event::Flushed) => self,
             (Self::Busy { written, .. }, Event::Heard) => Self::Busy { written, heard: true },
-            (Self::Busy { heard: true, .. }, Event::Whole) => Self::Answered,
+            (Self::Busy { written: Written::Whole, heard: true }, Event::Whole) => Self::Answered,
+            // An answer ahead of the request's last byte: the rest of that would be taken for the next request.
+            (Self::Busy { heard: true, .. }, Event::Whole) => Self::Poisoned,
             (Self::Answered, Event::Quiet) => Self::Free,
-            (Self::Busy { .. } | Self::Answered, Event::Spoilt) => Self::Poisoned,
-            (Self::Poisoned, Event::Heard | Event::Spoilt | Event::Ended) => Self::Poisoned,
+            (Self::Poisoned, Event::Wrote | Event::Heard | Event::Ended) => Self::Poisoned,
             // What it says of an exchange must outlast the connection.
             (Self::Busy { .. }, Event::Ended) => self,
-            (Self::Dialling | Self::Free | Self::Answered | Self::Ended, Event::Ended) => Self::Ended,
+            (Self::Free | Self::Answered | Self::Ended, Event::Ended) => Self::Ended,
             _ => return illegal,
         })
     }
@@ -146,7 +146,6 @@
             Self::Heard => "heard",
             Self::Whole => "answer whole",
             Self::Quiet => "quiet",
-            Self::Spoilt => "spoilt",
             Self::Ended => "ended",
         }
     }
--- a/crates/life/src/core.rs
+++ b/crates/life/src/core.rs
@@ -7,6 +7,7 @@
 use crate::request::{self, End, Final, Request};
 use doorcourse::{Action, Arrival, AttemptEnd, Event, Gateway, LoadReport, Millis, Name, Outcome, RequestId};
 use std::collections::{BTreeMap, VecDeque};
+use std::hash::{Hash, Hasher};
 
 /// What the host is to do.
 #[derive(Clone, Debug, PartialEq)]
@@ -66,16 +67,27 @@
     pub load: Option<LoadReport>,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 struct Entry<P> {
     life: Request,
     /// Gone once the final answer is given or the client has left.
     kept: Option<P>,
 }
 
+/// Hears of each step of a request's life.
+pub trait Observer {
+    /// A step was taken; `next` is none when the request is over.
+    fn stepped(&mut self, state: Request, event: request::Event, next: Option<Request>);
+}
+
+/// Hears nothing.
+impl Observer for () {
+    fn stepped(&mut self, _: Request, _: request::Event, _: Option<Request>) {}
+}
+
 /// The decisions and the requests that they have not done with.
 #[derive(Clone, Debug)]
-pub struct Core<P> {
+pub struct Core<P, O = ()> {
     gateway: Gateway,
     requests: BTreeMap<RequestId, Entry<P>>,
     last: RequestId,
@@ -83,11 +95,27 @@
     actions: Vec<Action>,
     illegal: Vec<Illegal>,
     open: usize,
+    observer: O,
+}
+
+impl<P: Hash, O> Hash for Core<P, O> {
+    /// The state between two calls; what is under way within one is empty then. The observer is no part of it.
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        let Self { gateway, requests, last, events: _, actions: _, illegal, open, observer: _ } = self;
+        (gateway, requests, last, illegal, open).hash(state);
+    }
 }
 
 impl<P> Core<P> {
     /// A core around decisions that have heard nothing yet.
     pub fn new(gateway: Gateway) -> Self {
+        Self::observed(gateway, ())
+    }
+}
+
+impl<P, O: Observer> Core<P, O> {
+    /// The same with somebody who hears of each step.
+    pub fn observed(gateway: Gateway, observer: O) -> Self {
         Self {
             gateway,
             requests: BTreeMap::new(),
@@ -96,9 +124,15 @@
             actions: Vec::new(),
             illegal: Vec::new(),
             open: 0,
+            observer,
         }
     }
 
+    /// Who hears of each step.
+    pub fn observer(&mut self) -> &mut O {
+        &mut self.observer
+    }
+
     /// The decisions.
     pub fn gateway(&self) -> &Gateway {
         &self.gateway
@@ -214,9 +248,6 @@
             Action::Fail { id } => {
                 self.step(id, request::Event::Fail, None, 0.0, out, answers);
             }
-            Action::CallOff { id, attempt: number } => {
-                self.step(id, request::Event::CallOff { number }, None, 0.0, out, answers);
-            }
             other => out.push(Effect::Other(other)),
         }
     }
@@ -237,6 +268,7 @@
                 return false;
             }
         };
+        self.observer.stepped(entry.life, event, next);
         match effect {
             request::Effect::None => {}
             request::Effect::Begin { number } => {
--- a/crates/life/src/lib.rs
+++ b/crates/life/src/lib.rs
@@ -7,12 +7,14 @@
 //! - [`request`]: from being taken to its final answer, and on until its last attempt has ended.
 //! - [`attempt`]: from the decision to certainty about whether it ran.
 //! - [`connection`]: from the dial to the close, with each exchange on it.
+//! - [`inbound`]: a client's connection, from a request's first byte to its final answer.
 //! - [`tables`]: all transitions, read off the machines.
 //! - [`core`]: the decision module and the table of requests around it.
 
 pub mod attempt;
 pub mod connection;
 pub mod core;
+pub mod inbound;
 pub mod request;
 pub mod tables;
 
@@ -36,3 +38,39 @@
 }
 
 impl std::error::Error for Illegal {}
+
+/// A machine whose steps have no effect but its next state.
+pub trait Machine: Copy {
+    /// What happens to it.
+    type Event;
+
+    /// Takes an event.
+    ///
+    /// # Errors
+    /// When the state does not allow it.
+    fn step(self, event: Self::Event) -> Result<Self, Illegal>;
+}
+
+impl Machine for inbound::Inbound {
+    type Event = inbound::Event;
+
+    fn step(self, event: Self::Event) -> Result<Self, Illegal> {
+        Self::step(self, event)
+    }
+}
+
+impl Machine for attempt::Attempt {
+    type Event = attempt::Event;
+
+    fn step(self, event: Self::Event) -> Result<Self, Illegal> {
+        Self::step(self, event)
+    }
+}
+
+impl Machine for connection::Connection {
+    type Event = connection::Event;
+
+    fn step(self, event: Self::Event) -> Result<Self, Illegal> {
+        Self::step(self, event)
+    }
+}
--- a/crates/life/src/request.rs
+++ b/crates/life/src/request.rs
@@ -19,15 +19,11 @@
     Out {
         /// The attempt's number, from 0.
         number: u32,
-        /// The attempt was called off, and its end is still to come.
-        called_off: bool,
     },
-    /// Nothing is owed to the client any more; one attempt is out.
+    /// Its client left; one attempt is out, has been stopped, and has not ended.
     Closing {
         /// The attempt's number.
         number: u32,
-        /// The attempt was called off.
-        called_off: bool,
     },
 }
 
@@ -40,11 +36,6 @@
     Refuse,
     /// The decisions give it up.
     Fail,
-    /// The decisions call an attempt off.
-    CallOff {
-        /// Its number.
-        number: u32,
-    },
     /// An attempt ended.
     Ended {
         /// Its number.
@@ -52,7 +43,7 @@
         /// How.
         end: End,
     },
-    /// The client is gone, or its answer has been written: nothing is owed to it any more.
+    /// The client is gone: nothing is owed to it any more.
     Left,
 }
 
@@ -115,10 +106,8 @@
     pub const fn name(&self) -> &'static str {
         match self {
             Self::Waiting { .. } => "waiting",
-            Self::Out { called_off: false, .. } => "out",
-            Self::Out { called_off: true, .. } => "out, called off",
-            Self::Closing { called_off: false, .. } => "closing",
-            Self::Closing { called_off: true, .. } => "closing, called off",
+            Self::Out { .. } => "out",
+            Self::Closing { .. } => "closing",
         }
     }
 
@@ -130,43 +119,23 @@
         let illegal = Err(Illegal { machine: "request", state: self.name(), event: event.name() });
         Ok(match (self, event) {
             (Self::Waiting { attempts, .. }, Event::Send) => {
-                (Some(Self::Out { number: attempts, called_off: false }), Effect::Begin { number: attempts })
+                (Some(Self::Out { number: attempts }), Effect::Begin { number: attempts })
             }
             (Self::Waiting { .. }, Event::Refuse) => (None, Effect::Answer(Final::Refused)),
             (Self::Waiting { timed_out, .. }, Event::Fail) => {
                 (None, Effect::Answer(Final::Failed { timed_out }))
             }
             (Self::Waiting { .. }, Event::Left) => (None, Effect::None),
-            (Self::Out { number, called_off: false }, Event::CallOff { number: n }) if n == number => {
-                (Some(Self::Out { number, called_off: true }), Effect::Stop { number })
-            }
-            (Self::Out { number, called_off }, Event::Left) => {
-                let stop = if called_off { Effect::None } else { Effect::Stop { number } };
-                (Some(Self::Closing { number, called_off: true }), stop)
-            }
-            // A refusal while an attempt is out could be a lie: it is none that the decisions may give. A failure
-            // promises nothing.
-            (Self::Out { number, called_off }, Event::Fail) => (
-                Some(Self::Closing { number, called_off }),
-                Effect::Answer(Final::Failed { timed_out: false }),
-            ),
-            (Self::Out { number, .. }, Event::Ended { number: n, end }) if n == number => match end {
+            // No answer is given while an attempt is out: a refusal could be a lie, and a failure would be too early.
+            (Self::Out { number }, Event::Left) => (Some(Self::Closing { number }), Effect::Stop { number }),
+            (Self::Out { number }, Event::Ended { number: n, end }) if n == number => match end {
                 End::Served => (None, Effect::Answer(Final::Served)),
                 End::TimedOut | End::Unserved => {
                     let timed_out = matches!(end, End::TimedOut);
                     (Some(Self::Waiting { attempts: number + 1, timed_out }), Effect::None)
                 }
             },
-            (Self::Closing { number, called_off: false }, Event::Left) => {
-                (Some(Self::Closing { number, called_off: true }), Effect::Stop { number })
-            }
-            (Self::Closing { called_off: true, .. }, Event::Left) => (Some(self), Effect::None),
-            (Self::Closing { number, called_off: false }, Event::CallOff { number: n }) if n == number => {
-                (Some(Self::Closing { number, called_off: true }), Effect::Stop { number })
-            }
-            (Self::Closing { number, .. }, Event::Ended { number: n, .. }) if n == number => {
-                (None, Effect::None)
-            }
+            (Self::Closing { number }, Event::Ended { number: n, .. }) if n == number => (None, Effect::None),
             _ => return illegal,
         })
     }
@@ -179,7 +148,6 @@
             Self::Send => "send",
             Self::Refuse => "refuse",
             Self::Fail => "fail",
-            Self::CallOff { .. } => "call off",
             Self::Ended { end: End::Served, .. } => "attempt served",
             Self::Ended { end: End::TimedOut, .. } => "attempt timed out",
             Self::Ended { end: End::Unserved, .. } => "attempt ended unserved",
--- a/crates/life/src/tables.rs
+++ b/crates/life/src/tables.rs
@@ -2,6 +2,7 @@
 
 use crate::attempt::{self, Attempt};
 use crate::connection::{self, Connection, Progress, Written};
+use crate::inbound::{self, Inbound};
 use crate::request::{self, End, Request};
 use doorcourse::Outcome;
 use std::collections::BTreeSet;
@@ -21,19 +22,10 @@
 /// All of a request. A request that is over has no state.
 pub fn request() -> BTreeSet<Transition> {
     let number = 0;
-    let mut states = vec![Request::taken()];
-    for called_off in [false, true] {
-        states.push(Request::Out { number, called_off });
-        states.push(Request::Closing { number, called_off });
-    }
+    let states = [Request::taken(), Request::Out { number }, Request::Closing { number }];
     let ends = [End::Served, End::TimedOut, End::Unserved].map(|end| request::Event::Ended { number, end });
-    let mut events = vec![
-        request::Event::Send,
-        request::Event::Refuse,
-        request::Event::Fail,
-        request::Event::CallOff { number },
-        request::Event::Left,
-    ];
+    let mut events =
+        vec![request::Event::Send, request::Event::Refuse, request::Event::Fail, request::Event::Left];
     events.extend(ends);
     let pairs = states.iter().flat_map(|s| events.iter().map(move |e| (*s, *e)));
     pairs
@@ -95,7 +87,7 @@
 }
 
 /// All events of a connection.
-pub const CONNECTION_EVENTS: [connection::Event; 9] = [
+pub const CONNECTION_EVENTS: [connection::Event; 8] = [
     connection::Event::Connected,
     connection::Event::Begin,
     connection::Event::Wrote,
@@ -103,7 +95,6 @@
     connection::Event::Heard,
     connection::Event::Whole,
     connection::Event::Quiet,
-    connection::Event::Spoilt,
     connection::Event::Ended,
 ];
 
@@ -119,6 +110,33 @@
         .collect()
 }
 
+/// All of a client's connection.
+pub fn inbound() -> BTreeSet<Transition> {
+    let states = [
+        Inbound::Quiet { answered: false },
+        Inbound::Quiet { answered: true },
+        Inbound::Reading { answered: false },
+        Inbound::Reading { answered: true },
+        Inbound::Open,
+        Inbound::Closed,
+    ];
+    let events = [
+        inbound::Event::Bytes,
+        inbound::Event::Taken,
+        inbound::Event::TurnedAway,
+        inbound::Event::Answered,
+        inbound::Event::TimeUp,
+        inbound::Event::Closed,
+    ];
+    let pairs = states.iter().flat_map(|s| events.iter().map(move |e| (*s, *e)));
+    pairs
+        .filter_map(|(state, event)| {
+            let next = state.step(event).ok()?;
+            Some(Transition { from: state.name(), event: event.name(), to: next.name() })
+        })
+        .collect()
+}
+
 /// A table as a Mermaid state diagram. Transitions that lead nowhere else are left out.
 pub fn diagram(table: &BTreeSet<Transition>) -> String {
     let id = |name: &str| name.replace([' ', ','], "_");
--- a/crates/life/tests/machines.rs
+++ b/crates/life/tests/machines.rs
@@ -3,7 +3,7 @@
 use life::attempt::{Attempt, Certainty, Event as AttemptEvent};
 use life::connection::{Connection, Event, Progress, Written};
 use life::request::{Effect, End, Event as RequestEvent, Final, Request};
-use life::tables::{self, CONNECTION_EVENTS};
+use life::tables::{self, CONNECTION_EVENTS, Transition};
 use std::collections::{BTreeSet, HashSet, VecDeque};
 
 /// The diagrams in the documentation are those of the machines.
@@ -11,9 +11,12 @@
 fn the_documented_diagrams_are_generated_from_the_tables() {
     let page = std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/life.md"))
         .expect("the page");
-    for (name, table) in
-        [("request", tables::request()), ("attempt", tables::attempt()), ("connection", tables::connection())]
-    {
+    for (name, table) in [
+        ("client's connection", tables::inbound()),
+        ("request", tables::request()),
+        ("attempt", tables::attempt()),
+        ("connection", tables::connection()),
+    ] {
         let diagram = tables::diagram(&table);
         assert!(
             page.contains(&format!("```mermaid\n{diagram}```")),
@@ -44,9 +47,14 @@
             }
         }
     }
+    let from_reached = |t: &&Transition| seen.iter().any(|(state, _)| state.name() == t.from);
+    assert_eq!(tables::connection().iter().filter(from_reached).count(), tables::connection().len());
     let reached: BTreeSet<&str> = seen.iter().map(|(state, _)| state.name()).collect();
     let all: BTreeSet<&str> = tables::connection_states().iter().map(|state| state.name()).collect();
     assert_eq!(reached, all, "a state that cannot be reached");
+    // An answer ahead of the request's last byte: what is still to be written would go before the next request.
+    let early = Connection::Busy { written: Written::Part, heard: true };
+    assert_eq!(early.step(Event::Whole), Ok(Connection::Poisoned));
     for state in [Connection::Poisoned, Connection::Ended] {
         assert!(state.step(Event::Begin).is_err());
     }
@@ -67,6 +75,47 @@
     assert_eq!(whole.step(Event::Ended).map(|c| c.progress()), Ok(Progress::Whole));
 }
 
+/// Whatever happens to a client's connection: one request is open at most, its answer comes after it was taken, and no
+/// lateness closes the connection meanwhile.
+#[test]
+fn a_client_s_connection_answers_what_it_took_once() {
+    use life::inbound::{Event as InboundEvent, Inbound, OpenIds};
+    let events = [
+        InboundEvent::Bytes,
+        InboundEvent::Taken,
+        InboundEvent::TurnedAway,
+        InboundEvent::Answered,
+        InboundEvent::TimeUp,
+        InboundEvent::Closed,
+    ];
+    let start = (Inbound::accepted(), false);
+    let (mut seen, mut next) = (HashSet::from([start]), VecDeque::from([start]));
+    while let Some((state, owed)) = next.pop_front() {
+        for event in events {
+            let Ok(to) = state.step(event) else { continue };
+            assert!(!owed || !matches!(event, InboundEvent::Taken | InboundEvent::TurnedAway), "{state:?}");
+            assert!(!owed || event != InboundEvent::TimeUp, "closed with a request open");
+            assert!(owed || event != InboundEvent::Answered, "an answer to nothing: {state:?}");
+            let owed = match event {
+                InboundEvent::Taken => true,
+                InboundEvent::Answered | InboundEvent::Closed => false,
+                _ => owed,
+            };
+            assert_eq!(owed, to == Inbound::Open, "{state:?} {event:?}");
+            if seen.insert((to, owed)) {
+                next.push_back((to, owed));
+            }
+        }
+    }
+    let from_reached = |t: &&Transition| seen.iter().any(|(state, _)| state.name() == t.from);
+    assert_eq!(tables::inbound().iter().filter(from_reached).count(), tables::inbound().len());
+    assert_eq!(seen.len(), 6, "every state is reached, each in one way: {seen:?}");
+    let mut ids = OpenIds::default();
+    assert!(ids.enter("a") && !ids.enter("a") && ids.enter("b"));
+    ids.leave(&"a");
+    assert!(ids.enter("a") && !ids.enter("b"));
+}
+
 /// Whatever happens to a request, in any order: one answer, no two attempts out, nothing begun after the answer.
 #[test]
 fn a_request_has_one_answer_and_one_attempt_out_at_most() {
@@ -85,14 +134,13 @@
         let Some(life) = now.life.filter(|_| now.taken < 12) else { continue };
         let number = match life {
             Request::Waiting { attempts, .. } => attempts,
-            Request::Out { number, .. } | Request::Closing { number, .. } => number,
+            Request::Out { number } | Request::Closing { number } => number,
         };
         for n in [number, number + 1] {
             let ends =
                 [End::Served, End::TimedOut, End::Unserved].map(|end| RequestEvent::Ended { number: n, end });
             let others = [RequestEvent::Send, RequestEvent::Refuse, RequestEvent::Fail, RequestEvent::Left];
-            let call_off = [RequestEvent::CallOff { number: n }];
-            for event in ends.into_iter().chain(others).chain(call_off) {
+            for event in ends.into_iter().chain(others) {
                 let Ok((to, effect)) = life.step(event) else { continue };
                 let mut then = Seen { life: to, taken: now.taken + 1, ..now };
                 match effect {
@@ -131,6 +179,18 @@
 fn an_attempt_is_certain_never_to_have_run_only_before_its_exchange_or_by_word_of_how_it_broke() {
     let exchanging = Attempt::Exchanging { kept: false };
     let certainty = |event| exchanging.step(event).map(|a| a.certainty());
+    // Whatever ends it before its first byte is written leaves no doubt.
+    let early = [
+        Attempt::Decided,
+        Attempt::Dialling,
+        Attempt::Placed { kept: false },
+        Attempt::Placed { kept: true },
+    ];
+    for (state, event) in
+        early.iter().flat_map(|s| [AttemptEvent::TimedOut, AttemptEvent::CalledOff].map(|e| (s, e)))
+    {
+        assert_eq!(state.step(event).map(|a| a.certainty()), Ok(Certainty::Never), "{state:?} {event:?}");
+    }
     assert_eq!(certainty(AttemptEvent::Broke(Progress::Unsent)), Ok(Certainty::Never));
     assert_eq!(certainty(AttemptEvent::Broke(Progress::Partly)), Ok(Certainty::Never));
     for event in [
@@ -153,8 +213,9 @@
     let illegal = over.step(AttemptEvent::TimedOut).expect_err("over is over");
     assert_eq!(illegal.to_string(), "attempt: timed out is illegal in state over");
     let taken = Request::taken();
-    assert!(taken.step(RequestEvent::CallOff { number: 0 }).is_err());
-    let out = Request::Out { number: 1, called_off: false };
+    assert!(taken.step(RequestEvent::Ended { number: 0, end: End::Unserved }).is_err());
+    let out = Request::Out { number: 1 };
+    assert!(out.step(RequestEvent::Fail).is_err());
     assert!(out.step(RequestEvent::Send).is_err());
     assert!(out.step(RequestEvent::Refuse).is_err());
     assert!(out.step(RequestEvent::Ended { number: 0, end: End::Served }).is_err());
--- a/gateway/src/backends.rs
+++ b/gateway/src/backends.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::millis;
 use crate::link::{Link, Progress};
-use crate::observe::AttemptLife;
+use crate::observe::Life;
 use bytes::Bytes;
 use doorcourse::{BackendState, LoadReport, Name, Outcome, Reports};
 use fennelscale_settings::list::List;
@@ -12,7 +12,7 @@
 use hyper::http::request::Builder;
 use hyper::http::response;
 use hyper::{Method, Request, StatusCode};
-use life::attempt::Event;
+use life::attempt::{Attempt, Event};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -232,7 +232,7 @@
         let repeatable = message.method.is_safe() || message.key.is_some();
         let begun = Instant::now();
         // Each arm ends the exchange, which closes its connection, before the end is told.
-        let life = AttemptLife::decided();
+        let life = Life::new(Attempt::Decided);
         let answer = tokio::select! {
             biased;
             answer = self.exchange(&life, name, repeatable, write_by, build) => answer,
@@ -266,7 +266,7 @@
     pub async fn probe(&self, name: &Name) -> End {
         let path = if self.reports == Reports::None { "/alive" } else { "/metrics/load" };
         let build = |dial: SocketAddr| (Request::get(path).header("Host", dial.to_string()), Bytes::new());
-        let life = AttemptLife::decided();
+        let life = Life::new(Attempt::Decided);
         match tokio::time::timeout(self.connect_timeout, self.exchange(&life, name, true, None, build)).await
         {
             Ok(Some((head, body))) if head.status == StatusCode::OK => {
@@ -280,7 +280,7 @@
     }
 
     /// How an attempt ended, by its life: with an answer, or as it broke.
-    fn end(&self, life: &AttemptLife, answer: Option<(response::Parts, Bytes)>) -> End {
+    fn end(&self, life: &Life<Attempt>, answer: Option<(response::Parts, Bytes)>) -> End {
         if let Some(answer) = answer {
             let end = self.judge(answer);
             life.step(Event::Answered(end.outcome));
@@ -292,7 +292,7 @@
 
     /// Finds a connection and has the request answered on it. With no answer the life says how it ended.
     async fn exchange(
-        &self, life: &AttemptLife, name: &Name, repeatable: bool, write_by: Option<Instant>,
+        &self, life: &Life<Attempt>, name: &Name, repeatable: bool, write_by: Option<Instant>,
         build: impl Fn(SocketAddr) -> (Builder, Bytes),
     ) -> Option<(response::Parts, Bytes)> {
         let withdrawn = || {
--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -4,6 +4,7 @@
 use crate::clock::millis;
 use crate::engine::{Engine, Reply};
 use crate::faults;
+use crate::observe::Life;
 use bytes::Bytes;
 use doorcourse::{Arrival, Effect, Name, RequestId, Settings};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -15,8 +16,8 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use life::inbound::{Event, Inbound, OpenIds};
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
 use std::convert::Infallible;
 use std::io;
 use std::pin::{Pin, pin};
@@ -93,7 +94,7 @@
     most_units: f64,
     gateways: u32,
     /// The ids of all requests without an answer.
-    ids: RefCell<HashSet<HeaderValue>>,
+    ids: RefCell<OpenIds<HeaderValue>>,
     most_clients: usize,
     guests: RefCell<Vec<Rc<Guest>>>,
     left: Notify,
@@ -102,11 +103,9 @@
 
 /// One client's connection.
 struct Guest {
-    /// A request that was taken whole has no answer yet.
-    busy: Cell<bool>,
+    life: Life<Inbound>,
     /// When it came, was last answered or began to ask.
     since: Cell<Instant>,
-    answered: Cell<bool>,
     asked_to_leave: Cell<bool>,
     /// What came since, up to the end of a head.
     head: RefCell<Vec<u8>>,
@@ -116,30 +115,38 @@
 impl Guest {
     fn new() -> Self {
         Self {
-            busy: Cell::new(false),
+            life: Life::new(Inbound::accepted()),
             since: Cell::new(Instant::now()),
-            answered: Cell::new(false),
             asked_to_leave: Cell::new(false),
             head: RefCell::default(),
             leave: Notify::new(),
         }
     }
 
+    /// Whether a request that was taken whole has no answer yet.
+    fn is_busy(&self) -> bool {
+        self.life.now() == Inbound::Open
+    }
+
     /// When its time to bring a request is over.
     fn due(&self) -> Instant {
-        let since = if self.busy.get() { Instant::now() } else { self.since.get() };
+        let since = if self.is_busy() { Instant::now() } else { self.since.get() };
         since + UNASKED
     }
 
     /// Notes bytes that came.
     fn note(&self, bytes: &[u8]) {
-        let mut head = self.head.borrow_mut();
-        if self.busy.get() || bytes.is_empty() || head.ends_with(HEAD_END) {
+        if bytes.is_empty() {
             return;
         }
-        if head.is_empty() && self.answered.get() {
+        if self.life.now() == (Inbound::Quiet { answered: true }) {
             self.since.set(Instant::now());
         }
+        self.life.step(Event::Bytes);
+        let mut head = self.head.borrow_mut();
+        if self.is_busy() || head.ends_with(HEAD_END) {
+            return;
+        }
         let from = head.len().saturating_sub(HEAD_END.len());
         let room = BUFFER - head.len();
         head.extend_from_slice(&bytes[..bytes.len().min(room)]);
@@ -150,8 +157,7 @@
 
     /// Notes an answer.
     fn done(&self) {
-        self.busy.set(false);
-        self.answered.set(true);
+        self.life.step(if self.is_busy() { Event::Answered } else { Event::TurnedAway });
         self.since.set(Instant::now());
         self.head.take();
     }
@@ -280,12 +286,14 @@
     fn ask_idle_to_leave(&self) {
         let (guests, now) = (self.guests.borrow(), Instant::now());
         // Those first who said they would ask and didn't, last those who just came.
-        let rank = |g: &Rc<Guest>| match (g.answered.get(), now.duration_since(g.since.get()) < NEWCOMER) {
-            (false, false) => 0,
-            (true, _) => 1,
-            (false, true) => 2,
-        };
-        let asleep = guests.iter().filter(|g| !g.busy.get() && !g.asked_to_leave.get());
+        let rank =
+            |g: &Rc<Guest>| match (g.life.now().was_answered(), now.duration_since(g.since.get()) < NEWCOMER)
+            {
+                (false, false) => 0,
+                (true, _) => 1,
+                (false, true) => 2,
+            };
+        let asleep = guests.iter().filter(|g| !g.is_busy() && !g.asked_to_leave.get());
         if let Some(guest) = asleep.min_by_key(|g| (rank(g), g.since.get())) {
             guest.asked_to_leave.set(true);
             guest.leave.notify_one();
@@ -340,7 +348,7 @@
             tokio::select! {
                 biased;
                 _ = connection.as_mut() => {}
-                () = over => {}
+                () = over => guest.life.step(Event::TimeUp),
                 () = closing.as_mut() => {
                     connection.as_mut().graceful_shutdown();
                     let _ = connection.await;
@@ -349,11 +357,12 @@
                     connection.as_mut().graceful_shutdown();
                     // A request that came just now is answered still.
                     let over = timeout(LAST_CALL, connection.as_mut()).await.is_ok();
-                    if !over && guest.busy.get() {
+                    if !over && guest.is_busy() {
                         let _ = connection.await;
                     }
                 }
             }
+            guest.life.step(Event::Closed);
             self.guests.borrow_mut().retain(|g| !Rc::ptr_eq(g, &guest));
             self.left.notify_one();
         });
@@ -368,7 +377,7 @@
             let taken = self.take(request, guest).await;
             match taken.and_then(|ticket| Ok((self.enter(ticket.message.id.clone())?, ticket))) {
                 Ok((_entry, ticket)) => {
-                    guest.busy.set(true);
+                    guest.life.step(Event::Taken);
                     self.decide(ticket).await
                 }
                 Err(fault) => {
@@ -398,8 +407,11 @@
 
     /// Notes that a request is open. Guards its answer against others that bear its id.
     fn enter(&self, id: HeaderValue) -> Result<Entry<'_>, Fault> {
-        let new = self.ids.borrow_mut().insert(id.clone());
-        if new { Ok(Entry { ids: &self.ids, id }) } else { Err(Fault::Bad("Req-Id, open already")) }
+        if self.ids.borrow_mut().enter(id.clone()) {
+            Ok(Entry { ids: &self.ids, id })
+        } else {
+            Err(Fault::Bad("Req-Id, open already"))
+        }
     }
 
     /// Reads a request whole.
@@ -539,13 +551,13 @@
 
 /// Keeps an id among those of open requests.
 struct Entry<'a> {
-    ids: &'a RefCell<HashSet<HeaderValue>>,
+    ids: &'a RefCell<OpenIds<HeaderValue>>,
     id: HeaderValue,
 }
 
 impl Drop for Entry<'_> {
     fn drop(&mut self) {
-        self.ids.borrow_mut().remove(&self.id);
+        self.ids.borrow_mut().leave(&self.id);
     }
 }
 
--- a/gateway/src/link.rs
+++ b/gateway/src/link.rs
@@ -1,7 +1,7 @@
 //! One HTTP/1.1 connection to a server. Whoever uses it drives it: it does nothing by itself, sends nothing
 //! twice, and is closed for certain the moment it is dropped.
 
-use crate::observe::ConnectionLife;
+use crate::observe::Life;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
@@ -29,7 +29,7 @@
 
 /// What the socket has seen of the present exchange.
 struct Trace {
-    life: ConnectionLife,
+    life: Life<Connection>,
     begins: Notify,
 }
 
@@ -130,7 +130,7 @@
     pub async fn connect(to: SocketAddr, timeout: Duration) -> io::Result<Self> {
         let stream = tokio::time::timeout(timeout, TcpStream::connect(to)).await??;
         stream.set_nodelay(true)?;
-        let trace = Rc::new(Trace { life: ConnectionLife::dialling(), begins: Notify::new() });
+        let trace = Rc::new(Trace { life: Life::new(Connection::Dialling), begins: Notify::new() });
         let stream = Rc::new(stream);
         let wire = TokioIo::new(Wire { stream: stream.clone(), trace: trace.clone() });
         let handshake = http1::Builder::new().max_buf_size(LONGEST_HEAD).handshake(wire);
--- a/gateway/src/observe.rs
+++ b/gateway/src/observe.rs
@@ -1,8 +1,6 @@
 //! What the state machines call illegal. There should be nothing of it: the checked model allows all that happens here.
 
-use life::Illegal;
-use life::attempt::{self, Attempt};
-use life::connection::{self, Connection};
+use life::{Illegal, Machine};
 use std::cell::Cell;
 
 /// The status with which a debug build ends at the first illegal transition, so that every test of the running program
@@ -17,45 +15,22 @@
     }
 }
 
-/// The life of an attempt or a probe, shared by what moves it on.
-pub struct AttemptLife(Cell<Attempt>);
+/// A life that is shared by all that move it on.
+pub struct Life<M>(Cell<M>);
 
-impl AttemptLife {
-    /// One that was just decided.
-    pub const fn decided() -> Self {
-        Self(Cell::new(Attempt::Decided))
+impl<M: Machine> Life<M> {
+    /// One that begins here.
+    pub const fn new(start: M) -> Self {
+        Self(Cell::new(start))
     }
 
     /// Where it is.
-    pub fn now(&self) -> Attempt {
+    pub fn now(&self) -> M {
         self.0.get()
     }
 
     /// Moves it on.
-    pub fn step(&self, event: attempt::Event) {
-        match self.now().step(event) {
-            Ok(next) => self.0.set(next),
-            Err(what) => illegal(what),
-        }
-    }
-}
-
-/// The life of a connection, shared by its socket and whoever drives it.
-pub struct ConnectionLife(Cell<Connection>);
-
-impl ConnectionLife {
-    /// One that is coming up.
-    pub const fn dialling() -> Self {
-        Self(Cell::new(Connection::Dialling))
-    }
-
-    /// Where it is.
-    pub fn now(&self) -> Connection {
-        self.0.get()
-    }
-
-    /// Moves it on.
-    pub fn step(&self, event: connection::Event) {
+    pub fn step(&self, event: M::Event) {
         match self.now().step(event) {
             Ok(next) => self.0.set(next),
             Err(what) => illegal(what),
--- a/gateway/tests/backends.rs
+++ b/gateway/tests/backends.rs
@@ -239,6 +239,25 @@
     assert_eq!(end.expect("an answer").1, "x");
 }
 
+#[tokio::test]
+async fn an_answer_ahead_of_the_last_byte_is_taken_and_its_connection_carries_nothing_else() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let at = listener.local_addr().expect("an address");
+    let mut link = Link::connect(at, Duration::from_secs(60)).await.expect("a connection");
+    let (mut peer, _) = listener.accept().await.expect("a connection");
+    // Larger than any socket buffer: its last byte is not written when the answer comes.
+    let request = hyper::Request::post("/x").body(Full::from(vec![b'x'; 64 << 20])).expect("a request");
+    let early = async {
+        peer.read_exact(&mut [0; 100]).await.expect("a beginning");
+        peer.write_all(ok("x").as_bytes()).await.expect("written");
+    };
+    let (end, ()) = tokio::join!(link.exchange(request, 100, helper::LONG, None), early);
+    assert_eq!(end.expect("an answer").1, "x");
+    // There is room again for the rest, which no other request may stand behind.
+    peer.read_exact(&mut vec![0; 1 << 20]).await.expect("more of it");
+    assert!(!link.is_free().await && !link.stands());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_time_out_casts_doubt_on_the_free_connections_to_that_backend() {
     let backend = Backend::start(&[Do::SayLater(300, ok("x"))]).await;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -3,10 +3,13 @@
 //! A request passes three gates: its customer's quota (`Customer`, a lease cache on a shared window count),
 //! its open cap, and a backend with room (`Backend`). What cannot pass yet waits a share of its aim.
 
+mod view;
+
 use crate::check::check;
 use crate::hash::{hash, mix, unit};
 use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 
 // ---- Quotas (a turn is burst over rate: the time in which a quota turns over once) ----
 /// A block holds the demand of this share of a turn; one unused for as long goes back, so that others can use
@@ -252,6 +255,7 @@
     Block,
     Queue,
     Out,
+    Left,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -275,7 +279,7 @@
 /// One gateway: build it from settings and a seed, then feed it events.
 #[derive(Clone, Debug, Default)]
 pub struct Gateway {
-    settings: Settings,
+    settings: Arc<Settings>,
     random: u64,
     now: Millis,
     backends: BTreeMap<Name, Backend>,
@@ -309,19 +313,10 @@
         check(&settings)?;
         let class_latency = vec![0.0; settings.classes.len()];
         let plan_odds = vec![[1.0, 0.0]; settings.plans.len()];
+        let settings = Arc::new(settings);
         Ok(Self { settings, random: mix(seed | 1), ease: 1.0, plan_odds, class_latency, ..Self::default() })
     }
 
-    /// How many backends are remembered.
-    pub fn backends(&self) -> usize {
-        self.backends.len()
-    }
-
-    /// What is counted as out: attempts at all backends, and attempts of all customers.
-    pub fn out(&self) -> (u32, u32) {
-        (self.backends.values().map(|b| b.out).sum(), self.customers.values().map(|c| c.open).sum())
-    }
-
     /// Takes one event at a time and appends what the host is to do.
     pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
@@ -341,7 +336,11 @@
                 self.on_attempt(end, out);
                 self.drain_queue(out);
             }
-            Event::ClientLeft { id } => self.forget(id),
+            Event::ClientLeft { id } => match self.requests.get_mut(&id) {
+                // The end of what is out still tells whether its units were used.
+                Some(request) if request.stage == Stage::Out => request.stage = Stage::Left,
+                _ => self.forget(id),
+            },
             Event::Timer { token: SWEEP_TOKEN } => self.on_sweep(out),
             Event::Timer { token } => self.on_hold_over(token / 2, out),
             Event::Ending => self.ending = true,
@@ -620,15 +619,14 @@
         out.push(Action::Refuse { id, retry_after: wait.clamp(0.0, self.settings.longest_advice) });
     }
 
-    /// Units of a request that was never sent go back to its customer's block.
+    /// Units of a request that surely never ran go back to its customer's block.
     fn forget(&mut self, id: RequestId) {
         let Some(request) = self.requests.remove(&id) else { return };
         let Some(customer) = self.customers.get_mut(&request.customer) else { return };
         match request.stage {
             Stage::Block => customer.waiting.retain(|w| *w != id),
-            Stage::Out => customer.open = customer.open.saturating_sub(1),
-            Stage::Queue if request.attempts == 0 => customer.lease += request.units,
-            Stage::Queue => {}
+            _ if request.may_have_run.is_none() => customer.lease += request.units,
+            _ => {}
         }
     }
 
@@ -710,8 +708,9 @@
         let (now, name, latency) = (self.now, &end.backend, end.latency);
         let Some(backend) = self.backends.get_mut(name) else { return };
         backend.out = backend.out.saturating_sub(1);
-        // Of a request that is forgotten neither class nor aim is known.
-        let Some(class) = self.requests.get(&end.id).map(|r| r.class) else { return };
+        // Of a request that is forgotten neither class nor aim is known; who left proves nothing.
+        let request = self.requests.get(&end.id).filter(|r| r.stage != Stage::Left);
+        let Some(class) = request.map(|r| r.class) else { return };
         let usual = &mut self.class_latency[class];
         let late = match end.outcome {
             Outcome::Served => {
@@ -724,7 +723,7 @@
             }
             Outcome::Error | Outcome::NeverSent | Outcome::CalledOff => return,
             Outcome::Full => true,
-            // A client with little time left proves nothing of the fleet, one that left nothing at all.
+            // A client with little time left proves nothing of the fleet.
             _ => latency > *usual * LATE_LATENCIES,
         };
         backend.note_latency(late);
@@ -743,16 +742,16 @@
             customer.owed += true_units - request.units;
             customer.store -= true_units - request.units;
         }
-        if end.finished || outcome == Outcome::Served {
-            return self.forget(id);
-        }
         customer.open = customer.open.saturating_sub(1);
-        request.stage = Stage::Queue;
+        let left = std::mem::replace(&mut request.stage, Stage::Queue) == Stage::Left;
         let never_ran = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NeverSent);
         if !never_ran && request.may_have_run.is_none() {
             let home = self.backends.get(&end.backend).map(|b| (request.sent_at, b.zone.clone(), b.cell));
             request.may_have_run = home.or(Some((request.sent_at, Name::default(), u64::MAX)));
         }
+        if left || end.finished || outcome == Outcome::Served {
+            return self.forget(id);
+        }
         if self.may_try_again(id) { self.place(id, out) } else { self.give_up(id, out) }
     }
 
--- /dev/null
+++ b/src/logic/view.rs
@@ -0,0 +1,141 @@
+//! A gateway as others may look at it: its counts, and the whole of it for a checker to compare (every field, each map in
+//! its order, floats by their bits). Nothing is decided here.
+
+use super::{Backend, Customer, Gateway, Request};
+use crate::interface::Millis;
+use std::hash::{Hash, Hasher};
+
+impl Gateway {
+    /// How many backends are remembered.
+    pub fn backends(&self) -> usize {
+        self.backends.len()
+    }
+
+    /// What is counted as out: attempts at all backends, and attempts of all customers.
+    pub fn out(&self) -> (u32, u32) {
+        (self.backends.values().map(|b| b.out).sum(), self.customers.values().map(|c| c.open).sum())
+    }
+
+    /// Units of all customers: in blocks in hand, and used but not yet added to the shared count (negative: to be given
+    /// back).
+    pub fn units(&self) -> (f64, f64) {
+        let sum = |of: fn(&Customer) -> f64| self.customers.values().map(of).sum();
+        (sum(|c| c.lease), sum(|c| c.owed))
+    }
+}
+
+/// Feeds floats by their bits: two states are the same only if each figure is exactly the same.
+fn floats<H: Hasher>(state: &mut H, values: &[f64]) {
+    values.iter().for_each(|value| state.write_u64(value.to_bits()));
+}
+
+fn maybe<H: Hasher>(state: &mut H, value: Option<Millis>) {
+    state.write_u8(value.is_some().into());
+    floats(state, &[value.unwrap_or_default()]);
+}
+
+impl Hash for Gateway {
+    /// All but the settings, which never change. Whoever compares gateways of different settings must add these.
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        // Taken apart whole, so that no field can be forgotten.
+        let Self {
+            settings: _,
+            random,
+            now,
+            backends,
+            customers,
+            requests,
+            queue,
+            calls,
+            ease,
+            plan_odds,
+            told,
+            silences,
+            back_at,
+            counter_heard,
+            told_silent,
+            class_latency,
+            late,
+            sweeping,
+            ending,
+        } = self;
+        (random, backends, customers, requests, queue, calls).hash(state);
+        (silences, told_silent, sweeping, ending).hash(state);
+        floats(state, &[*now, *ease, *back_at, *counter_heard, *late]);
+        plan_odds.iter().for_each(|odds| floats(state, odds));
+        floats(state, class_latency);
+        state.write_usize(told.len());
+        for (salt, (odds, at)) in told {
+            state.write_u64(*salt);
+            floats(state, &[*odds, *at]);
+        }
+    }
+}
+
+impl Hash for Backend {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        let Self { zone, cell, ready, gone, started, out, room, failures, told, eject_until } = self;
+        (zone, cell, ready, gone, out, failures, told).hash(state);
+        maybe(state, *started);
+        floats(state, &[*room, *eject_until]);
+    }
+}
+
+impl Hash for Customer {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        let Self {
+            plan,
+            spread,
+            place,
+            salt,
+            window,
+            lease,
+            added,
+            seen,
+            store,
+            store_at,
+            known,
+            heard,
+            owed,
+            call,
+            waiting,
+            demand,
+            demand_at,
+            slice,
+            open,
+        } = self;
+        (plan, place, salt, window, known, waiting, open).hash(state);
+        floats(state, &[*spread, *lease, *added, *seen, *store, *store_at]);
+        floats(state, &[*heard, *owed, *demand, *demand_at]);
+        (call.is_some(), slice.is_some()).hash(state);
+        let (window, block, owed) = call.unwrap_or_default();
+        let (held, at) = slice.unwrap_or_default();
+        state.write_u64(window);
+        floats(state, &[block, owed, held, at]);
+    }
+}
+
+impl Hash for Request {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        let Self {
+            customer,
+            plan,
+            class,
+            units,
+            blind,
+            repeat,
+            arrived,
+            deadline,
+            hold_until,
+            stage,
+            attempts,
+            may_have_run,
+            sent_at,
+        } = self;
+        (customer, plan, class, blind, repeat, *stage as u8, attempts).hash(state);
+        floats(state, &[*units, *arrived, *deadline, *hold_until, *sent_at]);
+        let run = may_have_run.as_ref();
+        run.map(|(_, zone, cell)| (zone, cell)).hash(state);
+        maybe(state, run.map(|(at, ..)| *at));
+    }
+}
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -73,6 +73,48 @@
     }
 }
 
+#[test]
+fn units_of_a_request_whose_attempts_surely_never_ran_go_back_once() {
+    for (outcome, held) in [
+        (Outcome::ConnectFailed, 5.0),
+        (Outcome::NeverSent, 5.0),
+        (Outcome::Full, 5.0),
+        (Outcome::Broken, 4.0),
+        (Outcome::Error, 4.0),
+        (Outcome::CalledOff, 4.0),
+    ] {
+        let mut door = Door::new(settings(), &["a1"]);
+        let (name, amount) = count(&door.ask(1, "c", "plain", "unsafe")).expect("call");
+        assert_eq!(sends(&door.total(name, amount)), 1);
+        assert_eq!(door.gateway.units(), (4.0, 0.0), "one unit of five is spent");
+        door.tell(Event::BackendList(Vec::new()));
+        let did = door.end(1, 0, &"a1".into(), outcome);
+        assert!(failed(&did, 1) || refused(&door.pass(300.0, &[1]), 1), "{outcome:?}");
+        assert_eq!(door.gateway.units(), (held, 0.0), "{outcome:?}");
+    }
+}
+
+#[test]
+fn units_of_a_client_that_left_wait_for_the_end_of_its_attempt() {
+    for (outcome, held) in [
+        (Outcome::NeverSent, 5.0),
+        (Outcome::ConnectFailed, 5.0),
+        (Outcome::CalledOff, 4.0),
+        (Outcome::Served, 4.0),
+    ] {
+        let mut door = Door::new(settings(), &["a1", "a2"]);
+        let (name, amount) = count(&door.ask(1, "c", "plain", "safe")).expect("call");
+        let (_, backend) = sent(&door.total(name, amount)).expect("sent on");
+        door.tell(Event::ClientLeft { id: 1 });
+        assert_eq!((door.gateway.units(), door.gateway.out()), ((4.0, 0.0), (1, 1)), "still out");
+        let did = door.end(1, 0, &backend, outcome);
+        assert!(sends(&did) == 0 && !refused(&did, 1) && !failed(&did, 1), "nothing is owed: {did:?}");
+        assert_eq!((door.gateway.units(), door.gateway.out()), ((held, 0.0), (0, 0)), "{outcome:?}");
+        door.tell(Event::ClientLeft { id: 1 });
+        assert_eq!(door.gateway.units(), (held, 0.0), "not twice");
+    }
+}
+
 #[test]
 fn settled_units_are_added_later() {
     let mut set = settings();
