--- a/gateway/tests/counter.rs
+++ b/gateway/tests/counter.rs
@@ -46,6 +46,24 @@
     assert_eq!(backend.attempts(), 10);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn units_of_requests_that_no_backend_took_are_there_for_others() {
+    let declined = "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n";
+    let backend = Backend::start(&[Do::Say(declined.into())]).await;
+    // Three units and no more for an hour; a backend that declines is asked again at once.
+    let setup = Setup { rate: 0.0001, burst: 3.0, cold: 1, ..small(&backend) };
+    let world = World::set(&setup, Mood::Adds).await;
+    for _ in 0..5 {
+        let said = statuses(&world.gateway, 1).await;
+        assert_eq!(said, [429], "declined wherever it goes");
+    }
+    assert!(backend.attempts() >= 5, "each had an attempt at least");
+    *backend.deeds.lock().expect("lock") = vec![Do::Say(ok("x"))];
+    let before = backend.attempts();
+    assert_eq!(statuses(&world.gateway, 4).await, [200, 200, 200, 429]);
+    assert_eq!(backend.attempts() - before, 3);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_counter_that_fails_in_any_way_leaves_the_even_slice() {
     for mood in [Mood::Silent, Mood::Busy, Mood::Babbles, Mood::Late(400)] {
