--- a/crates/routes/src/node.rs
+++ b/crates/routes/src/node.rs
@@ -4,6 +4,7 @@
 //! are plain scalars and none comes twice.
 
 use saphyr_parser::{Event, Parser, ScalarStyle};
+use std::borrow::Cow;
 use std::collections::{HashMap, HashSet};
 use std::fmt;
 
@@ -125,8 +126,9 @@
             return fail(lines + 1, "bytes that are not UTF-8");
         }
     };
+    let text = whole_characters(text);
     let mut builder = Builder::default();
-    for event in Parser::new_from_str(text) {
+    for event in Parser::new_from_str(&text) {
         let (event, span) = event
             .map_err(|error| Unreadable { line: error.marker().line(), what: error.info().to_owned() })?;
         builder.take(event, span.start.line())?;
@@ -134,6 +136,40 @@
     builder.root.ok_or(Unreadable { line: 1, what: "the text is empty".into() })
 }
 
+/// JSON writes characters beyond the first 65,536 as two escapes, YAML as one of eight digits. In a text that begins as JSON
+/// does, such pairs are written YAML's way; lines stay where they are. One half alone stays, and is refused.
+fn whole_characters(text: &str) -> Cow<'_, str> {
+    if !text.trim_start().starts_with('{') || !text.contains("\\u") {
+        return Cow::Borrowed(text);
+    }
+    let mut out = String::with_capacity(text.len());
+    let mut rest = text;
+    while let Some(at) = rest.find('\\') {
+        out.push_str(&rest[..at]);
+        rest = &rest[at..];
+        let half = |from: usize| {
+            let digits = rest.get(from..from + 6)?.strip_prefix("\\u")?;
+            u16::from_str_radix(digits, 16).ok().filter(|_| !digits.starts_with('+'))
+        };
+        let pair = half(0).zip(half(6)).and_then(|(high, low)| char::decode_utf16([high, low]).next()?.ok());
+        let taken = match pair.filter(|c| *c > '\u{ffff}') {
+            Some(c) => {
+                out.push_str(&format!("\\U{:08X}", u32::from(c)));
+                12
+            }
+            // The backslash and what it escapes, so that the second of two is not taken for a first.
+            None => {
+                let length = 1 + rest[1..].chars().next().map_or(0, char::len_utf8);
+                out.push_str(&rest[..length]);
+                length
+            }
+        };
+        rest = &rest[taken..];
+    }
+    out.push_str(rest);
+    Cow::Owned(out)
+}
+
 impl Builder {
     fn take(&mut self, event: Event<'_>, line: usize) -> Result<(), Unreadable> {
         let held = match event {
--- a/crates/routes/tests/reading.rs
+++ b/crates/routes/tests/reading.rs
@@ -71,6 +71,20 @@
     }
 }
 
+#[test]
+fn json_s_escapes_of_two_halves_are_one_character() {
+    let text = |json: &str| {
+        let node = node::parse(json.as_bytes()).map_err(|e| e.what)?;
+        Ok::<_, String>(node.get("a").and_then(|n| n.text().map(str::to_owned)).unwrap_or_default())
+    };
+    assert_eq!(text(r#"{"a": "\ud83c\udfb5 \u00e9 \/"}"#).as_deref(), Ok("🎵 é /"));
+    assert_eq!(text(r#"{"a": "\\ud83c\\udfb5"}"#).as_deref(), Ok(r"\ud83c\udfb5"), "escaped backslashes");
+    assert!(
+        text(r#"{"a": "\ud83c"}"#).is_err() && text(r#"{"a": "\udfb5\ud83c"}"#).is_err(),
+        "half a character"
+    );
+}
+
 /// A description around some paths, and why it cannot be used.
 fn refused(paths: &str) -> String {
     let text = format!("openapi: 3.0.0\npaths:\n{paths}");
