--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -1,7 +1,7 @@
 //! The table of routes: operations by method and templated path, joined by the stricter figure, and matched.
 
 use crate::path::{self, Unclear};
-use crate::rule::Rule;
+use crate::rule::{Place, Rule};
 use matchit::Router;
 use std::collections::BTreeMap;
 use std::fmt;
@@ -75,6 +75,30 @@
     out
 }
 
+/// The names of a template's parameters, in their order.
+fn names(template: &str) -> Vec<&str> {
+    template.split('{').skip(1).filter_map(|part| part.split_once('}')).map(|(name, _)| name).collect()
+}
+
+/// A rule whose path parameters bear the names of one template, by those of another of the same shape.
+fn renamed(mut rule: Rule, from: &str, to: &str) -> Rule {
+    let (old, new) = (names(from), names(to));
+    if old != new {
+        let by = std::mem::take(&mut rule.units.by);
+        rule.units.by = by
+            .into_iter()
+            .map(|(mut parameter, bounds)| {
+                let at = old.iter().position(|name| *name == parameter.name);
+                if let (Place::Path, Some(name)) = (parameter.place, at.and_then(|at| new.get(at))) {
+                    parameter.name = (*name).to_owned();
+                }
+                (parameter, bounds)
+            })
+            .collect();
+    }
+    rule
+}
+
 /// A template that cannot be matched.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Unusable {
@@ -96,7 +120,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     router: Router<usize>,
-    paths: Vec<BTreeMap<String, Entry>>,
+    /// By path: the template as it was first written, which names the parameters, and the operations by method.
+    paths: Vec<(String, BTreeMap<String, Entry>)>,
     shapes: BTreeMap<String, usize>,
 }
 
@@ -140,14 +165,16 @@
                     .insert(template.clone(), at)
                     .map_err(|error| unusable(format!("the path {template}: {error}")))?;
                 self.shapes.insert(shape, at);
-                self.paths.push(BTreeMap::new());
+                self.paths.push((template.clone(), BTreeMap::new()));
                 at
             }
         };
         let operation = format!("{method} {template}");
-        match self.paths[at].get_mut(&method) {
+        let (first, methods) = &mut self.paths[at];
+        let rule = renamed(rule, &template, first);
+        match methods.get_mut(&method) {
             None => {
-                self.paths[at].insert(method, Entry { template, rule, sources: vec![source] });
+                methods.insert(method, Entry { template: first.clone(), rule, sources: vec![source] });
             }
             Some(held) => {
                 let outcome = held.rule.clone().strictest(rule.clone());
@@ -172,7 +199,7 @@
     /// All operations with their methods, by path.
     pub fn entries(&self) -> impl Iterator<Item = (&str, &Entry)> {
         let by_path = self.shapes.values().filter_map(|at| self.paths.get(*at));
-        by_path.flat_map(|methods| methods.iter().map(|(method, entry)| (method.as_str(), entry)))
+        by_path.flat_map(|(_, methods)| methods.iter().map(|(method, entry)| (method.as_str(), entry)))
     }
 
     /// Finds the operation of a request. Concrete segments go before templated ones.
@@ -182,7 +209,7 @@
     pub fn find(&self, method: &str, path: &str) -> Result<Match<'_>, Unclear> {
         let path = path::settle(path)?;
         let Ok(matched) = self.router.at(&path) else { return Ok(Match::Path) };
-        let methods = &self.paths[*matched.value];
+        let (_, methods) = &self.paths[*matched.value];
         let Some(entry) = methods.get(method) else {
             return Ok(Match::Method(methods.keys().map(String::as_str).collect()));
         };
--- a/crates/routes/tests/matching.rs
+++ b/crates/routes/tests/matching.rs
@@ -78,6 +78,23 @@
     assert!(conflicts.is_empty(), "who agree have no conflict");
 }
 
+#[test]
+fn a_cost_by_a_path_parameter_is_found_under_the_name_that_the_path_has() {
+    let by = |name: &str| {
+        let parameter = Parameter { place: Place::Path, name: name.into() };
+        Rule { units: Units { least: 1, by: [(parameter, (1, 9))].into() }, ..Rule::default() }
+    };
+    let both = [operation("GET", "/a/{x}/{y}", by("y")), operation("POST", "/a/{b}/{x}", by("x"))];
+    let (table, _) = Table::of(both).expect("usable");
+    for method in ["GET", "POST"] {
+        let Ok(Match::Operation(entry, parameters)) = table.find(method, "/a/1/2") else {
+            panic!("no match")
+        };
+        assert_eq!(entry.rule, by("y"), "{method}");
+        assert_eq!(parameters, [("x".into(), "1".into()), ("y".into(), "2".into())]);
+    }
+}
+
 #[test]
 fn a_template_that_cannot_be_matched_is_told_with_its_place() {
     for template in ["/a//b", "/a/../b", "/a/{x}{y}", "/a/{", "/a%2fb"] {
