What a request costs by its operation, and why it does not fit

Units may stand in a parameter of path, query or header within bounds. A missing, doubled or outlying one is told, and a query's names are compared as they are meant, so that another way of writing one hides nothing. Joining rules never makes a request cheaper (property test).

--- a/crates/routes/tests/matching.rs
+++ b/crates/routes/tests/matching.rs
@@ -1,5 +1,6 @@
 //! Matching, and joining by the stricter figure.
 
+use fennelscale_routes::cost::{Misfit, cost};
 use fennelscale_routes::path::{Unclear, settle};
 use fennelscale_routes::rule::{Effect, Group, Parameter, Place, Rule, Units};
 use fennelscale_routes::table::{Match, Operation, Source, Table};
@@ -103,6 +104,33 @@
     }
 }
 
+#[test]
+fn a_request_costs_the_greatest_of_what_is_said_and_misfits_are_told() {
+    let by = |place, name: &str| (Parameter { place, name: name.into() }, (1, 20));
+    let units = Units {
+        least: 3,
+        by: [by(Place::Query, "n"), by(Place::Header, "pages"), by(Place::Path, "x")].into(),
+    };
+    let rule = Rule { units, ..Rule::default() };
+    let of = |x: &str, query: &str, pages: &[&str]| {
+        let pages: Vec<String> = pages.iter().map(|p| (*p).to_owned()).collect();
+        let header = |name: &str| if name == "pages" { pages.clone() } else { Vec::new() };
+        cost(&rule, &[("x".into(), x.into())], query, header)
+    };
+    assert_eq!(of("1", "n=2", &["1"]), Ok(3));
+    assert_eq!(of("7", "n=2&m=9", &["1"]), Ok(7));
+    assert_eq!(of("1", "n=2", &["20"]), Ok(20));
+    assert_eq!(of("1", "a&%6e=1%32", &["1"]), Ok(12), "however it is written");
+    assert_eq!(of("1", "", &["1"]), Err(Misfit::Missing("n".into())));
+    assert_eq!(of("1", "n=1", &[]), Err(Misfit::Missing("pages".into())));
+    assert_eq!(of("1", "n=1&%6E=9", &["1"]), Err(Misfit::Twice("n".into())));
+    assert_eq!(of("1", "n=1", &["1", "2"]), Err(Misfit::Twice("pages".into())));
+    for bad in ["0", "21", "", "+1", "-1", "1.0", "99999999999", "%zz", "x"] {
+        let (query, outside) = (format!("n={bad}"), Misfit::Outside("n".into(), 1, 20));
+        assert_eq!(of("1", &query, &["1"]), Err(outside), "{bad}");
+    }
+}
+
 fn rules() -> impl Strategy<Value = Rule> {
     let effect = prop_oneof![Just(Effect::Safe), Just(Effect::Keyed), Just(Effect::Unsafe)];
     let group = prop_oneof![Just(Group::All), Just(Group::Zone), Just(Group::Cell)];
@@ -150,6 +178,15 @@
         prop_assert!(both.is_as_strict_as(&a) && both.is_as_strict_as(&b));
     }
 
+    #[test]
+    fn who_joins_rules_never_makes_a_request_cheaper(a in rules(), b in rules(), one in 0..9u32, other in 0..9u32) {
+        let query = format!("a={one}&b={other}");
+        let of = |rule: &Rule| cost(rule, &[], &query, |_| Vec::new());
+        if let (Ok(x), Ok(y)) = (of(&a), of(&b)) {
+            prop_assert!(of(&a.strictest(b)).is_ok_and(|both| both >= x.max(y)));
+        }
+    }
+
     #[test]
     fn matching_agrees_with_trying_all(
         parts in proptest::collection::vec(proptest::collection::vec(0..4usize, 1..4), 1..8),
