Show over sockets a drain told between choosing a backend and the first byte

A listener with a full queue keeps the gateway's connection from coming up until the list has said that its backend drains. Nothing is written to it and the request goes elsewhere; without the last look at the list the test sees the request.

--- a/gateway/tests/backends.rs
+++ b/gateway/tests/backends.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 const ERROR: &str = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
 const FULL: &str = "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n";
@@ -136,6 +136,53 @@
     }
 }
 
+/// A listener whose queue is full, so that connections to it do not come up until one is accepted; and what fills it.
+async fn crowded() -> (TcpListener, Vec<TcpStream>) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let listener = socket.listen(0).expect("a listener");
+    let (at, mut held) = (listener.local_addr().expect("an address"), Vec::new());
+    while let Ok(one) = tokio::time::timeout(Duration::from_millis(200), TcpStream::connect(at)).await {
+        held.push(one.expect("a connection"));
+    }
+    (listener, held)
+}
+
+/// Whether somebody's connection to a port is coming up, by the kernel's word.
+fn is_dialled(port: u16) -> bool {
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("the kernel's table");
+    let (to, dialling) = (format!(":{port:04X}"), "02");
+    table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>()).any(|words| {
+        words.get(2).is_some_and(|remote| remote.ends_with(&to)) && words.get(3) == Some(&dialling)
+    })
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drain_told_between_choosing_a_backend_and_the_first_byte_keeps_the_request_from_it() {
+    let (listener, held) = crowded().await;
+    let at = listener.local_addr().expect("an address");
+    let other = Backend::start(&[Do::Say(ok("x"))]).await;
+    let setup = Setup { ease: 50, ..Setup::knowing(&[row("b0", at, "in_service")]) };
+    let world = World::set(&setup, Mood::Adds).await;
+    let mut client = world.gateway.client().await;
+    client.write(&request("order", 60_000, "", "b")).await;
+    helper::until("the dial", || is_dialled(at.port())).await;
+    let rows = [row("b0", at, "terminating"), row("b1", other.at, "in_service")];
+    world.discovery.tell(list(2, true, &rows));
+    world.discovery.taken_in().await;
+    // Now the connection comes up, too late.
+    for _ in &held {
+        listener.accept().await.expect("what fills the queue");
+    }
+    let (mut late, _) =
+        helper::soon("the gateway's connection", listener.accept()).await.expect("a connection");
+    let mut bytes = Vec::new();
+    let _ = helper::soon("its end", late.read_to_end(&mut bytes)).await;
+    assert!(bytes.is_empty(), "written to a draining backend: {}", String::from_utf8_lossy(&bytes));
+    assert_eq!((client.read().await.status(), other.attempts()), (200, 1));
+    client.stays_quiet().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_list_that_cannot_be_read_changes_nothing_and_the_watch_goes_on() {
     let (old, new) =
--- a/gateway/tests/helper/mod.rs
+++ b/gateway/tests/helper/mod.rs
@@ -321,7 +321,8 @@
     pub sockets: usize,
     /// How long a backend may be cold, in ms; one that failed is left alone for a share of that.
     pub cold: u64,
-    /// What classes aim at, how long keys are remembered and the counter's time, as multiples of the usual ones.
+    /// What classes aim at, how long keys are remembered, the counter's time and that of a connection that comes up, as
+    /// multiples of the usual ones.
     pub ease: u64,
 }
 
@@ -354,7 +355,7 @@
 impl Gateway {
     pub async fn start(discovery: SocketAddr, counter: SocketAddr, setup: &Setup) -> Self {
         let Setup { rate, burst, gateways, number, known, sockets, cold, ease } = setup;
-        let (goal, window, limit) = (800 * ease, 4000 * ease, 50 * ease);
+        let (goal, window, limit, dial) = (800 * ease, 4000 * ease, 50 * ease, 250 * ease);
         let text = format!(
             r#"{{"name":"t","listen":"127.0.0.1:0","discovery":"{discovery}","counter":"{counter}",
             "seed":"{number}7f","limits":{{"sockets":{sockets}}},"known":{known},"settings":{{
@@ -364,7 +365,7 @@
             {{"name":"order","effect":"at_most_once","goal-time-ms":{goal},"worth":1}}],
             "plans":[{{"name":"p","refill":{rate},"burst":{burst},"worth-factor":1}}],
             "extra":{{"has-counter":true,"count-limit-ms":{limit},"units-top":1}},
-            "permissions":{{"most-tries":6,"may-cancel":true,"max-retry-after-ms":1000}},
+            "permissions":{{"most-tries":6,"may-cancel":true,"max-retry-after-ms":1000,"dial-timeout-ms":{dial}}},
             "rules":{{"cold-from":0.2,"cold-ms":{cold}}}}}}}"#
         );
         let number = FILES.fetch_add(1, Ordering::SeqCst);
