--- a/crates/life-check/src/explore.rs
+++ b/crates/life-check/src/explore.rs
@@ -157,7 +157,7 @@
     let mut world = World::start(&system.bounds, system.mutant);
     let mut out = String::new();
     for (n, step) in steps.iter().enumerate() {
-        let _ = writeln!(out, "{:>3}. at {} ms: {}", n + 1, u32::from(world.now) * 100, words(&world, *step));
+        let _ = writeln!(out, "{:>3}. at {} ms: {}", n + 1, world.ms(), words(&world, *step));
         world = world.after(*step, system.mutant);
     }
     if let Some(violation) = system.violation(&world) {
--- a/crates/life-check/src/properties.rs
+++ b/crates/life-check/src/properties.rs
@@ -182,20 +182,16 @@
         }
     }
 
-    /// An attempt has ended. If its client has left, nothing more may be begun (that alone breaks a property), so where its
-    /// attempts have been matters no more; the same holds from the final answer on.
-    pub(crate) fn forget_what_is_over(&mut self, id: u64) {
-        if !self.is_open(id) {
-            self.of(id).reached.clear();
-        }
-    }
-
-    /// `early`: nothing of it was written.
+    /// An attempt has ended; `early`: nothing of it was written. If its client has left, nothing more may be begun (that alone
+    /// breaks a property), so where its attempts have been matters no more; the same holds from the final answer on.
     pub(crate) fn ended(&mut self, sent: &Sent, outcome: Outcome, early: bool) {
         let never = matches!(outcome, Outcome::ConnectFailed | Outcome::NeverSent | Outcome::Full);
         let of = self.of(sent.id);
         let reached = of.reached.iter().any(|r| r.number == sent.number && !r.declined);
         of.doubt |= !never;
+        if !self.is_open(sent.id) {
+            self.of(sent.id).reached.clear();
+        }
         if early && !never {
             self.broke(Violation::FalseDoubt);
         }
--- a/crates/life-check/src/trace.rs
+++ b/crates/life-check/src/trace.rs
@@ -31,10 +31,10 @@
 impl std::error::Error for Unreadable {}
 
 /// A kind of step by its name, for a number.
-type Named<N> = (&'static str, fn(N) -> Step);
+type Kind<N> = (&'static str, fn(N) -> Step);
 
 /// Steps that concern an attempt by its place, a request or a node by its number, or nothing in particular.
-const OF_ATTEMPT: [Named<usize>; 10] = [
+const OF_ATTEMPT: [Kind<usize>; 11] = [
     ("places", Step::Places),
     ("connects", Step::Connects),
     ("is-refused", Step::IsRefused),
@@ -45,8 +45,9 @@
     ("finds-broken", Step::FindsBroken),
     ("gives-up", Step::GivesUp),
     ("stops", Step::Stops),
+    ("times-out", Step::TimesOut),
 ];
-const OF_ONE: [Named<u8>; 6] = [
+const OF_ONE: [Kind<u8>; 6] = [
     ("arrives", Step::Arrives),
     ("arrives-again", Step::ArrivesAgain),
     ("cancels", Step::Cancels),
@@ -75,9 +76,6 @@
         if let Some((word, _)) = OF_ALL.iter().find(|(_, step)| step == self) {
             return f.write_str(word);
         }
-        if let Self::TimesOut(n) = self {
-            return write!(f, "times-out {n}");
-        }
         if let Self::Replies(n, reply) = self {
             let word = REPLIES.iter().find(|(_, r)| r == reply).map_or("whole", |(word, _)| word);
             return write!(f, "replies {n} {word}");
@@ -100,7 +98,6 @@
             let reply = REPLIES.iter().find(|(word, _)| word == reply)?.1;
             Some(Step::Replies(n.parse().ok()?, reply))
         }
-        ["times-out", n] => Some(Step::TimesOut(n.parse().ok()?)),
         [word, n] => {
             let of_attempt = OF_ATTEMPT.iter().find(|(w, _)| w == word);
             if let Some((_, of)) = of_attempt {
--- a/crates/life-check/src/world.rs
+++ b/crates/life-check/src/world.rs
@@ -16,6 +16,7 @@
 use life::inbound::{self, Inbound, OpenIds};
 use life::request::{self, Final, Request};
 use life::tables::Transition;
+use life::{Machine, Named};
 use std::hash::{Hash, Hasher};
 
 /// A step of time, in ms.
@@ -378,7 +379,8 @@
         BackendEntry { name: node_name(node), zone: "z".into(), cell, state, started }
     }
 
-    fn ms(&self) -> f64 {
+    /// Milliseconds since the start.
+    pub fn ms(&self) -> f64 {
         f64::from(self.now) * STEP
     }
 
@@ -444,16 +446,25 @@
         self.illegal.extend(self.core.take_illegal());
     }
 
+    /// Moves a machine on: its next state, or none if the step is illegal, which is noted.
+    fn step<M: Machine>(&mut self, from: M, event: M::Event) -> Option<M> {
+        match from.step(event) {
+            Ok(next) => {
+                self.core.observer().note(M::NAME, from.name(), event.name(), next.name());
+                Some(next)
+            }
+            Err(illegal) => {
+                self.illegal.push(illegal);
+                None
+            }
+        }
+    }
+
     /// Moves a client's connection on. Whatever ends its request frees the id.
     fn move_inbound(&mut self, id: u64, event: inbound::Event) {
         let n = id as usize - 1;
-        let before = self.inbound[n];
-        match before.step(event) {
-            Ok(next) => {
-                self.core.observer().note("inbound", before.name(), event.name(), next.name());
-                self.inbound[n] = next;
-            }
-            Err(illegal) => self.illegal.push(illegal),
+        if let Some(next) = self.step(self.inbound[n], event) {
+            self.inbound[n] = next;
         }
         if matches!(event, inbound::Event::Answered | inbound::Event::Closed) {
             self.open.leave(&self.ids[n]);
@@ -716,7 +727,7 @@
             }
             Step::Places(n) => self.places(n, mutant),
             Step::Connects(n) => {
-                self.sent[n].link = self.link(Connection::Dialling, connection::Event::Connected);
+                self.sent[n].link = Some(self.link(Connection::Dialling, connection::Event::Connected));
                 self.move_attempt(n, attempt::Event::Connected, mutant);
             }
             Step::IsRefused(n) => {
@@ -743,7 +754,7 @@
             Step::FindsBroken(n) => {
                 self.faults -= u8::from(!self.sent[n].cut);
                 let Some(link) = self.sent[n].link.take() else { return };
-                let begun = self.link(link, connection::Event::Begin).unwrap_or(link);
+                let begun = self.link(link, connection::Event::Begin);
                 self.move_attempt(n, attempt::Event::Begin, mutant);
                 self.sent[n].cut = false;
                 self.move_attempt(n, attempt::Event::Broke(begun.progress()), mutant);
@@ -777,18 +788,9 @@
         }
     }
 
-    /// A connection's next state; an illegal step is noted.
-    fn link(&mut self, from: Connection, event: connection::Event) -> Option<Connection> {
-        match from.step(event) {
-            Ok(next) => {
-                self.core.observer().note("connection", from.name(), event.name(), next.name());
-                Some(next)
-            }
-            Err(illegal) => {
-                self.illegal.push(illegal);
-                Some(from)
-            }
-        }
+    /// A connection's next state; the same after an illegal step.
+    fn link(&mut self, from: Connection, event: connection::Event) -> Connection {
+        self.step(from, event).unwrap_or(from)
     }
 
     fn places(&mut self, n: usize, mutant: Option<Mutant>) {
@@ -811,15 +813,15 @@
         }
         self.ledger.written(self.sent[n].node);
         let Some(link) = self.sent[n].link else { return };
-        let begun = self.link(link, connection::Event::Begin).unwrap_or(link);
-        self.sent[n].link = self.link(begun, connection::Event::Wrote);
+        let begun = self.link(link, connection::Event::Begin);
+        self.sent[n].link = Some(self.link(begun, connection::Event::Wrote));
         self.move_attempt(n, attempt::Event::Begin, mutant);
     }
 
     fn flushes(&mut self, n: usize, mutant: Option<Mutant>) {
         let Some(link) = self.sent[n].link else { return };
         if mutant != Some(Mutant::ForgetFlush) {
-            self.sent[n].link = self.link(link, connection::Event::Flushed);
+            self.sent[n].link = Some(self.link(link, connection::Event::Flushed));
         }
         let (id, number, node, now) = (self.sent[n].id, self.sent[n].number, self.sent[n].node, self.ms());
         if self.sent[n].cut || self.sent[n].at != AtNode::Nothing {
@@ -832,7 +834,7 @@
 
     fn reads(&mut self, n: usize, mutant: Option<Mutant>) {
         let (Some(link), AtNode::Answering(reply)) = (self.sent[n].link, self.sent[n].at) else { return };
-        let heard = self.link(link, connection::Event::Heard).unwrap_or(link);
+        let heard = self.link(link, connection::Event::Heard);
         if reply == Reply::Spoilt {
             self.sent[n].link = Some(heard);
             if mutant == Some(Mutant::SpoiltNeverSent) {
@@ -840,17 +842,17 @@
             }
             return self.move_attempt(n, attempt::Event::Broke(heard.progress()), mutant);
         }
-        let whole = self.link(heard, connection::Event::Whole).unwrap_or(heard);
+        let whole = self.link(heard, connection::Event::Whole);
         let behind = match (whole, reply) {
             (_, Reply::Overlong) if mutant == Some(Mutant::KeepOverlong) => Some(connection::Event::Quiet),
             (Connection::Answered, Reply::Overlong) => Some(connection::Event::Heard),
             (Connection::Answered, _) => Some(connection::Event::Quiet),
             _ => None,
         };
-        let after = behind.map_or(Some(whole), |event| self.link(whole, event));
-        self.sent[n].link = after;
+        let after = behind.map_or(whole, |event| self.link(whole, event));
+        self.sent[n].link = Some(after);
         let (node, cut) = (usize::from(self.sent[n].node), self.sent[n].cut);
-        let free = after == Some(Connection::Free);
+        let free = after == Connection::Free;
         if free && reply == Reply::Overlong {
             self.ledger.kept_with_bytes_behind();
         }
@@ -867,14 +869,9 @@
     /// Moves an attempt on; if that ends it, tells the core.
     fn move_attempt(&mut self, n: usize, event: attempt::Event, mutant: Option<Mutant>) {
         let before = self.sent[n].life;
-        match before.step(event) {
-            Ok(next) => {
-                self.core.observer().note("attempt", before.name(), event.name(), next.name());
-                self.sent[n].life = next;
-            }
-            Err(illegal) => return self.illegal.push(illegal),
-        }
-        let Some(mut outcome) = self.sent[n].life.outcome() else { return };
+        let Some(next) = self.step(before, event) else { return };
+        self.sent[n].life = next;
+        let Some(mut outcome) = next.outcome() else { return };
         let early = before.certainty() == Certainty::Never;
         if early && event == attempt::Event::CalledOff && mutant == Some(Mutant::CallOffIsDoubt) {
             outcome = Outcome::CalledOff;
@@ -884,7 +881,6 @@
         }
         let sent = self.sent.remove(n);
         self.ledger.ended(&sent, outcome, early);
-        self.ledger.forget_what_is_over(sent.id);
         if outcome == Outcome::CalledOff && mutant == Some(Mutant::LoseStoppedEnd) {
             return;
         }
--- a/crates/life/src/attempt.rs
+++ b/crates/life/src/attempt.rs
@@ -1,7 +1,7 @@
 //! The life of an attempt, from the decision to certainty about whether it ran.
 
-use crate::Illegal;
 use crate::connection::Progress;
+use crate::{Illegal, Machine, Named};
 use doorcourse::Outcome;
 
 /// Where an attempt is.
@@ -62,19 +62,6 @@
 }
 
 impl Attempt {
-    /// The state's name.
-    pub const fn name(&self) -> &'static str {
-        match self {
-            Self::Decided => "decided",
-            Self::Dialling => "dialling",
-            Self::Placed { kept: false } => "placed on a new connection",
-            Self::Placed { kept: true } => "placed on a kept connection",
-            Self::Exchanging { kept: false } => "exchanging on a new connection",
-            Self::Exchanging { kept: true } => "exchanging on a kept connection",
-            Self::Over(_) => "over",
-        }
-    }
-
     /// How it ended, once it has.
     pub const fn outcome(&self) -> Option<Outcome> {
         if let Self::Over(outcome) = self { Some(*outcome) } else { None }
@@ -89,13 +76,28 @@
             Self::Exchanging { .. } | Self::Over(_) => Certainty::Perhaps,
         }
     }
+}
+
+impl Named for Attempt {
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Decided => "decided",
+            Self::Dialling => "dialling",
+            Self::Placed { kept: false } => "placed on a new connection",
+            Self::Placed { kept: true } => "placed on a kept connection",
+            Self::Exchanging { kept: false } => "exchanging on a new connection",
+            Self::Exchanging { kept: true } => "exchanging on a kept connection",
+            Self::Over(_) => "over",
+        }
+    }
+}
+
+impl Machine for Attempt {
+    const NAME: &'static str = "attempt";
+    type Event = Event;
 
-    /// Takes an event.
-    ///
-    /// # Errors
-    /// When the state does not allow it.
-    pub fn step(self, event: Event) -> Result<Self, Illegal> {
-        let illegal = Err(Illegal { machine: "attempt", state: self.name(), event: event.name() });
+    fn step(self, event: Event) -> Result<Self, Illegal> {
+        let illegal = Err(self.illegal(event));
         Ok(match (self, event) {
             (Self::Over(_), _) => return illegal,
             // Nothing of it is written: it is sure never to run.
@@ -126,9 +128,8 @@
     }
 }
 
-impl Event {
-    /// The event's name.
-    pub const fn name(&self) -> &'static str {
+impl Named for Event {
+    fn name(&self) -> &'static str {
         match self {
             Self::Kept => "kept",
             Self::Dial => "dial",
--- a/crates/life/src/connection.rs
+++ b/crates/life/src/connection.rs
@@ -3,7 +3,7 @@
 //! Only a [`Connection::Free`] one can begin an exchange, and none becomes free but by a whole answer with nothing behind
 //! it. A connection on which bytes came that belong to nothing is [`Connection::Poisoned`] for good.
 
-use crate::Illegal;
+use crate::{Illegal, Machine, Named};
 
 /// How far the request of an exchange has been written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -73,8 +73,21 @@
 }
 
 impl Connection {
-    /// The state's name.
-    pub const fn name(&self) -> &'static str {
+    /// How far the exchange got, if it ends now without an answer.
+    pub const fn progress(&self) -> Progress {
+        match self {
+            Self::Busy { heard: true, .. } | Self::Poisoned | Self::Answered => Progress::Spoilt,
+            Self::Busy { written: Written::Part, .. } => Progress::Partly,
+            Self::Busy { written: Written::Whole, .. } => Progress::Whole,
+            Self::Dialling | Self::Free | Self::Ended | Self::Busy { written: Written::Nothing, .. } => {
+                Progress::Unsent
+            }
+        }
+    }
+}
+
+impl Named for Connection {
+    fn name(&self) -> &'static str {
         match self {
             Self::Dialling => "dialling",
             Self::Free => "free",
@@ -87,25 +100,14 @@
             Self::Ended => "ended",
         }
     }
+}
 
-    /// How far the exchange got, if it ends now without an answer.
-    pub const fn progress(&self) -> Progress {
-        match self {
-            Self::Busy { heard: true, .. } | Self::Poisoned | Self::Answered => Progress::Spoilt,
-            Self::Busy { written: Written::Part, .. } => Progress::Partly,
-            Self::Busy { written: Written::Whole, .. } => Progress::Whole,
-            Self::Dialling | Self::Free | Self::Ended | Self::Busy { written: Written::Nothing, .. } => {
-                Progress::Unsent
-            }
-        }
-    }
+impl Machine for Connection {
+    const NAME: &'static str = "connection";
+    type Event = Event;
 
-    /// Takes an event.
-    ///
-    /// # Errors
-    /// When the state does not allow it.
-    pub fn step(self, event: Event) -> Result<Self, Illegal> {
-        let illegal = Err(Illegal { machine: "connection", state: self.name(), event: event.name() });
+    fn step(self, event: Event) -> Result<Self, Illegal> {
+        let illegal = Err(self.illegal(event));
         Ok(match (self, event) {
             (Self::Dialling, Event::Connected) => Self::Free,
             (Self::Free, Event::Begin) => Self::Busy { written: Written::Nothing, heard: false },
@@ -135,9 +137,8 @@
     }
 }
 
-impl Event {
-    /// The event's name.
-    pub const fn name(&self) -> &'static str {
+impl Named for Event {
+    fn name(&self) -> &'static str {
         match self {
             Self::Connected => "connected",
             Self::Begin => "begin",
--- a/crates/life/src/core.rs
+++ b/crates/life/src/core.rs
@@ -3,8 +3,8 @@
 //! This is all of the gateway's engine but its sockets and clock. The host carries out the effects and owes one
 //! [`Core::attempt_ended`] for each [`Effect::Begin`].
 
-use crate::Illegal;
 use crate::request::{self, End, Final, Request};
+use crate::{Illegal, Named};
 use doorcourse::{Action, Arrival, AttemptEnd, Event, Gateway, LoadReport, Millis, Name, Outcome, RequestId};
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::{Hash, Hasher};
@@ -47,9 +47,6 @@
     pub kept: P,
 }
 
-/// Where an attempt is to go, its time-out, and when it must be written.
-type Where = (Name, Option<Millis>, Option<Millis>);
-
 /// How an attempt ended.
 #[derive(Clone, Debug)]
 pub struct Ended {
@@ -94,15 +91,14 @@
     events: VecDeque<Event>,
     actions: Vec<Action>,
     illegal: Vec<Illegal>,
-    open: usize,
     observer: O,
 }
 
 impl<P: Hash, O> Hash for Core<P, O> {
     /// The state between two calls; what is under way within one is empty then. The observer is no part of it.
     fn hash<H: Hasher>(&self, state: &mut H) {
-        let Self { gateway, requests, last, events: _, actions: _, illegal, open, observer: _ } = self;
-        (gateway, requests, last, illegal, open).hash(state);
+        let Self { gateway, requests, last, events: _, actions: _, illegal, observer: _ } = self;
+        (gateway, requests, last, illegal).hash(state);
     }
 }
 
@@ -123,7 +119,6 @@
             events: VecDeque::new(),
             actions: Vec::new(),
             illegal: Vec::new(),
-            open: 0,
             observer,
         }
     }
@@ -143,9 +138,9 @@
         self.requests.get(&id)?.kept.as_ref()
     }
 
-    /// Requests that are owed an answer.
+    /// Requests that are owed an answer. Looks at all: for the end of a run, not for each request.
     pub fn open_requests(&self) -> usize {
-        self.open
+        self.requests.values().filter(|entry| entry.kept.is_some()).count()
     }
 
     /// Requests in the table, with those that only wait for the end of an attempt.
@@ -166,7 +161,6 @@
         self.last += 1;
         let id = self.last;
         self.requests.insert(id, Entry { life: Request::taken(), kept: Some(kept) });
-        self.open += 1;
         self.handle(now, Event::Request(arrival(id)), out, answers);
         id
     }
@@ -177,8 +171,7 @@
     ) {
         let Some(entry) = self.requests.get_mut(&id) else { return };
         let was_open = entry.kept.take().is_some();
-        self.open -= usize::from(was_open);
-        self.step(id, request::Event::Left, None, 0.0, out, answers);
+        self.step(id, request::Event::Left, 0.0, out, answers);
         if was_open {
             self.handle(now, Event::ClientLeft { id }, out, answers);
         }
@@ -194,7 +187,7 @@
             Outcome::TimedOut => End::TimedOut,
             _ => End::Unserved,
         };
-        self.step(id, request::Event::Ended { number, end }, None, 0.0, out, answers);
+        self.step(id, request::Event::Ended { number, end }, 0.0, out, answers);
         let finished = self.kept(id).is_none();
         let (attempt, true_units) = (number, None);
         let end = AttemptEnd { id, attempt, backend, outcome, latency, true_units, finished, load };
@@ -219,15 +212,10 @@
     fn carry_out(&mut self, action: Action, out: &mut Vec<Effect>, answers: &mut Vec<Answered<P>>) {
         match action {
             Action::Send { id, backend, timeout, write_by } => {
-                let begun = self.step(
-                    id,
-                    request::Event::Send,
-                    Some((backend.clone(), timeout, write_by)),
-                    0.0,
-                    out,
-                    answers,
-                );
-                if !begun {
+                let sent = self.step(id, request::Event::Send, 0.0, out, answers);
+                if let Some(request::Effect::Begin { number }) = sent {
+                    out.push(Effect::Begin { id, number, backend, timeout, write_by });
+                } else {
                     // A request that is over, or still has an attempt out, is not sent; an end is owed all the same.
                     let finished = self.kept(id).is_none();
                     self.events.push_back(Event::AttemptEnded(AttemptEnd {
@@ -243,44 +231,39 @@
                 }
             }
             Action::Refuse { id, retry_after } => {
-                self.step(id, request::Event::Refuse, None, retry_after, out, answers);
+                self.step(id, request::Event::Refuse, retry_after, out, answers);
             }
             Action::Fail { id } => {
-                self.step(id, request::Event::Fail, None, 0.0, out, answers);
+                self.step(id, request::Event::Fail, 0.0, out, answers);
             }
             other => out.push(Effect::Other(other)),
         }
     }
 
-    /// Moves a request on; whether it was legal.
+    /// Moves a request on and does what follows, but for the beginning of an attempt, which is the caller's: only it knows
+    /// where to. None if the step was illegal.
     fn step(
-        &mut self, id: RequestId, event: request::Event, send: Option<Where>, retry_after: Millis,
-        out: &mut Vec<Effect>, answers: &mut Vec<Answered<P>>,
-    ) -> bool {
+        &mut self, id: RequestId, event: request::Event, retry_after: Millis, out: &mut Vec<Effect>,
+        answers: &mut Vec<Answered<P>>,
+    ) -> Option<request::Effect> {
         let Some(entry) = self.requests.get_mut(&id) else {
             self.illegal.push(Illegal { machine: "request", state: "over", event: event.name() });
-            return false;
+            return None;
         };
         let (next, effect) = match entry.life.step(event) {
             Ok(step) => step,
             Err(illegal) => {
                 self.illegal.push(illegal);
-                return false;
+                return None;
             }
         };
         self.observer.stepped(entry.life, event, next);
         match effect {
-            request::Effect::None => {}
-            request::Effect::Begin { number } => {
-                if let Some((backend, timeout, write_by)) = send {
-                    out.push(Effect::Begin { id, number, backend, timeout, write_by });
-                }
-            }
+            request::Effect::None | request::Effect::Begin { .. } => {}
             request::Effect::Stop { .. } => out.push(Effect::Stop { id }),
             // Whoever takes out what was kept owns the reply: there is no other.
             request::Effect::Answer(answer) => {
                 if let Some(kept) = entry.kept.take() {
-                    self.open -= 1;
                     answers.push(Answered { id, answer, retry_after, kept });
                 }
             }
@@ -291,6 +274,6 @@
                 self.requests.remove(&id);
             }
         }
-        true
+        Some(effect)
     }
 }
--- a/crates/life/src/inbound.rs
+++ b/crates/life/src/inbound.rs
@@ -4,7 +4,7 @@
 //! One request is open on a connection at most, and a connection with an open request is not closed for being slow:
 //! [`Event::TimeUp`] is illegal there.
 
-use crate::Illegal;
+use crate::{Illegal, Machine, Named};
 use std::collections::HashSet;
 use std::hash::Hash;
 
@@ -50,8 +50,14 @@
         Self::Quiet { answered: false }
     }
 
-    /// The state's name.
-    pub const fn name(&self) -> &'static str {
+    /// Whether an answer was given on it and none is owed.
+    pub const fn was_answered(&self) -> bool {
+        matches!(self, Self::Quiet { answered: true } | Self::Reading { answered: true })
+    }
+}
+
+impl Named for Inbound {
+    fn name(&self) -> &'static str {
         match self {
             Self::Quiet { answered: false } => "new",
             Self::Quiet { answered: true } => "idle",
@@ -61,17 +67,13 @@
             Self::Closed => "closed",
         }
     }
+}
 
-    /// Whether an answer was given on it and none is owed.
-    pub const fn was_answered(&self) -> bool {
-        matches!(self, Self::Quiet { answered: true } | Self::Reading { answered: true })
-    }
+impl Machine for Inbound {
+    const NAME: &'static str = "inbound";
+    type Event = Event;
 
-    /// Takes an event.
-    ///
-    /// # Errors
-    /// When the state does not allow it.
-    pub fn step(self, event: Event) -> Result<Self, Illegal> {
+    fn step(self, event: Event) -> Result<Self, Illegal> {
         Ok(match (self, event) {
             (Self::Quiet { answered } | Self::Reading { answered }, Event::Bytes) => {
                 Self::Reading { answered }
@@ -84,14 +86,13 @@
             (Self::Open, Event::Answered) => Self::Quiet { answered: true },
             (Self::Quiet { .. } | Self::Reading { .. }, Event::TimeUp) => Self::Closed,
             (_, Event::Closed) => Self::Closed,
-            _ => return Err(Illegal { machine: "inbound", state: self.name(), event: event.name() }),
+            _ => return Err(self.illegal(event)),
         })
     }
 }
 
-impl Event {
-    /// The event's name.
-    pub const fn name(&self) -> &'static str {
+impl Named for Event {
+    fn name(&self) -> &'static str {
         match self {
             Self::Bytes => "bytes",
             Self::Taken => "taken",
--- a/crates/life/src/lib.rs
+++ b/crates/life/src/lib.rs
@@ -39,38 +39,27 @@
 
 impl std::error::Error for Illegal {}
 
+/// What has a name that stands in tables, diagrams and complaints.
+pub trait Named {
+    /// The name.
+    fn name(&self) -> &'static str;
+}
+
 /// A machine whose steps have no effect but its next state.
-pub trait Machine: Copy {
+pub trait Machine: Copy + Named {
+    /// Its own name.
+    const NAME: &'static str;
     /// What happens to it.
-    type Event;
+    type Event: Copy + Named;
 
     /// Takes an event.
     ///
     /// # Errors
     /// When the state does not allow it.
     fn step(self, event: Self::Event) -> Result<Self, Illegal>;
-}
-
-impl Machine for inbound::Inbound {
-    type Event = inbound::Event;
-
-    fn step(self, event: Self::Event) -> Result<Self, Illegal> {
-        Self::step(self, event)
-    }
-}
-
-impl Machine for attempt::Attempt {
-    type Event = attempt::Event;
-
-    fn step(self, event: Self::Event) -> Result<Self, Illegal> {
-        Self::step(self, event)
-    }
-}
-
-impl Machine for connection::Connection {
-    type Event = connection::Event;
 
-    fn step(self, event: Self::Event) -> Result<Self, Illegal> {
-        Self::step(self, event)
+    /// The complaint that the state does not allow an event.
+    fn illegal(&self, event: Self::Event) -> Illegal {
+        Illegal { machine: Self::NAME, state: self.name(), event: event.name() }
     }
 }
--- a/crates/life/src/request.rs
+++ b/crates/life/src/request.rs
@@ -3,7 +3,7 @@
 //! There is no state with two attempts out and none in which an answer could be given twice: [`Request::Closing`] has no
 //! reply left to give, and a request that is over is no longer there.
 
-use crate::Illegal;
+use crate::{Illegal, Named};
 
 /// Where a request is. A request that is over has no state: it is forgotten.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -102,15 +102,6 @@
         !matches!(self, Self::Closing { .. })
     }
 
-    /// The state's name.
-    pub const fn name(&self) -> &'static str {
-        match self {
-            Self::Waiting { .. } => "waiting",
-            Self::Out { .. } => "out",
-            Self::Closing { .. } => "closing",
-        }
-    }
-
     /// Takes an event: the next state, or none when it is over, and what is to be done.
     ///
     /// # Errors
@@ -141,9 +132,18 @@
     }
 }
 
-impl Event {
-    /// The event's name.
-    pub const fn name(&self) -> &'static str {
+impl Named for Request {
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Waiting { .. } => "waiting",
+            Self::Out { .. } => "out",
+            Self::Closing { .. } => "closing",
+        }
+    }
+}
+
+impl Named for Event {
+    fn name(&self) -> &'static str {
         match self {
             Self::Send => "send",
             Self::Refuse => "refuse",
--- a/crates/life/src/tables.rs
+++ b/crates/life/src/tables.rs
@@ -4,6 +4,7 @@
 use crate::connection::{self, Connection, Progress, Written};
 use crate::inbound::{self, Inbound};
 use crate::request::{self, End, Request};
+use crate::{Machine, Named};
 use doorcourse::Outcome;
 use std::collections::BTreeSet;
 use std::fmt::Write as _;
@@ -19,6 +20,22 @@
     pub to: &'static str,
 }
 
+/// Every state with every event, as far as it is legal: `to` names the next state.
+fn legal<S: Copy + Named, E: Copy + Named>(
+    states: &[S], events: &[E], to: impl Fn(S, E) -> Option<&'static str>,
+) -> BTreeSet<Transition> {
+    let pairs = states.iter().flat_map(|state| events.iter().map(move |event| (*state, *event)));
+    pairs
+        .filter_map(|(state, event)| {
+            Some(Transition { from: state.name(), event: event.name(), to: to(state, event)? })
+        })
+        .collect()
+}
+
+fn of_machine<M: Machine>(states: &[M], events: &[M::Event]) -> BTreeSet<Transition> {
+    legal(states, events, |state, event| Some(state.step(event).ok()?.name()))
+}
+
 /// All of a request. A request that is over has no state.
 pub fn request() -> BTreeSet<Transition> {
     let number = 0;
@@ -27,14 +44,10 @@
     let mut events =
         vec![request::Event::Send, request::Event::Refuse, request::Event::Fail, request::Event::Left];
     events.extend(ends);
-    let pairs = states.iter().flat_map(|s| events.iter().map(move |e| (*s, *e)));
-    pairs
-        .filter_map(|(state, event)| {
-            let (next, _) = state.step(event).ok()?;
-            let to = next.map_or("over", |n| n.name());
-            Some(Transition { from: state.name(), event: event.name(), to })
-        })
-        .collect()
+    legal(&states, &events, |state, event| {
+        let (next, _) = state.step(event).ok()?;
+        Some(next.map_or("over", |next| next.name()))
+    })
 }
 
 /// All of an attempt.
@@ -62,13 +75,7 @@
     events.extend(
         [Progress::Unsent, Progress::Partly, Progress::Whole, Progress::Spoilt].map(attempt::Event::Broke),
     );
-    let pairs = states.iter().flat_map(|s| events.iter().map(move |e| (*s, *e)));
-    pairs
-        .filter_map(|(state, event)| {
-            let next = state.step(event).ok()?;
-            Some(Transition { from: state.name(), event: event.name(), to: next.name() })
-        })
-        .collect()
+    of_machine(&states, &events)
 }
 
 /// All states of a connection.
@@ -100,14 +107,7 @@
 
 /// All of a connection.
 pub fn connection() -> BTreeSet<Transition> {
-    let states = connection_states();
-    let pairs = states.iter().flat_map(|s| CONNECTION_EVENTS.iter().map(move |e| (*s, *e)));
-    pairs
-        .filter_map(|(state, event)| {
-            let next = state.step(event).ok()?;
-            Some(Transition { from: state.name(), event: event.name(), to: next.name() })
-        })
-        .collect()
+    of_machine(&connection_states(), &CONNECTION_EVENTS)
 }
 
 /// All of a client's connection.
@@ -128,13 +128,7 @@
         inbound::Event::TimeUp,
         inbound::Event::Closed,
     ];
-    let pairs = states.iter().flat_map(|s| events.iter().map(move |e| (*s, *e)));
-    pairs
-        .filter_map(|(state, event)| {
-            let next = state.step(event).ok()?;
-            Some(Transition { from: state.name(), event: event.name(), to: next.name() })
-        })
-        .collect()
+    of_machine(&states, &events)
 }
 
 /// A table as a Mermaid state diagram. Transitions that lead nowhere else are left out.
--- a/crates/life/tests/machines.rs
+++ b/crates/life/tests/machines.rs
@@ -4,6 +4,7 @@
 use life::connection::{Connection, Event, Progress, Written};
 use life::request::{Effect, End, Event as RequestEvent, Final, Request};
 use life::tables::{self, CONNECTION_EVENTS, Transition};
+use life::{Machine, Named};
 use std::collections::{BTreeSet, HashSet, VecDeque};
 
 /// The diagrams in the documentation are those of the machines.
--- a/crates/rehearsal/src/judge/rules.rs
+++ b/crates/rehearsal/src/judge/rules.rs
@@ -110,15 +110,9 @@
 
 impl<'a> Rules<'a> {
     pub(super) fn new(scenario: &'a Scenario) -> Self {
-        let cold = Cold {
-            from: scenario.node.cold_from.0,
-            time: scenario.node.cold_for.0,
-            multiple: scenario.rules.fall_multiple,
-            window: scenario.rules.fall_time.0,
-        };
         Self {
             scenario,
-            cold,
+            cold: scenario.cold(),
             requests: HashMap::new(),
             tries: HashMap::new(),
             attempts: BTreeMap::new(),
@@ -136,6 +130,11 @@
         self.breaks.push(Break { rule, t: self.now, what, id, node, lines });
     }
 
+    /// Whether a gateway was dead at some time of a span.
+    fn was_dead(&self, gateway: usize, from: f64, to: f64) -> bool {
+        self.gateways.get(&gateway).is_some_and(|g| g.was_dead(from, to))
+    }
+
     /// Takes one event. For the first attempt of a try: whether the quota held its units.
     pub(super) fn take(&mut self, line: usize, event: &Event) -> Option<bool> {
         let t = event.t;
@@ -152,9 +151,7 @@
             What::Answered { id, answer, status, body } => self.answered(line, *id, *answer, *status, *body),
             What::Ended { id, bytes } => self.ended(line, *id, *bytes),
             What::Left { id, patience_over } => self.left(line, *id, *patience_over),
-            What::Stray { gateway, after }
-                if !self.gateways.get(gateway).is_some_and(|g| g.was_dead(t, t)) =>
-            {
+            What::Stray { gateway, after } if !self.was_dead(*gateway, t, t) => {
                 let what = format!("gateway {gateway} sent bytes after its final answer");
                 self.broke(Rule::OneAnswer, *after, None, vec![line], what);
             }
@@ -203,8 +200,7 @@
     }
 
     fn offered(&mut self, request: u32, account: u32, plan: &str, class: &str, units: f64) {
-        let found =
-            self.scenario.plan.iter().position(|p| p.name == plan).zip(self.scenario.class_named(class));
+        let found = self.scenario.plan_place(plan).zip(self.scenario.class_named(class));
         let Some((plan, class)) = found else { return };
         let memory = class.memory.map_or(0.0, |m| m.0);
         self.requests.insert(request, Request { account, effect: class.effect, memory, plan, units });
@@ -265,7 +261,7 @@
         let Some(state) = self.tries.get_mut(&id) else { return };
         state.left = true;
         let Some(asked) = state.asked.filter(|_| patience_over && state.answered.is_none()) else { return };
-        if !self.gateways.get(&asked.gateway).is_some_and(|g| g.was_dead(asked.at, now)) {
+        if !self.was_dead(asked.gateway, asked.at, now) {
             let what = format!("try {id} got no answer before its client's time was up");
             self.broke(Rule::OneAnswer, Some(id), None, vec![asked.line, line], what);
         }
@@ -503,7 +499,7 @@
             .filter(|(_, asked)| self.now > asked.deadline + slack)
             .collect();
         for (id, asked) in overdue {
-            if !self.gateways.get(&asked.gateway).is_some_and(|g| g.was_dead(asked.at, asked.deadline)) {
+            if !self.was_dead(asked.gateway, asked.at, asked.deadline) {
                 self.now = asked.deadline + slack;
                 self.broke(
                     Rule::OneAnswer,
--- a/crates/rehearsal/src/judge/score.rs
+++ b/crates/rehearsal/src/judge/score.rs
@@ -164,8 +164,9 @@
 
     fn offer(&mut self, t: f64, request: u32, account: u32, plan: &str, class: &str, units: f64) {
         let scenario = self.scenario;
-        let places = scenario.plan.iter().position(|p| p.name == plan);
-        let Some((plan, class)) = places.zip(scenario.class.iter().position(|c| c.name == class)) else {
+        let Some((plan, class)) =
+            scenario.plan_place(plan).zip(scenario.class.iter().position(|c| c.name == class))
+        else {
             return;
         };
         let terms = &scenario.plan[plan];
--- a/crates/rehearsal/src/plan.rs
+++ b/crates/rehearsal/src/plan.rs
@@ -3,6 +3,7 @@
 //! No I/O and no clock. What is drawn here does not depend on what the gateways do, so two builds get the same day.
 
 use crate::scenario::{Scenario, TroubleKind};
+use crate::units::{Range, Share, Time};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -125,11 +126,11 @@
 }
 
 /// What a calm and a spiky account use of their rate, and a full one.
-const CALM: (f64, f64) = (0.17, 0.5);
+const CALM: Range<Share> = Range::of(0.17, 0.5);
 const FULL: f64 = 0.93;
 /// A spike's length and the time between two, in ms.
-const SPIKE: (f64, f64) = (1200.0, 4700.0);
-const SPIKE_EVERY: (f64, f64) = (10_000.0, 25_000.0);
+const SPIKE: Range<Time> = Range::of(1200.0, 4700.0);
+const SPIKE_EVERY: Range<Time> = Range::of(10_000.0, 25_000.0);
 
 impl Day {
     /// Draws the day of a scenario.
@@ -185,12 +186,11 @@
             _ => self.ask(scenario, account, base, (0.0, length), random),
         }
         if used == Use::Spiky {
-            let between = |(low, high): (f64, f64), draw: f64| low + (high - low) * draw;
-            let mut at = between(SPIKE_EVERY, random.random()) * random.random::<f64>();
+            let mut at = SPIKE_EVERY.at(random.random()) * random.random::<f64>();
             while at < length {
-                let end = at + between(SPIKE, random.random());
+                let end = at + SPIKE.at(random.random());
                 self.ask(scenario, account, terms.rate.0 * terms.spike_times, (at, end.min(length)), random);
-                at = end + between(SPIKE_EVERY, random.random());
+                at = end + SPIKE_EVERY.at(random.random());
             }
         }
     }
@@ -228,8 +228,7 @@
                 }
                 TroubleKind::Flood => {
                     let count = trouble.accounts.unwrap_or(1);
-                    let plan =
-                        trouble.plan.as_ref().and_then(|n| scenario.plan.iter().position(|p| p.name == *n));
+                    let plan = trouble.plan.as_ref().and_then(|name| scenario.plan_place(name));
                     (0..count)
                         .map(|_| {
                             let plan = plan.unwrap_or_else(|| random.random_range(0..scenario.plan.len()));
@@ -268,7 +267,7 @@
 }
 
 fn usage(full: f64, heavy: f64, spiky: f64, random: &mut impl Rng) -> (Use, f64) {
-    let calm = CALM.0 + (CALM.1 - CALM.0) * random.random::<f64>();
+    let calm = CALM.at(random.random());
     match place([full, heavy, spiky, 1.0].into_iter(), random.random()) {
         0 => (Use::Full, FULL),
         1 => (Use::Heavy, 1.0),
--- a/crates/rehearsal/src/play/counter.rs
+++ b/crates/rehearsal/src/play/counter.rs
@@ -166,14 +166,8 @@
             return (now, "-ERR name\r\n".into());
         }
         let figures = &self.kit.scenario.counter;
-        let slow: f64 = self
-            .kit
-            .scenario
-            .trouble
-            .iter()
-            .filter(|t| t.kind == TroubleKind::CounterSlow && t.is_on(now))
-            .filter_map(|t| t.by.map(|by| by.0))
-            .sum();
+        let slow = self.kit.troubles_now(TroubleKind::CounterSlow);
+        let slow: f64 = slow.filter_map(|t| t.by.map(|by| by.0)).sum();
         let answer = self.tally.borrow_mut().add(now, name, amount, life as f64);
         self.kit.note(What::Counted { busy: answer == Answer::Busy });
         match answer {
--- a/crates/rehearsal/src/play/kit.rs
+++ b/crates/rehearsal/src/play/kit.rs
@@ -3,7 +3,7 @@
 use super::Order;
 use crate::log::{self, Answer, Event, Header, TryId, What};
 use crate::plan::{Day, Stream, random};
-use crate::scenario::{Scenario, TroubleKind};
+use crate::scenario::{Scenario, Trouble, TroubleKind};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use std::cell::{Cell, RefCell};
@@ -217,21 +217,20 @@
         self.services_random.borrow_mut().random()
     }
 
+    /// The troubles of a kind that are on now.
+    pub(super) fn troubles_now(&self, kind: TroubleKind) -> impl Iterator<Item = &Trouble> {
+        let now = self.now();
+        self.scenario.trouble.iter().filter(move |t| t.kind == kind && t.is_on(now))
+    }
+
     /// The share of a kind of trouble that is on now; 0 where none is.
     pub(super) fn part_now(&self, kind: TroubleKind) -> f64 {
-        let now = self.now();
-        self.scenario
-            .trouble
-            .iter()
-            .filter(|t| t.kind == kind && t.is_on(now))
-            .map(|t| t.part())
-            .fold(0.0, f64::max)
+        self.troubles_now(kind).map(Trouble::part).fold(0.0, f64::max)
     }
 
     /// Whether a kind of trouble is on now.
     pub(super) fn is_on(&self, kind: TroubleKind) -> bool {
-        let now = self.now();
-        self.scenario.trouble.iter().any(|t| t.kind == kind && t.is_on(now))
+        self.troubles_now(kind).next().is_some()
     }
 
     /// Requests offered and answers so far.
--- a/crates/rehearsal/src/play/node.rs
+++ b/crates/rehearsal/src/play/node.rs
@@ -3,7 +3,7 @@
 use super::kit::Kit;
 use super::wire::{Connection, NoMessage, answer, ok};
 use crate::log::{NodeState, Reply, TryId, What};
-use crate::node::{Cold, Figures, Job, Node, Step};
+use crate::node::{Figures, Job, Node, Step};
 use crate::plan::exponential;
 use crate::scenario::{Effect, TroubleKind};
 use std::cell::{Cell, RefCell};
@@ -96,12 +96,7 @@
                 speed: plan.speed,
                 slots: node.slots_per_core * plan.cores,
                 waiting: node.waiting_per_core * plan.cores,
-                cold: Cold {
-                    from: node.cold_from.0,
-                    time: node.cold_for.0,
-                    multiple: kit.scenario.rules.fall_multiple,
-                    window: kit.scenario.rules.fall_time.0,
-                },
+                cold: kit.scenario.cold(),
             };
             let stand = Rc::new(Stand {
                 kit: kit.clone(),
--- a/crates/rehearsal/src/play/troubles.rs
+++ b/crates/rehearsal/src/play/troubles.rs
@@ -7,6 +7,7 @@
 use super::node::Nodes;
 use crate::log::What;
 use crate::scenario::{Trouble, TroubleKind};
+use crate::units::{Range, Time};
 use std::io;
 use std::rc::Rc;
 use tokio::task::spawn_local;
@@ -14,7 +15,7 @@
 /// A node that drains has this long to finish what it holds, in ms, before its process ends.
 const DRAIN: f64 = 3000.0;
 /// How long the front goes on sending to a gateway that was asked to end, in ms.
-const RESTART_NOTICE: (f64, f64) = (200.0, 400.0);
+const RESTART_NOTICE: Range<Time> = Range::of(200.0, 400.0);
 /// Fallen nodes are looked for this often, in ms.
 const LOOK: f64 = 50.0;
 
@@ -77,8 +78,7 @@
             TroubleKind::RestartGateways => {
                 // One after the other, as a planned restart goes.
                 for gateway in struck {
-                    let (low, high) = RESTART_NOTICE;
-                    let notices = low + (high - low) * self.kit.service_draw();
+                    let notices = RESTART_NOTICE.at(self.kit.service_draw());
                     self.gateways.restart(*gateway, notices, lasts / struck.len() as f64).await?;
                 }
             }
--- a/crates/rehearsal/src/report/series.rs
+++ b/crates/rehearsal/src/report/series.rs
@@ -77,8 +77,7 @@
         for Event { t, what } in events {
             match what {
                 What::Offered { request, plan, class, .. } => {
-                    let places =
-                        scenario.plan.iter().position(|p| p.name == *plan).zip(scenario.class_named(class));
+                    let places = scenario.plan_place(plan).zip(scenario.class_named(class));
                     if let Some((plan, class)) = places {
                         wishes.insert(*request, Wish { at: *t, plan, aim: class.aim.0, served: false });
                     }
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -1,5 +1,6 @@
 //! Scenario files: TOML with explicit units, read once, checked whole. An error names the file, the line and the key.
 
+use crate::node::Cold;
 use crate::units::{Quantity, Range, Rate, Share, Time};
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -637,7 +638,7 @@
         if kind == TroubleKind::Flood && !(1..=10).contains(&trouble.accounts.unwrap_or(1)) {
             return fault("accounts", "must be from 1 to 10");
         }
-        if trouble.plan.as_ref().is_some_and(|name| !self.plan.iter().any(|p| p.name == *name)) {
+        if trouble.plan.as_ref().is_some_and(|name| self.plan_place(name).is_none()) {
             return fault("plan", "there is no such plan");
         }
         Ok(())
@@ -648,9 +649,19 @@
         self.class.iter().find(|c| c.name == name)
     }
 
-    /// The plan of a name.
-    pub fn plan_named(&self, name: &str) -> Option<&PlanFigures> {
-        self.plan.iter().find(|p| p.name == name)
+    /// The place of the plan of a name.
+    pub fn plan_place(&self, name: &str) -> Option<usize> {
+        self.plan.iter().position(|p| p.name == name)
+    }
+
+    /// How nodes start and when they fall: one reading of it for nodes and judge.
+    pub fn cold(&self) -> Cold {
+        Cold {
+            from: self.node.cold_from.0,
+            time: self.node.cold_for.0,
+            multiple: self.rules.fall_multiple,
+            window: self.rules.fall_time.0,
+        }
     }
 }
 
--- a/crates/routes/src/classes.rs
+++ b/crates/routes/src/classes.rs
@@ -5,10 +5,10 @@
 //! playlist-save: {effect: keyed, group: cell, key-memory: 4s, aim: 800ms}
 //! ```
 
-use crate::node::{self, Node};
-use crate::openapi::{Unusable, figures};
+use crate::node::Node;
+use crate::openapi::{figures, parsed};
 use crate::rule::Rule;
-use crate::table::{Conflict, Operation, Source};
+use crate::table::{Conflict, Operation, Source, Unusable};
 use std::collections::BTreeMap;
 
 /// Classes by name: what holds for each, and where it is said.
@@ -19,13 +19,12 @@
 /// # Errors
 /// At the first thing in it that cannot be used.
 pub fn read(file: &str, text: &[u8]) -> Result<Classes, Unusable> {
-    let source = |line, pointer: String| Source { file: file.into(), line, pointer };
-    let root = node::parse(text)
-        .map_err(|error| Unusable { source: source(error.line, String::new()), what: error.what })?;
+    let root = parsed(file, text)?;
     let entry = |(name, node): &(String, Node)| {
         let pointer = format!("/{name}");
         let rule = figures(file, node, &pointer, "")?;
-        Ok((name.clone(), (Rule { class: Some(name.clone()), ..rule }, source(node.line, pointer))))
+        let source = Source { file: file.into(), line: node.line, pointer };
+        Ok((name.clone(), (Rule { class: Some(name.clone()), ..rule }, source)))
     };
     root.map().iter().map(entry).collect()
 }
--- a/crates/routes/src/openapi.rs
+++ b/crates/routes/src/openapi.rs
@@ -3,31 +3,13 @@
 
 use crate::node::{self, Node, Value};
 use crate::rule::{Effect, Group, Parameter, Place, Rule, Units};
-use crate::table::{Operation, Source};
-use std::fmt;
+use crate::table::{Operation, Source, Unusable};
 
 /// References that lead to references are followed so far.
 const DEEPEST_REFERENCE: usize = 16;
 const METHODS: [&str; 8] = ["get", "put", "post", "delete", "options", "head", "patch", "trace"];
 const PREFIX: &str = "x-fennelscale-";
 
-/// Why a description cannot be used.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Unusable {
-    /// Where.
-    pub source: Source,
-    /// What is wrong, and what would be right.
-    pub what: String,
-}
-
-impl fmt::Display for Unusable {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}", self.source, self.what)
-    }
-}
-
-impl std::error::Error for Unusable {}
-
 struct Reader<'d> {
     file: &'d str,
     root: &'d Node,
@@ -38,11 +20,16 @@
 /// # Errors
 /// At the first thing in it that cannot be used.
 pub fn read(file: &str, text: &[u8]) -> Result<Vec<Operation>, Unusable> {
-    let root = node::parse(text).map_err(|error| Unusable {
+    let root = parsed(file, text)?;
+    Reader { file, root: &root }.operations()
+}
+
+/// A file's text as a tree.
+pub(crate) fn parsed(file: &str, text: &[u8]) -> Result<Node, Unusable> {
+    node::parse(text).map_err(|error| Unusable {
         source: Source { file: file.into(), line: error.line, pointer: String::new() },
         what: error.what,
-    })?;
-    Reader { file, root: &root }.operations()
+    })
 }
 
 /// A time with its unit, in ms: `250ms`, `4s`, `2m`.
@@ -128,11 +115,7 @@
                     let what = format!("the operationId {id} stands at line {line} already");
                     return self.fail(node, &pointer, what);
                 }
-                let rule = self.operation(item, node, method, &pointer)?.strictest(shared.clone());
-                if rule.effect == Effect::Keyed && !self.has_key(item, node, &pointer)? {
-                    let what = "keyed, without a required header parameter Idempotency-Key: nobody could drop a repeat";
-                    return self.fail(node, &pointer, what);
-                }
+                let rule = self.operation(item, &shared, node, method, &pointer)?;
                 operations.push(Operation {
                     method: method.to_ascii_uppercase(),
                     template: format!("{prefix}{path}"),
@@ -168,16 +151,20 @@
         Ok(path.to_owned())
     }
 
-    /// The rule of an operation: what it says itself, and where it says nothing of its effect, its method and key.
+    /// The rule of an operation: what it says itself, and where it says nothing of its effect, its method and key; joined with
+    /// the rule that its path has for all.
     fn operation(
-        &self, item: &'d Node, node: &'d Node, method: &str, pointer: &str,
+        &self, item: &'d Node, shared: &Rule, node: &'d Node, method: &str, pointer: &str,
     ) -> Result<Rule, Unusable> {
         let mut rule = self.rule(node, pointer)?;
         if rule.class.is_none() {
             let tags = node.get("tags").map_or(&[][..], Node::list);
             rule.class = tags.first().and_then(Node::text).map(str::to_owned);
         }
-        let key = self.has_key(item, node, pointer)?;
+        let known = self.parameters(item, node, pointer)?;
+        let key = known.iter().any(|(parameter, required)| {
+            *required && parameter.place == Place::Header && parameter.name == "idempotency-key"
+        });
         // PUT and DELETE may be repeated by HTTP's word, but nobody has said so of this one's cost.
         let by_method = match method {
             "get" | "head" | "options" => Effect::Safe,
@@ -187,22 +174,19 @@
         if node.get(&format!("{PREFIX}effect")).is_none() && item.get(&format!("{PREFIX}effect")).is_none() {
             rule.effect = by_method;
         }
-        let known = self.parameters(item, node, pointer)?;
         if let Some(parameter) = rule.units.by.keys().find(|p| !known.iter().any(|(k, _)| k == *p)) {
             let what = format!("units by {}, which is no parameter of it", parameter.name);
             return self.fail(node, pointer, what);
         }
+        let rule = rule.strictest(shared.clone());
+        if rule.effect == Effect::Keyed && !key {
+            let what =
+                "keyed, without a required header parameter Idempotency-Key: nobody could drop a repeat";
+            return self.fail(node, pointer, what);
+        }
         Ok(rule)
     }
 
-    fn has_key(&self, item: &'d Node, node: &'d Node, pointer: &str) -> Result<bool, Unusable> {
-        let all = self.parameters(item, node, pointer)?;
-        let key = |(p, required): &(Parameter, bool)| {
-            *required && p.place == Place::Header && p.name == "idempotency-key"
-        };
-        Ok(all.iter().any(key))
-    }
-
     /// The parameters of an operation and its path, and whether they are required.
     fn parameters(
         &self, item: &'d Node, node: &'d Node, pointer: &str,
@@ -211,16 +195,10 @@
         for list in [item, node].into_iter().filter_map(|n| n.get("parameters")) {
             for parameter in list.list() {
                 let parameter = self.resolve(parameter, pointer)?;
+                let Some(place) = place(parameter) else { continue };
                 let name = parameter.get("name").and_then(Node::text).unwrap_or_default();
-                let place = match parameter.get("in").and_then(Node::text) {
-                    Some("path") => Place::Path,
-                    Some("query") => Place::Query,
-                    Some("header") => Place::Header,
-                    _ => continue,
-                };
-                let name = if place == Place::Header { name.to_ascii_lowercase() } else { name.to_owned() };
                 let required = parameter.get("required").is_some_and(|r| r.value == Value::Bool(true));
-                found.push((Parameter { place, name }, required));
+                found.push((Parameter::new(place, name), required));
             }
         }
         Ok(found)
@@ -269,6 +247,11 @@
     Ok(())
 }
 
+/// Where a parameter is said to stand.
+fn place(node: &Node) -> Option<Place> {
+    node.get("in").and_then(Node::text).and_then(Place::named)
+}
+
 /// A number, or `{in, name, least, most}`: the value of a parameter.
 fn units(node: &Node) -> Result<Units, String> {
     let number = |node: &Node| match node.value {
@@ -278,17 +261,10 @@
     if let Some(least) = number(node) {
         return Ok(Units { least, ..Units::default() });
     }
-    let place = match node.get("in").and_then(Node::text) {
-        Some("path") => Some(Place::Path),
-        Some("query") => Some(Place::Query),
-        Some("header") => Some(Place::Header),
-        _ => None,
-    };
     let bound = |key: &str| node.get(key).and_then(number);
-    match (place, node.get("name").and_then(Node::text), bound("least"), bound("most")) {
+    match (place(node), node.get("name").and_then(Node::text), bound("least"), bound("most")) {
         (Some(place), Some(name), Some(least), Some(most)) if least <= most => {
-            let name = if place == Place::Header { name.to_ascii_lowercase() } else { name.to_owned() };
-            Ok(Units { least, by: [(Parameter { place, name }, (least, most))].into() })
+            Ok(Units { least, by: [(Parameter::new(place, name), (least, most))].into() })
         }
         _ => Err("units are a whole number above 0, or in, name, least and most of a parameter".into()),
     }
--- a/crates/routes/src/rule.rs
+++ b/crates/routes/src/rule.rs
@@ -63,6 +63,18 @@
     Header,
 }
 
+impl Place {
+    /// Reads its name.
+    pub fn named(name: &str) -> Option<Self> {
+        Some(match name {
+            "path" => Self::Path,
+            "query" => Self::Query,
+            "header" => Self::Header,
+            _ => return None,
+        })
+    }
+}
+
 /// A parameter whose value is a number of units.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Parameter {
@@ -72,6 +84,14 @@
     pub name: String,
 }
 
+impl Parameter {
+    /// A parameter by its place and its name as it is written there.
+    pub fn new(place: Place, name: &str) -> Self {
+        let name = if place == Place::Header { name.to_ascii_lowercase() } else { name.to_owned() };
+        Self { place, name }
+    }
+}
+
 /// The units that an operation costs: the greatest of a constant and of the values of its parameters.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Units {
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -99,12 +99,12 @@
     rule
 }
 
-/// A template that cannot be matched.
+/// What cannot be used: a description, a table of classes, a template that cannot be matched.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Unusable {
     /// Where it stands.
     pub source: Source,
-    /// What is wrong.
+    /// What is wrong, and what would be right.
     pub what: String,
 }
 
--- a/gateway/src/cli.rs
+++ b/gateway/src/cli.rs
@@ -39,39 +39,33 @@
     pub deed: RoutesDeed,
 }
 
+/// What routes are made of.
+#[derive(Debug, clap::Args)]
+pub struct Descriptions {
+    /// OpenAPI descriptions, JSON or YAML
+    #[arg(required = true)]
+    pub files: Vec<PathBuf>,
+    /// The operator's table of classes
+    #[arg(long, value_name = "FILE")]
+    pub classes: Option<PathBuf>,
+}
+
 /// What `routes` does.
 #[derive(Debug, Subcommand)]
 pub enum RoutesDeed {
     /// Tells where descriptions, and the table of classes, say different things of one operation
-    Check {
-        /// OpenAPI descriptions, JSON or YAML
-        #[arg(required = true)]
-        files: Vec<PathBuf>,
-        /// The operator's table of classes
-        #[arg(long, value_name = "FILE")]
-        classes: Option<PathBuf>,
-    },
+    Check(Descriptions),
     /// Prints each operation and what holds for it
-    Show {
-        /// OpenAPI descriptions, JSON or YAML
-        #[arg(required = true)]
-        files: Vec<PathBuf>,
-        /// The operator's table of classes
-        #[arg(long, value_name = "FILE")]
-        classes: Option<PathBuf>,
-    },
+    Show(Descriptions),
     /// Tells which operation a request is, and who says what of it
     Explain {
         /// The method
         method: String,
         /// The path, without a query
         path: String,
-        /// OpenAPI descriptions, JSON or YAML
-        #[arg(required = true)]
-        files: Vec<PathBuf>,
-        /// The operator's table of classes
-        #[arg(long, value_name = "FILE")]
-        classes: Option<PathBuf>,
+        /// What describes it.
+        #[command(flatten)]
+        descriptions: Descriptions,
     },
     /// Compares two descriptions and marks each figure that loosens
     Diff {
--- a/gateway/src/rehearse.rs
+++ b/gateway/src/rehearse.rs
@@ -36,7 +36,7 @@
 
 type Done = Result<Ending, String>;
 
-fn told<E: Display>(what: impl Display) -> impl FnOnce(E) -> String {
+pub(crate) fn told<E: Display>(what: impl Display) -> impl FnOnce(E) -> String {
     move |error| format!("{what}: {error}")
 }
 
--- a/gateway/src/routes.rs
+++ b/gateway/src/routes.rs
@@ -1,55 +1,59 @@
 //! `fennelscale routes`: reads descriptions and tells what routes they make.
 
-use crate::cli::RoutesDeed;
+use crate::cli::{Descriptions, RoutesDeed};
+use crate::rehearse::told;
+use crate::unusable;
 use fennelscale_routes::classes;
 use fennelscale_routes::openapi;
 use fennelscale_routes::rule::Rule;
-use fennelscale_routes::table::{Conflict, Match, Operation, Table};
-use std::path::{Path, PathBuf};
+use fennelscale_routes::table::{Conflict, Match, Operation, Table, Unusable};
+use std::collections::BTreeMap;
+use std::path::Path;
 use std::process::ExitCode;
 
 /// Does one deed of `routes`.
 pub fn run(deed: &RoutesDeed) -> ExitCode {
     let done = match deed {
-        RoutesDeed::Check { files, classes } => check(files, classes.as_deref()),
-        RoutesDeed::Show { files, classes } => show(files, classes.as_deref()),
-        RoutesDeed::Explain { method, path, files, classes } => {
-            explain(method, path, files, classes.as_deref())
-        }
+        RoutesDeed::Check(descriptions) => check(descriptions),
+        RoutesDeed::Show(descriptions) => show(descriptions),
+        RoutesDeed::Explain { method, path, descriptions } => explain(method, path, descriptions),
         RoutesDeed::Diff { old, new } => diff(old, new),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(1),
-        Err(what) => {
-            eprintln!("fennelscale: {what}");
-            ExitCode::from(2)
-        }
+        Err(what) => unusable(&what),
     }
 }
 
-fn read(file: &Path) -> Result<Vec<u8>, String> {
-    std::fs::read(file).map_err(|error| format!("{}: {error}", file.display()))
+/// A file, read by one of the package's readers.
+fn read<T>(file: &Path, by: fn(&str, &[u8]) -> Result<T, Unusable>) -> Result<T, String> {
+    let text = std::fs::read(file).map_err(told(file.display()))?;
+    by(&file.display().to_string(), &text).map_err(|error| error.to_string())
 }
 
 /// All operations of some descriptions, held to their classes, and who gave way to a class.
-fn operations(files: &[PathBuf], table: Option<&Path>) -> Result<(Vec<Operation>, Vec<Conflict>), String> {
-    let known = match table {
-        Some(file) => classes::read(&file.display().to_string(), &read(file)?).map_err(|e| e.to_string())?,
+fn operations(descriptions: &Descriptions) -> Result<(Vec<Operation>, Vec<Conflict>), String> {
+    let known = match &descriptions.classes {
+        Some(file) => read(file, classes::read)?,
         None => classes::Classes::new(),
     };
     let mut all = Vec::new();
-    for file in files {
-        all.extend(openapi::read(&file.display().to_string(), &read(file)?).map_err(|e| e.to_string())?);
+    for file in &descriptions.files {
+        all.extend(read(file, openapi::read)?);
     }
     let conflicts = all.iter_mut().filter_map(|operation| classes::hold(operation, &known)).collect();
     Ok((all, conflicts))
 }
 
-fn check(files: &[PathBuf], table: Option<&Path>) -> Result<bool, String> {
-    let (all, mut conflicts) = operations(files, table)?;
+fn joined(operations: Vec<Operation>) -> Result<(Table, Vec<Conflict>), String> {
+    Table::of(operations).map_err(|error| error.to_string())
+}
+
+fn check(descriptions: &Descriptions) -> Result<bool, String> {
+    let (all, mut conflicts) = operations(descriptions)?;
     let count = all.len();
-    let (_, more) = Table::of(all).map_err(|error| error.to_string())?;
+    let (_, more) = joined(all)?;
     conflicts.extend(more);
     for Conflict { operation, first, second, outcome } in &conflicts {
         println!("conflict: {operation}");
@@ -61,23 +65,24 @@
     Ok(conflicts.is_empty())
 }
 
-fn show(files: &[PathBuf], table: Option<&Path>) -> Result<bool, String> {
-    let (table, _) = Table::of(operations(files, table)?.0).map_err(|error| error.to_string())?;
+fn show(descriptions: &Descriptions) -> Result<bool, String> {
+    let (table, _) = joined(operations(descriptions)?.0)?;
     for (method, entry) in table.entries() {
         println!("{method} {}: {}", entry.template, entry.rule);
     }
     Ok(true)
 }
 
-fn explain(method: &str, path: &str, files: &[PathBuf], table: Option<&Path>) -> Result<bool, String> {
-    let (all, conflicts) = operations(files, table)?;
+fn explain(method: &str, path: &str, descriptions: &Descriptions) -> Result<bool, String> {
+    let method = method.to_ascii_uppercase();
+    let (all, conflicts) = operations(descriptions)?;
     let said: Vec<_> = all.iter().map(|o| (o.source.clone(), o.rule.clone())).collect();
-    let (table, _) = Table::of(all).map_err(|error| error.to_string())?;
-    match table.find(&method.to_ascii_uppercase(), path).map_err(|unclear| format!("{path}: {unclear}"))? {
+    let (table, _) = joined(all)?;
+    match table.find(&method, path).map_err(|unclear| format!("{path}: {unclear}"))? {
         Match::Path => println!("404: no path matches {path}"),
         Match::Method(methods) => println!("405: {path} is known for {}", methods.join(", ")),
         Match::Operation(entry, parameters) => {
-            println!("{} {}: {}", method.to_ascii_uppercase(), entry.template, entry.rule);
+            println!("{method} {}: {}", entry.template, entry.rule);
             for (name, value) in parameters {
                 println!("  {name} = {value}");
             }
@@ -93,19 +98,20 @@
     Ok(false)
 }
 
+/// The rules of a table by method and path.
+fn rules(table: &Table) -> BTreeMap<(&str, &str), &Rule> {
+    table.entries().map(|(method, entry)| ((method, entry.template.as_str()), &entry.rule)).collect()
+}
+
 fn diff(old: &Path, new: &Path) -> Result<bool, String> {
-    let table = |file: &Path| -> Result<Table, String> {
-        Ok(Table::of(operations(&[file.into()], None)?.0).map_err(|error| error.to_string())?.0)
-    };
-    let (old, new) = (table(old)?, table(new)?);
-    let rule = |table: &Table, method: &str, template: &str| -> Option<Rule> {
-        table.entries().find(|(m, e)| *m == method && e.template == template).map(|(_, e)| e.rule.clone())
-    };
+    let (old, _) = joined(read(old, openapi::read)?)?;
+    let (new, _) = joined(read(new, openapi::read)?)?;
+    let (before, after) = (rules(&old), rules(&new));
     let mut tight = true;
     for (method, entry) in old.entries() {
-        match rule(&new, method, &entry.template) {
+        match after.get(&(method, entry.template.as_str())) {
             None => println!("gone: {method} {}", entry.template),
-            Some(now) if now != entry.rule => {
+            Some(now) if **now != entry.rule => {
                 let loosens = !now.is_as_strict_as(&entry.rule);
                 tight &= !loosens;
                 let word = if loosens { "LOOSENS" } else { "changes" };
@@ -115,7 +121,7 @@
         }
     }
     for (method, entry) in new.entries() {
-        if rule(&old, method, &entry.template).is_none() {
+        if !before.contains_key(&(method, entry.template.as_str())) {
             println!("new: {method} {}: {}", entry.template, entry.rule);
         }
     }
--- a/gateway/tests/helper/mod.rs
+++ b/gateway/tests/helper/mod.rs
@@ -159,7 +159,12 @@
 
 /// One line of the list.
 pub fn row(name: &str, at: SocketAddr, health: &str) -> String {
-    format!(r#"{{"host":"{name}","dial":"{at}","site":"z","block":0,"health":"{health}","born_ms":0}}"#)
+    row_in(0, name, at, health)
+}
+
+/// The same in a rack of a number.
+pub fn row_in(rack: usize, name: &str, at: SocketAddr, health: &str) -> String {
+    format!(r#"{{"host":"{name}","dial":"{at}","site":"z","block":{rack},"health":"{health}","born_ms":0}}"#)
 }
 
 pub fn list(seq: u64, whole: bool, rows: &[String]) -> String {
@@ -261,24 +266,11 @@
                 let (totals, calls, mood) = (totals.clone(), calls.clone(), mood.clone());
                 tokio::spawn(async move {
                     let mut stream = BufReader::new(stream);
-                    while let Some(words) = words(&mut stream).await {
-                        if words[0] == "PING" {
-                            stream.write_all(b"+PONG\r\n").await.unwrap_or(());
-                            continue;
-                        }
-                        assert_eq!((words[0].as_str(), words.len()), ("ADDGET", 4));
+                    while let Some((name, amount)) = called(&mut stream).await {
                         calls.fetch_add(1, Ordering::SeqCst);
                         let mood = *mood.lock().expect("lock");
                         let reply = match mood {
-                            Mood::Adds | Mood::Late(_) | Mood::Spoils(_) => {
-                                let amount: f64 = words[2].parse().expect("an amount");
-                                assert!(words[3].parse::<u64>().expect("a whole life") >= 1);
-                                let mut totals = totals.lock().expect("lock");
-                                let total = totals.entry(words[1].clone()).or_default();
-                                *total += amount;
-                                let text = total.to_string();
-                                format!("${}\r\n{text}\r\n", text.len())
-                            }
+                            Mood::Adds | Mood::Late(_) | Mood::Spoils(_) => added(&totals, name, amount),
                             Mood::Busy => "-BUSY\r\n".into(),
                             Mood::Babbles => "?what\r\n".into(),
                             Mood::Silent => continue,
@@ -296,7 +288,30 @@
     }
 }
 
-pub async fn words(stream: &mut BufReader<TcpStream>) -> Option<Vec<String>> {
+/// The next call of a counter: what is to be added to which name. Greetings before it are answered.
+pub async fn called(stream: &mut BufReader<TcpStream>) -> Option<(String, f64)> {
+    loop {
+        let words = words(stream).await?;
+        if words[0] == "PING" {
+            stream.write_all(b"+PONG\r\n").await.unwrap_or(());
+            continue;
+        }
+        assert_eq!((words[0].as_str(), words.len()), ("ADDGET", 4));
+        assert!(words[3].parse::<u64>().expect("a whole life") >= 1);
+        return Some((words[1].clone(), words[2].parse().expect("an amount")));
+    }
+}
+
+/// Adds to a name; the answer that tells its total.
+pub fn added(totals: &Mutex<HashMap<String, f64>>, name: String, amount: f64) -> String {
+    let mut totals = totals.lock().expect("lock");
+    let total = totals.entry(name).or_default();
+    *total += amount;
+    let text = total.to_string();
+    format!("${}\r\n{text}\r\n", text.len())
+}
+
+async fn words(stream: &mut BufReader<TcpStream>) -> Option<Vec<String>> {
     let mut line = String::new();
     stream.read_line(&mut line).await.ok()?;
     let count: usize = line.trim_end().strip_prefix('*')?.parse().ok()?;
--- a/gateway/tests/stories.rs
+++ b/gateway/tests/stories.rs
@@ -6,7 +6,7 @@
 
 mod helper;
 
-use helper::{Discovery, Gateway, Heard, Setup, hear, soon, words};
+use helper::{Discovery, Gateway, Heard, Setup, added, called, hear, row_in, soon};
 use life::request::Final;
 use life_check::explore::{System, tell};
 use life_check::trace;
@@ -153,11 +153,7 @@
         totals: Arc<Mutex<HashMap<String, f64>>>,
     ) {
         let mut stream = BufReader::new(stream);
-        while let Some(words) = words(&mut stream).await {
-            if words[0] == "PING" {
-                stream.write_all(b"+PONG\r\n").await.unwrap_or(());
-                continue;
-            }
+        while let Some((name, amount)) = called(&mut stream).await {
             let less = |n: usize| n.checked_sub(1);
             let fate = if quota.fetch_update(Ordering::SeqCst, Ordering::SeqCst, less).is_ok() {
                 let (say, told) = oneshot::channel();
@@ -169,17 +165,10 @@
             if fate == Fate::Lost {
                 return;
             }
-            let amount: f64 = words[2].parse().expect("an amount");
-            let total = {
-                let mut totals = totals.lock().expect("lock");
-                let total = totals.entry(words[1].clone()).or_default();
-                *total += amount;
-                total.to_string()
-            };
+            let reply = added(&totals, name, amount);
             if fate == Fate::Unheard {
                 return;
             }
-            let reply = format!("${}\r\n{total}\r\n", total.len());
             stream.write_all(reply.as_bytes()).await.unwrap_or(());
         }
     }
@@ -214,9 +203,7 @@
     let mut nodes = Nodes::start(system.bounds.nodes.into()).await;
     let mut counter = Counter::start().await;
     let discovery = Discovery::start().await;
-    let row = |(n, at): (usize, &SocketAddr)| {
-        format!(r#"{{"host":"n{n}","dial":"{at}","site":"z","block":{n},"health":"in_service","born_ms":0}}"#)
-    };
+    let row = |(n, at): (usize, &SocketAddr)| row_in(n, &format!("n{n}"), *at, "in_service");
     let rows: Vec<String> = nodes.at.iter().enumerate().map(row).collect();
     let setup = Setup { ease: 50, ..Setup::knowing(&rows) };
     let mut gateway = Gateway::start(discovery.at, counter.at, &setup).await;
