--- /dev/null
+++ b/crates/admission/src/admission.rs
@@ -0,0 +1,767 @@
+//! The decisions on connections: admit, hold, refuse now, or evict whom.
+//!
+//! # Room
+//! Of `room` connections, `reserve` are for known clients alone and `newcomers` for strangers alone:
+//! a stranger is admitted while strangers hold less than `room - reserve`, a known client while known ones hold less than
+//! `room - newcomers`, and both while all together hold less than `room`. Where that says no, an idle connection is asked to leave
+//! ([`crate::order`]): a stranger's for anybody, a known client's for strangers only while known clients hold more than
+//! their reserve, and never one of a client that holds less than the one that comes would. Who comes is held meanwhile, for a
+//! bounded time in a bounded line, and refused when that is over.
+//!
+//! # What the host owes
+//! Each connection that it accepts is told by [`Admission::connected`], or [`Admission::exhausted`] where there was no descriptor
+//! for it; each end, whoever made it, once by [`Admission::closed`]. It carries out the actions, and calls [`Admission::wake`]
+//! no later than [`Admission::next_wake`].
+
+use crate::gcra::{Due, Rate};
+use crate::ledger::{Ledger, Over, ms};
+use crate::networks::{Networks, Proxy};
+use crate::order::{self, Idle, Load, Order, Victim};
+use crate::standing::Standings;
+use crate::{Class, Client, Id, Time};
+use fennelscale_settings::admission::{Admission as Settings, Header};
+use std::collections::{HashMap, VecDeque};
+use std::net::IpAddr;
+use std::time::Duration;
+
+/// After descriptors ran out, the room comes back by one for each such span. Guards against running out again at once; what took
+/// them is outside the budget, so nobody tells when they are back.
+const RECOVERS: Duration = Duration::from_millis(100);
+/// When they run out, the room shrinks to this much less than what is open.
+const PINCH: usize = 8;
+/// No client holds more than this part of the line of those who wait.
+const LINE_PART: usize = 4;
+
+/// Why a connection is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Why {
+    /// Its client has as many open as it may.
+    ClientOpen,
+    /// Its client connects too fast.
+    ClientRate,
+    /// Its site has as many open as it may.
+    SiteOpen,
+    /// Its site connects too fast.
+    SiteRate,
+    /// Clients that are not known connect too fast, all together.
+    Strangers,
+    /// Its proxy has as many open as it may.
+    Proxy,
+    /// There is no room, and nobody to make any.
+    Full,
+    /// It waited for room in vain.
+    Waited,
+}
+
+impl Why {
+    /// All of them.
+    pub const ALL: [Self; 8] = [
+        Self::ClientOpen,
+        Self::ClientRate,
+        Self::SiteOpen,
+        Self::SiteRate,
+        Self::Strangers,
+        Self::Proxy,
+        Self::Full,
+        Self::Waited,
+    ];
+
+    /// Its name, in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::ClientOpen => "client-open",
+            Self::ClientRate => "client-rate",
+            Self::SiteOpen => "site-open",
+            Self::SiteRate => "site-rate",
+            Self::Strangers => "strangers",
+            Self::Proxy => "proxy",
+            Self::Full => "full",
+            Self::Waited => "waited",
+        }
+    }
+}
+
+/// How a refusal is told: by an answer while these are few, by a reset beyond that.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Tell {
+    /// 503, with this `Retry-After` in ms; the connection is kept until that was read, for a bounded time.
+    Answer(f64),
+    /// A reset.
+    Reset,
+}
+
+/// What the host is to do.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Action {
+    /// Read the proxy's header, and tell what it says by [`Admission::identified`].
+    Identify(Id),
+    /// Serve it.
+    Admit(Id),
+    /// Refuse it, and tell when it is closed.
+    Refuse(Id, Tell, Why),
+    /// Ask it to leave. A request that crosses that is answered still.
+    Evict(Id),
+}
+
+/// What happened so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Connections told of.
+    pub connected: u64,
+    /// Connections admitted.
+    pub admitted: u64,
+    /// Of these, those that were held before.
+    pub held: u64,
+    /// Connections refused, by reason, in the order of [`Why::ALL`].
+    pub refused: [u64; Why::ALL.len()],
+    /// Of these, by a reset.
+    pub reset: u64,
+    /// Connections asked to leave.
+    pub evicted: u64,
+    /// Times that descriptors ran out.
+    pub exhausted: u64,
+}
+
+impl Counts {
+    /// All that were refused.
+    pub fn refusals(&self) -> u64 {
+        self.refused.iter().sum()
+    }
+}
+
+/// How much there is of what.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Room {
+    /// Admitted connections.
+    pub clients: usize,
+    /// Those that wait for room or for their proxy's header.
+    pub held: usize,
+    /// Refused ones whose answer is being read.
+    pub lingering: usize,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// Its proxy's header is awaited.
+    Unnamed,
+    /// It waits for room.
+    Held { until: Time },
+    /// It is served. Idle, if it may be evicted.
+    Admitted { idle: Option<Idle> },
+    /// It was asked to leave.
+    Leaving,
+    /// It was refused; true if it lingers.
+    Refused { lingers: bool },
+}
+
+struct Connection {
+    state: State,
+    /// The client, once that is clear.
+    client: Option<Client>,
+    /// The proxy through which it came.
+    carrier: Option<(Client, Proxy)>,
+    /// The client whose request is open on a connection that many share.
+    rider: Option<Client>,
+    /// Whether it is among what its client has open.
+    counted: bool,
+    answered: bool,
+}
+
+/// What is kept of a client that has something admitted.
+#[derive(Clone, Copy)]
+struct Person {
+    class: Class,
+    admitted: u32,
+}
+
+/// The decisions.
+pub struct Admission {
+    networks: Networks,
+    room: Room,
+    reserve: f64,
+    newcomers: f64,
+    turns: f64,
+    retry_after: f64,
+    hold: Time,
+    crowd: f64,
+    newcomer: Time,
+    strangers: Rate,
+    strangers_due: Due,
+    answers: Rate,
+    answers_due: Due,
+    clients: Ledger,
+    sites: Ledger,
+    carriers: Ledger,
+    standings: Standings,
+    order: Order,
+    people: HashMap<Client, Person>,
+    connections: HashMap<Id, Connection>,
+    next: Id,
+    /// Admitted ones by class, those that leave included.
+    open: [usize; 2],
+    leaving: usize,
+    unnamed: usize,
+    lingering: usize,
+    /// Those that wait, by class, who came first in front.
+    lines: [VecDeque<Id>; 2],
+    /// How much of a turn known clients have saved up.
+    turn: f64,
+    pinched: Option<(usize, Time)>,
+    counts: Counts,
+}
+
+fn span(ms: f64) -> Time {
+    Duration::try_from_secs_f64(ms / 1000.0).unwrap_or(Duration::MAX)
+}
+
+impl Admission {
+    /// As the settings say, in so much room.
+    pub fn new(settings: &Settings, room: Room) -> Self {
+        let known = &settings.known;
+        Self {
+            networks: Networks::new(settings),
+            room,
+            reserve: known.reserve.0,
+            newcomers: known.newcomers.0,
+            turns: known.turns.0,
+            retry_after: settings.retry_after.0,
+            hold: span(settings.hold.lasts.0),
+            crowd: settings.crowd.from.0,
+            newcomer: span(settings.crowd.newcomer.0),
+            strangers: Rate::new(settings.strangers.0, settings.strangers_burst),
+            strangers_due: 0.0,
+            answers: Rate::new(settings.refusals.answered.0, settings.refusals.answered.0),
+            answers_due: 0.0,
+            clients: Ledger::new(settings.addresses),
+            sites: Ledger::new(settings.addresses),
+            carriers: Ledger::new(1),
+            standings: Standings::new(
+                known.after,
+                span(known.half_life.0),
+                known.counts_from.0,
+                known.clients,
+            ),
+            order: Order::default(),
+            people: HashMap::new(),
+            connections: HashMap::new(),
+            next: 0,
+            open: [0, 0],
+            leaving: 0,
+            unnamed: 0,
+            lingering: 0,
+            lines: Default::default(),
+            turn: 0.0,
+            pinched: None,
+            counts: Counts::default(),
+        }
+    }
+
+    /// What happened so far.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// How many are admitted: strangers' and known clients'.
+    pub fn admitted(&self) -> [usize; 2] {
+        self.open
+    }
+
+    /// How many wait for room or their proxy's header, and how many linger.
+    pub fn waiting(&self) -> (usize, usize) {
+        (self.unnamed + self.held(), self.lingering)
+    }
+
+    /// What is said of networks.
+    pub fn networks(&self) -> &Networks {
+        &self.networks
+    }
+
+    /// How many connections, and requests behind proxies, the client at an address has open.
+    pub fn open_of(&self, address: IpAddr) -> u32 {
+        self.clients.open(self.networks.client(address))
+    }
+
+    /// The class of the client at an address.
+    pub fn class_of(&self, now: Time, address: IpAddr) -> Class {
+        self.standings.class(self.networks.client(address), now)
+    }
+
+    /// How many clients and sites have something open, as the caps count it.
+    pub fn live(&self) -> usize {
+        self.clients.remembered().0
+            + self.sites.remembered().0
+            + self.carriers.remembered().0
+            + self.people.len()
+    }
+
+    /// What is remembered of clients, sites and standings, with something open and without.
+    pub fn remembered(&self) -> usize {
+        let (live, past) = self.clients.remembered();
+        let (rising, known) = self.standings.remembered();
+        live + past + self.sites.remembered().1 + rising + known
+    }
+
+    /// The room that there is now: less for a while after descriptors ran out.
+    pub fn clients_now(&self, now: Time) -> usize {
+        let pinched = self.pinched.map_or(usize::MAX, |(room, since)| {
+            let back = now.saturating_sub(since).as_millis() / RECOVERS.as_millis();
+            room.saturating_add(usize::try_from(back).unwrap_or(usize::MAX))
+        });
+        self.room.clients.min(pinched)
+    }
+
+    /// What strangers and known clients may hold, in so much room.
+    pub fn parts(&self, room: usize) -> [usize; 2] {
+        let reserve = ((room as f64 * self.reserve) as usize).min(room.saturating_sub(1));
+        let newcomers = ((room as f64 * self.newcomers).ceil() as usize).min(room.saturating_sub(1));
+        [room - reserve, room - newcomers]
+    }
+
+    fn held(&self) -> usize {
+        self.lines.iter().map(VecDeque::len).sum()
+    }
+
+    /// Whether all held and half-known connections have their descriptors taken.
+    fn line_is_full(&self) -> bool {
+        self.unnamed + self.held() >= self.room.held
+    }
+
+    fn total(&self) -> usize {
+        self.open[0] + self.open[1]
+    }
+
+    fn has_room(&self, class: Class, now: Time) -> bool {
+        let room = self.clients_now(now);
+        self.total() < room && self.open[class as usize] < self.parts(room)[class as usize]
+    }
+
+    /// Where those who find no room wait in the machine's line: whether one may be accepted now. If it is crowded, one idle
+    /// connection is asked to leave.
+    pub fn may_accept(&mut self, now: Time, out: &mut Vec<Action>) -> bool {
+        if self.is_crowded(now) {
+            self.make_room(None, None, now, out);
+        }
+        self.total() < self.clients_now(now)
+    }
+
+    fn is_crowded(&self, now: Time) -> bool {
+        self.total() as f64 >= (self.clients_now(now) as f64 * self.crowd).floor()
+    }
+
+    /// Whether those who find no room wait here, and not in the machine's line.
+    pub fn holds(&self) -> bool {
+        self.room.held > 0
+    }
+
+    /// A connection came from an address.
+    pub fn connected(&mut self, now: Time, peer: IpAddr, out: &mut Vec<Action>) -> Id {
+        let id = self.next;
+        self.next += 1;
+        self.counts.connected += 1;
+        let state = State::Unnamed;
+        let connection =
+            Connection { state, client: None, carrier: None, rider: None, counted: false, answered: false };
+        self.connections.insert(id, connection);
+        self.unnamed += 1;
+        match self.networks.proxy(peer) {
+            Some(proxy) => self.carried(now, id, peer, proxy, out),
+            None => self.identified(now, id, peer, out),
+        }
+        id
+    }
+
+    /// A connection came from a proxy that is believed.
+    fn carried(&mut self, now: Time, id: Id, peer: IpAddr, proxy: Proxy, out: &mut Vec<Action>) {
+        let carrier = Client::from(peer.to_canonical());
+        if self.carriers.check(carrier, now, None, proxy.open).is_err() {
+            return self.refuse(now, id, Why::Proxy, self.retry_after, out);
+        }
+        self.carriers.enter(carrier, now, None);
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.carrier = Some((carrier, proxy));
+        }
+        if proxy.header != Header::ProxyProtocol {
+            // Whose requests it carries is told by each: of the connection itself the operators have said enough.
+            return self.seek_room(now, id, carrier, Class::Known, out);
+        }
+        // Itself it is counted already.
+        if self.unnamed + self.held() > self.room.held {
+            return self.refuse(now, id, Why::Full, self.retry_after, out);
+        }
+        out.push(Action::Identify(id));
+    }
+
+    /// Whose a connection is: its peer's, or by its proxy's header.
+    pub fn identified(&mut self, now: Time, id: Id, address: IpAddr, out: &mut Vec<Action>) {
+        let client = self.networks.client(address);
+        let class = self.standings.class(client, now);
+        let tier = self.networks.tier(client);
+        let site = self.networks.site(client);
+        let verdict =
+            self.clients.check(client, now, Some(&tier.rate), tier.open).map_err(|over| match over {
+                Over::Open => (Why::ClientOpen, self.retry_after),
+                Over::Rate(wait) => (Why::ClientRate, wait),
+            });
+        let verdict = verdict.and_then(|()| match site {
+            None => Ok(()),
+            Some(site) => self.sites.check(site, now, Some(&tier.site_rate), tier.site_open).map_err(
+                |over| match over {
+                    Over::Open => (Why::SiteOpen, self.retry_after),
+                    Over::Rate(wait) => (Why::SiteRate, wait),
+                },
+            ),
+        });
+        let verdict = verdict.and_then(|()| match class {
+            Class::Known => Ok(()),
+            Class::Stranger => {
+                self.strangers.check(self.strangers_due, ms(now)).map_err(|wait| (Why::Strangers, wait))
+            }
+        });
+        if let Err((why, wait)) = verdict {
+            return self.refuse(now, id, why, wait, out);
+        }
+        if class == Class::Stranger {
+            self.strangers_due = self.strangers.next(self.strangers_due, ms(now));
+        }
+        self.clients.enter(client, now, Some(&tier.rate));
+        if let Some(site) = site {
+            self.sites.enter(site, now, Some(&tier.site_rate));
+        }
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.counted = true;
+        }
+        self.seek_room(now, id, client, class, out);
+    }
+
+    /// Admits it, holds it, or refuses it for want of room.
+    fn seek_room(&mut self, now: Time, id: Id, client: Client, class: Class, out: &mut Vec<Action>) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.client = Some(client);
+        }
+        // All connections of a client are of one class: that of the newest.
+        self.reclass(client, class);
+        if self.has_room(class, now) {
+            return self.admit(now, id, class, out);
+        }
+        // Itself it is among the unnamed until now.
+        self.unnamed -= 1;
+        let waits = |id: &&Id| self.connections.get(id).is_some_and(|c| c.client == Some(client));
+        let own = self.lines.iter().flatten().filter(waits).count();
+        if self.line_is_full() || own >= (self.room.held / LINE_PART).max(1) {
+            self.unnamed += 1;
+            return self.refuse(now, id, Why::Full, self.retry_after, out);
+        }
+        let until = now + self.hold;
+        self.set(id, State::Held { until });
+        self.lines[class as usize].push_back(id);
+        // One leaves for each that waits.
+        if self.leaving < self.held() {
+            self.make_room(Some(class), Some(client), now, out);
+        }
+    }
+
+    fn set(&mut self, id: Id, state: State) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.state = state;
+        }
+    }
+
+    /// What a client holds of what it may.
+    fn load(&self, client: Client) -> Load {
+        if let Some(proxy) =
+            self.carriers.open(client).checked_sub(1).and_then(|_| self.networks.proxy(client.addr()))
+        {
+            return order::load(self.carriers.open(client), proxy.open);
+        }
+        order::load(self.clients.open(client), self.networks.tier(client).open)
+    }
+
+    /// Serves a connection that is among the unnamed.
+    fn admit(&mut self, now: Time, id: Id, class: Class, out: &mut Vec<Action>) {
+        self.unnamed -= 1;
+        let Some(client) = self.connections.get(&id).and_then(|c| c.client) else { return };
+        self.open[class as usize] += 1;
+        self.people.entry(client).or_insert(Person { class, admitted: 0 }).admitted += 1;
+        self.counts.admitted += 1;
+        out.push(Action::Admit(id));
+        // Where they wait in the machine's line, room is made before the next is accepted. The one that came is not idle yet, so
+        // that it does not make room for itself.
+        if self.holds() && self.is_crowded(now) && self.leaving == 0 {
+            self.make_room(Some(class), Some(client), now, out);
+        }
+        let idle = Idle { since: now, id, answered: false };
+        self.set(id, State::Admitted { idle: Some(idle) });
+        let load = self.load(client);
+        self.order.insert(client, class, load, idle);
+    }
+
+    /// A client is known now, or not any more.
+    fn reclass(&mut self, client: Client, class: Class) {
+        let load = self.load(client);
+        if let Some(person) = self.people.get_mut(&client).filter(|p| p.class != class) {
+            self.open[person.class as usize] -= person.admitted as usize;
+            self.open[class as usize] += person.admitted as usize;
+            person.class = class;
+            self.order.update(client, class, load);
+        }
+    }
+
+    /// Asks one idle connection to leave, for one of a class that comes or, without one, for anybody.
+    fn make_room(&mut self, class: Option<Class>, client: Option<Client>, now: Time, out: &mut Vec<Action>) {
+        let room = self.clients_now(now);
+        let [strangers, known] = self.parts(room);
+        let beyond_reserve = self.open[1] > room - strangers;
+        let beyond_newcomers = self.open[0] > room - known;
+        let both = [Class::Stranger, Class::Known];
+        let classes: &[Class] = match class {
+            Some(Class::Stranger) if self.open[0] >= strangers => &both[..1],
+            Some(Class::Known) if self.open[1] >= known => &both[1..],
+            Some(Class::Known) if !beyond_newcomers => &both[1..],
+            _ if beyond_reserve => &both,
+            _ => &both[..1],
+        };
+        let first = self.order.first(classes, now, self.newcomer);
+        let victim = match client {
+            None => first,
+            Some(client) => {
+                // What the one that comes holds is counted with it already.
+                let holds = self.load(client);
+                first
+                    .filter(|v| v.load > holds || v.load == holds && !v.fresh || v.client == client)
+                    .or_else(|| self.order.own(client, now, self.newcomer))
+            }
+        };
+        if let Some(victim) = victim {
+            self.evict(victim, out);
+        }
+    }
+
+    fn evict(&mut self, Victim { client, idle, .. }: Victim, out: &mut Vec<Action>) {
+        self.order.remove(client, idle);
+        self.set(idle.id, State::Leaving);
+        self.leaving += 1;
+        self.counts.evicted += 1;
+        out.push(Action::Evict(idle.id));
+    }
+
+    fn refuse(&mut self, now: Time, id: Id, why: Why, wait: f64, out: &mut Vec<Action>) {
+        self.unnamed -= 1;
+        let place = Why::ALL.iter().position(|w| *w == why).unwrap_or(0);
+        self.counts.refused[place] += 1;
+        let lingers =
+            self.lingering < self.room.lingering && self.answers.take(&mut self.answers_due, ms(now)).is_ok();
+        if lingers {
+            self.lingering += 1;
+        } else {
+            self.counts.reset += 1;
+        }
+        self.set(id, State::Refused { lingers });
+        out.push(Action::Refuse(id, if lingers { Tell::Answer(wait) } else { Tell::Reset }, why));
+    }
+
+    /// The first byte of a request came.
+    pub fn began(&mut self, now: Time, id: Id) {
+        self.idle(now, id, false);
+    }
+
+    /// A request was taken whole: the connection stays until its answer is given.
+    pub fn taken(&mut self, id: Id) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        if let (State::Admitted { idle: Some(idle) }, Some(client)) = (connection.state, connection.client) {
+            connection.state = State::Admitted { idle: None };
+            self.order.remove(client, idle);
+        }
+    }
+
+    /// Whether there would be no room for one more of a connection's class.
+    pub fn is_full(&self, now: Time, id: Id) -> bool {
+        let client = self.connections.get(&id).and_then(|c| c.client);
+        let class = client.and_then(|c| self.people.get(&c)).map_or(Class::Stranger, |person| person.class);
+        !self.has_room(class, now)
+    }
+
+    /// Whether requests on a connection are those of many clients, and how they say whose.
+    pub fn shared(&self, id: Id) -> Option<Header> {
+        let carrier = self.connections.get(&id)?.carrier?;
+        Some(carrier.1.header).filter(|header| *header != Header::ProxyProtocol)
+    }
+
+    /// A request on a connection that many share is a client's: it counts as one that this has open, until its answer.
+    ///
+    /// # Errors
+    /// When the client, or its site, has as many open as it may; with the time to wait in ms.
+    pub fn rides(&mut self, now: Time, id: Id, address: IpAddr) -> Result<(), f64> {
+        let client = self.networks.client(address);
+        let tier = self.networks.tier(client);
+        let site = self.networks.site(client);
+        let fits = self.clients.check(client, now, None, tier.open).is_ok()
+            && site.is_none_or(|site| self.sites.check(site, now, None, tier.site_open).is_ok());
+        if !fits {
+            return Err(self.retry_after);
+        }
+        self.alight(now, id);
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.rider = Some(client);
+            self.clients.enter(client, now, None);
+            if let Some(site) = site {
+                self.sites.enter(site, now, None);
+            }
+        }
+        Ok(())
+    }
+
+    fn alight(&mut self, now: Time, id: Id) {
+        if let Some(client) = self.connections.get_mut(&id).and_then(|c| c.rider.take()) {
+            self.left(now, client);
+        }
+    }
+
+    /// A client has one less open.
+    fn left(&mut self, now: Time, client: Client) {
+        self.clients.leave(client, now);
+        if let Some(site) = self.networks.site(client) {
+            self.sites.leave(site, now);
+        }
+        if let Some(person) = self.people.get(&client) {
+            self.order.update(client, person.class, self.load(client));
+        }
+    }
+
+    /// An answer was given. `share` is what a served request is worth, as a share of the worthiest class's; none for all
+    /// that was not served.
+    pub fn answered(&mut self, now: Time, id: Id, share: Option<f64>) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        connection.answered = true;
+        let whose = connection.rider.or(connection
+            .client
+            .filter(|_| connection.carrier.is_none_or(|(_, proxy)| proxy.header == Header::ProxyProtocol)));
+        if let (Some(client), Some(share)) = (whose, share) {
+            self.standings.served(client, share, now);
+            self.reclass(client, self.standings.class(client, now));
+        }
+        self.alight(now, id);
+        self.idle(now, id, true);
+    }
+
+    /// It is idle from now on; if only a request began, one that was never answered has been so all the time.
+    fn idle(&mut self, now: Time, id: Id, after_answer: bool) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        let (State::Admitted { idle }, Some(client)) = (connection.state, connection.client) else { return };
+        if !after_answer && !connection.answered {
+            return;
+        }
+        let new = Idle { since: now, id, answered: true };
+        connection.state = State::Admitted { idle: Some(new) };
+        if let Some(old) = idle {
+            self.order.remove(client, old);
+        }
+        let class = self.people.get(&client).map_or(Class::Stranger, |p| p.class);
+        let load = self.load(client);
+        self.order.insert(client, class, load, new);
+    }
+
+    /// A connection is closed, whoever closed it.
+    pub fn closed(&mut self, now: Time, id: Id, out: &mut Vec<Action>) {
+        self.alight(now, id);
+        let Some(connection) = self.connections.remove(&id) else { return };
+        let Connection { state, client, carrier, counted, .. } = connection;
+        match state {
+            State::Unnamed => self.unnamed -= 1,
+            State::Held { .. } => self.lines.iter_mut().for_each(|line| line.retain(|held| *held != id)),
+            State::Refused { lingers } => self.lingering -= usize::from(lingers),
+            State::Admitted { .. } | State::Leaving => {
+                if let (State::Admitted { idle: Some(idle) }, Some(client)) = (state, client) {
+                    self.order.remove(client, idle);
+                }
+                self.leaving -= usize::from(state == State::Leaving);
+                if let Some(person) = client.and_then(|c| self.people.get_mut(&c)) {
+                    self.open[person.class as usize] -= 1;
+                    person.admitted -= 1;
+                    if person.admitted == 0 {
+                        client.and_then(|c| self.people.remove(&c));
+                    }
+                }
+            }
+        }
+        if let Some((carrier, _)) = carrier {
+            self.carriers.leave(carrier, now);
+        }
+        if let Some(client) = client.filter(|_| counted) {
+            self.left(now, client);
+        }
+        self.fill(now, out);
+    }
+
+    /// Admits those who wait, as far as there is room: known clients and others by turns.
+    fn fill(&mut self, now: Time, out: &mut Vec<Action>) {
+        loop {
+            let fronts = [Class::Stranger, Class::Known].map(|line| {
+                let id = *self.lines[line as usize].front()?;
+                // Its client may have become known, or not any more, while it waited.
+                let client = self.connections.get(&id).and_then(|c| c.client);
+                let class = client.and_then(|c| self.people.get(&c)).map_or(line, |person| person.class);
+                self.has_room(class, now).then_some((line, id, class))
+            });
+            let next = match fronts {
+                [None, None] => return,
+                [Some(stranger), None] => stranger,
+                [None, Some(known)] => known,
+                [Some(stranger), Some(known)] => {
+                    self.turn += self.turns;
+                    if self.turn >= 1.0 {
+                        self.turn -= 1.0;
+                        known
+                    } else {
+                        stranger
+                    }
+                }
+            };
+            let (line, id, class) = next;
+            self.lines[line as usize].pop_front();
+            self.unnamed += 1;
+            self.counts.held += 1;
+            self.admit(now, id, class, out);
+        }
+    }
+
+    /// When [`Self::wake`] is to be called next.
+    pub fn next_wake(&self) -> Option<Time> {
+        self.lines.iter().filter_map(|line| self.until(*line.front()?)).min()
+    }
+
+    fn until(&self, id: Id) -> Option<Time> {
+        match self.connections.get(&id)?.state {
+            State::Held { until } => Some(until),
+            _ => None,
+        }
+    }
+
+    /// Time has passed: those who waited long enough are refused.
+    pub fn wake(&mut self, now: Time, out: &mut Vec<Action>) {
+        // Room may have come back by itself.
+        self.fill(now, out);
+        for class in [Class::Stranger, Class::Known] {
+            while let Some(id) = self.lines[class as usize].front().copied() {
+                if self.until(id).is_some_and(|until| until > now) {
+                    break;
+                }
+                self.lines[class as usize].pop_front();
+                self.unnamed += 1;
+                self.refuse(now, id, Why::Waited, self.retry_after, out);
+            }
+        }
+    }
+
+    /// There was no descriptor for a connection, of a client's or to a backend: something outside the budget took them. The
+    /// room shrinks for a while, and one idle connection is asked to leave.
+    pub fn exhausted(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.counts.exhausted += 1;
+        let room = self.total() - self.total() / PINCH;
+        self.pinched = Some((room.clamp(1, self.room.clients), now));
+        let victim =
+            [Class::Stranger, Class::Known].iter().find_map(|c| self.order.first(&[*c], now, self.newcomer));
+        if let Some(victim) = victim {
+            self.evict(victim, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/admission/src/ledger.rs
@@ -0,0 +1,99 @@
+//! How much each client, or site, has open and how fast it connects; bounded memory.
+//!
+//! Who has something open is always remembered: there are no more of these than descriptors. Of the others the last `most` are
+//! remembered, if their rate has anything to say still. The error of forgetting: one who is pushed out by `most` others may
+//! connect a whole burst anew, so of any client no more than `burst` a round of `most` other clients is let in beyond its rate.
+
+use crate::gcra::{Due, Rate};
+use crate::{Client, Time};
+use lru::LruCache;
+use std::collections::HashMap;
+use std::num::NonZeroUsize;
+
+/// Why a cap refuses.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Over {
+    /// So many are open already.
+    Open,
+    /// They come too fast; one would be taken after so many ms.
+    Rate(f64),
+}
+
+#[derive(Clone, Copy, Default)]
+struct Account {
+    open: u32,
+    due: Due,
+}
+
+/// The accounts of all clients, or of all sites.
+pub struct Ledger {
+    live: HashMap<Client, Account>,
+    past: LruCache<Client, Due>,
+}
+
+pub(crate) fn ms(now: Time) -> f64 {
+    now.as_secs_f64() * 1000.0
+}
+
+impl Ledger {
+    /// Remembers this many with nothing open.
+    pub fn new(most: usize) -> Self {
+        // The table grows as it is needed.
+        let mut past = LruCache::unbounded();
+        past.resize(NonZeroUsize::new(most).unwrap_or(NonZeroUsize::MIN));
+        Self { live: HashMap::new(), past }
+    }
+
+    /// What a client has open.
+    pub fn open(&self, client: Client) -> u32 {
+        self.live.get(&client).map_or(0, |account| account.open)
+    }
+
+    /// How many are remembered, with something open and without.
+    pub fn remembered(&self) -> (usize, usize) {
+        (self.live.len(), self.past.len())
+    }
+
+    fn due(&self, client: Client) -> Due {
+        self.live
+            .get(&client)
+            .map(|account| account.due)
+            .or_else(|| self.past.peek(&client).copied())
+            .unwrap_or(0.0)
+    }
+
+    /// Whether a client may have one more open.
+    ///
+    /// # Errors
+    /// With the cap that says no.
+    pub fn check(&self, client: Client, now: Time, rate: Option<&Rate>, most: u32) -> Result<(), Over> {
+        if self.open(client) >= most {
+            return Err(Over::Open);
+        }
+        rate.map_or(Ok(()), |rate| rate.check(self.due(client), ms(now)).map_err(Over::Rate))
+    }
+
+    /// It has one more open; a rate, where one is given, counts it.
+    pub fn enter(&mut self, client: Client, now: Time, rate: Option<&Rate>) {
+        let before = self.past.pop(&client).unwrap_or(0.0);
+        let account = self.live.entry(client).or_insert(Account { open: 0, due: before });
+        account.open += 1;
+        if let Some(rate) = rate {
+            account.due = rate.next(account.due, ms(now));
+        }
+    }
+
+    /// It has one less open.
+    pub fn leave(&mut self, client: Client, now: Time) {
+        let Some(account) = self.live.get_mut(&client) else { return };
+        account.open -= 1;
+        if account.open > 0 {
+            return;
+        }
+        let due = account.due;
+        self.live.remove(&client);
+        if due > ms(now) {
+            self.past.put(client, due);
+        }
+    }
+}
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -1,7 +1,7 @@
 //! A rehearsal of failures on one machine: stand-ins for all that a gateway talks to, gateways as child processes, a
 //! timeline of troubles, and a judge that scores service and checks the five rules.
 //!
-//! - No I/O and no clock: [`scenario`], [`units`], [`plan`], [`node`], [`tally`], [`log`], [`judge`].
+//! - No I/O and no clock: [`scenario`], [`plan`], [`node`], [`tally`], [`log`], [`judge`].
 
 pub mod judge;
 pub mod log;
@@ -12,4 +12,3 @@
 pub mod scenario;
 pub mod shipped;
 pub mod tally;
-pub mod units;
--- a/crates/rehearsal/src/plan.rs
+++ b/crates/rehearsal/src/plan.rs
@@ -3,7 +3,7 @@
 //! No I/O and no clock. What is drawn here does not depend on what the gateways do, so two builds get the same day.
 
 use crate::scenario::{Scenario, TroubleKind};
-use crate::units::{Range, Share, Time};
+use fennelscale_settings::units::{Range, Share, Time};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
--- a/crates/rehearsal/src/play/troubles.rs
+++ b/crates/rehearsal/src/play/troubles.rs
@@ -7,7 +7,7 @@
 use super::node::Nodes;
 use crate::log::What;
 use crate::scenario::{Trouble, TroubleKind};
-use crate::units::{Range, Time};
+use fennelscale_settings::units::{Range, Time};
 use std::io;
 use std::rc::Rc;
 use tokio::task::spawn_local;
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -1,10 +1,9 @@
-//! Scenario files: TOML with explicit units, read once, checked whole. An error names the file, the line and the key.
+//! Scenario files: TOML with explicit units, read once, checked whole.
 
 use crate::node::Cold;
-use crate::units::{Quantity, Range, Rate, Share, Time};
+use fennelscale_settings::file::{self, Fault, FileError};
+use fennelscale_settings::units::{Quantity, Range, Rate, Share, Time};
 use serde::{Deserialize, Serialize};
-use std::fmt;
-use toml::de::{DeTable, DeValue};
 
 type Ms = Quantity<Time>;
 type Percent = Quantity<Share>;
@@ -18,29 +17,6 @@
 const MOST_ACCOUNTS_RATE: f64 = 2000.0;
 const LONGEST: f64 = 600_000.0;
 
-/// A scenario that cannot be used.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ScenarioError {
-    /// The file, as it was named.
-    pub file: String,
-    /// The line, from 1; 0 where the fault is in no one line.
-    pub line: usize,
-    /// The key, as a path with dots.
-    pub key: String,
-    /// What is wrong and what would be right.
-    pub what: String,
-}
-
-impl fmt::Display for ScenarioError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { file, line, key, what } = self;
-        write!(f, "{file}:{line}: ")?;
-        if key.is_empty() { f.write_str(what) } else { write!(f, "{key}: {what}") }
-    }
-}
-
-impl std::error::Error for ScenarioError {}
-
 /// A whole scenario.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
@@ -451,28 +427,13 @@
     Ms::of(0.0)
 }
 
-/// A fault found after reading: the key's path and what is wrong.
-type Fault = (String, String);
-
 impl Scenario {
     /// Reads and checks a scenario.
     ///
     /// # Errors
     /// On the first fault, with its place.
-    pub fn parse(file: &str, text: &str) -> Result<Self, ScenarioError> {
-        let place = |key: &str, at: usize, what: String| ScenarioError {
-            file: file.to_owned(),
-            line: text.get(..at).map_or(0, |before| before.matches('\n').count() + 1),
-            key: key.to_owned(),
-            what,
-        };
-        let scenario: Self = toml::from_str(text).map_err(|error| {
-            let at = error.span().map_or(0, |span| span.start);
-            let key = text.get(..at).map(|before| key_before(before, text, at)).unwrap_or_default();
-            place(&key, at, error.message().trim_end().replace('\n', " "))
-        })?;
-        scenario.check().map_err(|(key, what)| place(&key, locate(text, &key), what))?;
-        Ok(scenario)
+    pub fn parse(file: &str, text: &str) -> Result<Self, FileError> {
+        file::read(file, text, Self::check)
     }
 
     fn check(&self) -> Result<(), Fault> {
@@ -664,38 +625,3 @@
         }
     }
 }
-
-/// The key on whose value a reader's error stands.
-fn key_before(before: &str, text: &str, at: usize) -> String {
-    let from = before.rfind('\n').map_or(0, |n| n + 1);
-    let line = text.get(from..).and_then(|rest| rest.lines().next()).unwrap_or("");
-    let table = before.lines().rev().map(str::trim).find(|l| l.starts_with('['));
-    let table = table.map_or("", |t| t.trim_matches(['[', ']', ' '])).to_owned();
-    let key = line
-        .split_once('=')
-        .filter(|_| at > from || !line.starts_with('['))
-        .map_or("", |(key, _)| key.trim());
-    if table.is_empty() || key.is_empty() { format!("{table}{key}") } else { format!("{table}.{key}") }
-}
-
-/// Where in the text a path of keys stands, or as much of it as there is.
-fn locate(text: &str, path: &str) -> usize {
-    let Ok(table) = DeTable::parse(text) else { return 0 };
-    let (mut at, mut inside) = (0, DeValue::Table(table.get_ref().clone()));
-    for part in path.split('.') {
-        let next = match &inside {
-            DeValue::Table(table) => table
-                .iter()
-                .find(|(key, _)| key.get_ref() == part)
-                .map(|(key, value)| (key.span().start, value.get_ref().clone())),
-            DeValue::Array(list) => part.parse::<usize>().ok().and_then(|n| {
-                let value = list.get(n)?;
-                Some((value.span().start, value.get_ref().clone()))
-            }),
-            _ => None,
-        };
-        let Some((found, value)) = next else { break };
-        (at, inside) = (found, value);
-    }
-    at
-}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,8 +5,14 @@
 //! - [`gateway`]: the environment and the configuration file of one gateway.
 //! - [`list`]: the list of backends in discovery's form.
 //! - [`load`]: the load reports of backends.
+//! - [`operators`]: the operators' settings file, and [`admission`] what it says of connections.
+//! - [`file`] and [`units`]: TOML files with units, and errors with their place.
 
+pub mod admission;
 pub mod decisions;
+pub mod file;
 pub mod gateway;
 pub mod list;
 pub mod load;
+pub mod operators;
+pub mod units;
--- a/crates/rehearsal/src/units.rs
+++ b/crates/settings/src/units.rs
@@ -1,4 +1,4 @@
-//! Quantities in scenario files: always a text with its unit, so that seconds are never taken for milliseconds.
+//! Quantities in TOML files: always a text with its unit, so that seconds are never taken for milliseconds.
 
 use serde::de::{self, Deserialize, Deserializer, SeqAccess, Visitor};
 use std::fmt;
--- a/gateway/src/backends.rs
+++ b/gateway/src/backends.rs
@@ -1,7 +1,7 @@
 //! The backends' side: where they listen, the connections to them, attempts and probes and how they end.
 
 use crate::clock::millis;
-use crate::link::{Link, Progress};
+use crate::link::{Link, Progress, is_descriptor_shortage};
 use crate::observe::Life;
 use bytes::Bytes;
 use doorcourse::{BackendState, LoadReport, Name, Outcome, Reports};
@@ -37,6 +37,8 @@
 const AGES: usize = 6;
 const AGE_STEP: u128 = 4;
 const YOUNGEST: Duration = Duration::from_millis(25);
+/// Without a descriptor a connection is tried again after this.
+const SHORTAGE_PAUSE: Duration = Duration::from_millis(5);
 /// Weight of the newest outcome in the share of connections of an age that broke.
 const NEWEST: f64 = 0.1;
 /// Kept connections may break more often than new ones by this share of their requests; for requests that
@@ -154,6 +156,8 @@
     most_open: usize,
     busy: Rc<Cell<usize>>,
     breaks: RefCell<Breaks>,
+    /// Told when there is no descriptor for a connection.
+    shortage: RefCell<Option<Rc<dyn Fn()>>>,
 }
 
 impl Backends {
@@ -169,9 +173,37 @@
             most_open,
             busy: Rc::default(),
             breaks: RefCell::default(),
+            shortage: RefCell::default(),
         })
     }
 
+    /// Calls this when there is no descriptor for a connection, before it is tried again.
+    pub fn on_shortage(&self, call: Rc<dyn Fn()>) {
+        *self.shortage.borrow_mut() = Some(call);
+    }
+
+    /// A new connection. Where descriptors have run out, something outside the budget took them: free connections and whoever can
+    /// spare one give theirs, for a request that was taken goes before all these. With none to be had nothing speaks against
+    /// the backend.
+    async fn connect(&self, dial: SocketAddr) -> std::io::Result<Option<Link>> {
+        let begun = Instant::now();
+        loop {
+            match Link::connect(dial, self.connect_timeout).await {
+                Err(error) if is_descriptor_shortage(&error) => {
+                    self.known.borrow_mut().values_mut().for_each(|backend| backend.idle.clear());
+                    if let Some(call) = self.shortage.borrow().as_ref() {
+                        call();
+                    }
+                    if begun.elapsed() >= self.connect_timeout {
+                        return Ok(None);
+                    }
+                }
+                other => return other.map(Some),
+            }
+            sleep(SHORTAGE_PAUSE).await;
+        }
+    }
+
     /// Takes in a list. Free connections to what drains, is gone or listens elsewhere now are dropped.
     pub fn update(&self, list: &List) {
         let mut known = self.known.borrow_mut();
@@ -310,9 +342,17 @@
                 }
                 None => {
                     life.step(Event::Dial);
-                    let Ok(link) = Link::connect(dial, self.connect_timeout).await else {
-                        life.step(Event::NotConnected);
-                        return None;
+                    let link = match self.connect(dial).await {
+                        Ok(Some(link)) => link,
+                        Ok(None) => {
+                            // Given up here, before anything was sent: nothing that its backend did.
+                            life.step(Event::CalledOff);
+                            return None;
+                        }
+                        Err(_) => {
+                            life.step(Event::NotConnected);
+                            return None;
+                        }
                     };
                     life.step(Event::Connected);
                     link
--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -2,33 +2,33 @@
 
 use crate::backends::{LARGEST_BODY, Message};
 use crate::clock::millis;
+use crate::door::Door;
 use crate::engine::{Engine, Reply};
 use crate::faults;
-use crate::observe::Life;
+use crate::guest::{BUFFER, Guest, Tap};
 use bytes::Bytes;
 use doorcourse::{Arrival, Effect, Name, RequestId, Settings};
+use fennelscale_admission::origin;
+use fennelscale_settings::admission::{Forged, Header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING,
+    CONNECTION, CONTENT_TYPE, FORWARDED, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING,
 };
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use life::inbound::{Event, Inbound, OpenIds};
+use life::inbound::{Event, OpenIds};
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
-use std::io;
-use std::pin::{Pin, pin};
+use std::pin::pin;
 use std::rc::Rc;
 use std::str::FromStr;
-use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, watch};
-use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// The last byte of an answer must be out before the client's patience ends: the decisions are told of this
 /// much less, and of no less than the given share.
@@ -38,12 +38,6 @@
 const BACKSTOP: Duration = Duration::from_millis(10);
 /// No client waits longer than this; who claims so is not believed.
 const LONGEST_PATIENCE: u64 = 600_000;
-/// A connection on which no request is taken is closed after this: from its start, its last answer or the first
-/// byte of its next request. Guards against clients that ask once and stay, that say nothing, and that bring
-/// head or body in single bytes: more bytes don't renew it.
-const UNASKED: Duration = Duration::from_millis(2500);
-/// A failed accept is tried again after this: descriptors may have run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// After the signal to end new connections are taken for this long. Halfway idle ones are closed ...
 const LINGER: Duration = Duration::from_millis(500);
 /// ... and those that came last have this long for their first request, in which blocks go back to the quotas.
@@ -52,18 +46,9 @@
 const LAST_CALL: Duration = Duration::from_millis(50);
 /// After the last final answer connections have this long to be done with.
 const LAST_WORDS: Duration = Duration::from_millis(500);
-/// From this part of the most clients on, those who are idle are asked to leave for each that comes. Guards
-/// usual clients against a crowd that asks once and stays: clients, and whatever stands before the gateway, have
-/// an end to their connections too, so a connection kept open for nobody is one that others miss long before
-/// descriptors run out here. It could hurt usual clients that are many and ask seldom: they connect anew.
-const CROWDED_PART: usize = 2;
-/// Who came less than this ago may be about to ask.
-const NEWCOMER: Duration = Duration::from_millis(100);
-/// Read buffers hold one request's headers.
-const BUFFER: usize = 16 * 1024;
 
 /// A request that is not taken in.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 enum Fault {
     /// There is no such path.
     NoPath,
@@ -71,8 +56,13 @@
     Bad(&'static str),
     /// The body is too large.
     TooLarge,
+    /// Its client has too many open behind its proxy; to come again after so many ms.
+    TooMany(f64),
 }
 
+/// Names the client of a request, as some proxies say it.
+const X_FORWARDED_FOR: HeaderName = HeaderName::from_static("x-forwarded-for");
+
 /// What a request says of itself.
 struct Ticket {
     class: Name,
@@ -91,142 +81,27 @@
     engine: Rc<Engine>,
     classes: Vec<(Name, Effect)>,
     plans: Vec<Name>,
+    /// What a class's and a plan's request is worth, as a share of the worthiest.
+    worths: [Vec<f64>; 2],
     most_units: f64,
     gateways: u32,
     /// The ids of all requests without an answer.
     ids: RefCell<OpenIds<HeaderValue>>,
-    most_clients: usize,
-    guests: RefCell<Vec<Rc<Guest>>>,
-    left: Notify,
+    door: Rc<Door>,
     draining: Cell<bool>,
 }
 
-/// One client's connection.
-struct Guest {
-    life: Life<Inbound>,
-    /// When it came, was last answered or began to ask.
-    since: Cell<Instant>,
-    asked_to_leave: Cell<bool>,
-    /// What came since, up to the end of a head.
-    head: RefCell<Vec<u8>>,
-    leave: Notify,
-}
-
-impl Guest {
-    fn new() -> Self {
-        Self {
-            life: Life::new(Inbound::accepted()),
-            since: Cell::new(Instant::now()),
-            asked_to_leave: Cell::new(false),
-            head: RefCell::default(),
-            leave: Notify::new(),
-        }
-    }
-
-    /// Whether a request that was taken whole has no answer yet.
-    fn is_busy(&self) -> bool {
-        self.life.now() == Inbound::Open
-    }
-
-    /// When its time to bring a request is over.
-    fn due(&self) -> Instant {
-        let since = if self.is_busy() { Instant::now() } else { self.since.get() };
-        since + UNASKED
-    }
-
-    /// Notes bytes that came.
-    fn note(&self, bytes: &[u8]) {
-        if bytes.is_empty() {
-            return;
-        }
-        if self.life.now() == (Inbound::Quiet { answered: true }) {
-            self.since.set(Instant::now());
-        }
-        self.life.step(Event::Bytes);
-        let mut head = self.head.borrow_mut();
-        if self.is_busy() || head.ends_with(HEAD_END) {
-            return;
-        }
-        let from = head.len().saturating_sub(HEAD_END.len());
-        let room = BUFFER - head.len();
-        head.extend_from_slice(&bytes[..bytes.len().min(room)]);
-        if let Some(at) = head[from..].windows(HEAD_END.len()).position(|w| w == HEAD_END) {
-            head.truncate(from + at + HEAD_END.len());
-        }
-    }
-
-    /// Notes an answer.
-    fn done(&self) {
-        self.life.step(if self.is_busy() { Event::Answered } else { Event::TurnedAway });
-        self.since.set(Instant::now());
-        self.head.take();
-    }
-
-    /// Whether a head with a `Transfer-Encoding` has no length beside it. The HTTP library drops a length that
-    /// stands behind, so the bytes themselves are asked: they must be those of this head.
-    fn is_plainly_chunked(&self, request: &Request<Incoming>) -> bool {
-        let start = format!("{} {} HTTP/1.1\r\n", request.method(), request.uri());
-        let head = self.head.borrow().to_ascii_lowercase();
-        let mut encodings = request.headers().get_all(TRANSFER_ENCODING).iter();
-        head.starts_with(start.to_ascii_lowercase().as_bytes())
-            && head.ends_with(HEAD_END)
-            && !head.split(|b| *b == b'\n').any(|line| line.starts_with(CONTENT_LENGTH.as_str().as_bytes()))
-            && encodings.next().is_some_and(|e| e.as_bytes().eq_ignore_ascii_case(b"chunked"))
-            && encodings.next().is_none()
-    }
-}
-
-/// What ends a head.
-const HEAD_END: &[u8] = b"\r\n\r\n";
-
-/// A client's socket as the HTTP library sees it.
-struct Tap {
-    stream: TcpStream,
-    guest: Rc<Guest>,
-}
-
-impl AsyncRead for Tap {
-    fn poll_read(
-        mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        self.guest.note(&buf.filled()[before..]);
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl AsyncWrite for Tap {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, buf))?;
-        if faults::on(faults::Fault::AnswerTwice) && buf.starts_with(b"HTTP/1.1 200") {
-            let _ = self.stream.try_write(buf);
-        }
-        Poll::Ready(Ok(written))
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>, cx: &mut Context<'_>, bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        !faults::on(faults::Fault::AnswerTwice) && self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
-
 impl Front {
-    /// A front side that takes at most `most_clients` connections at once.
-    pub fn new(engine: Rc<Engine>, settings: &Settings, most_clients: usize) -> Rc<Self> {
+    /// A front side behind a door.
+    pub fn new(engine: Rc<Engine>, settings: &Settings, door: Rc<Door>) -> Rc<Self> {
+        let shares = |worths: Vec<f64>| {
+            let most = worths.iter().copied().fold(0.0, f64::max);
+            worths.into_iter().map(|w| if most > 0.0 { w / most } else { 1.0 }).collect()
+        };
+        let worths = [
+            shares(settings.classes.iter().map(|c| c.worth).collect()),
+            shares(settings.plans.iter().map(|p| p.price).collect()),
+        ];
         Rc::new(Self {
             engine,
             classes: settings.classes.iter().map(|c| (c.name.clone(), c.effect)).collect(),
@@ -234,9 +109,8 @@
             most_units: settings.most_units,
             gateways: settings.gateways,
             ids: RefCell::default(),
-            most_clients,
-            guests: RefCell::default(),
-            left: Notify::new(),
+            worths,
+            door,
             draining: Cell::new(false),
         })
     }
@@ -254,101 +128,60 @@
             close.send_modify(|round| *round += 1);
             sleep(LINGER / 2).await;
         };
+        let front = self.clone();
+        self.door.open(Rc::new(move |stream, ahead, guest| {
+            front.clone().welcome(stream, ahead, guest, closing.clone());
+        }));
         let mut ended = pin!(ended);
         loop {
             tokio::select! {
                 () = ended.as_mut() => break,
-                stream = self.accept(&listener) => self.clone().welcome(stream, closing.clone()),
+                () = self.door.accept(&listener) => {}
             }
         }
         // What the machine has accepted for us already is ours to answer.
-        while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
-            self.clone().welcome(stream, closing.clone());
-        }
+        self.door.accept_the_last(&listener, Instant::now() + LINGER / 2).await;
         drop(listener);
         self.engine.hand_back(HAND_BACK).await;
         close.send_modify(|round| *round += 1);
         // Guards the end against clients that stop half-way: once nothing that was taken waits for its answer,
         // the last answers and the last bodies have this long.
         let mut quiet = Instant::now();
-        while !self.guests.borrow().is_empty() && quiet.elapsed() < LAST_WORDS {
-            let _ = timeout(LAST_WORDS / 10, self.left.notified()).await;
+        while !self.door.is_empty() && quiet.elapsed() < LAST_WORDS {
+            let _ = timeout(LAST_WORDS / 10, self.door.left.notified()).await;
             if self.engine.waiting() > 0 {
                 quiet = Instant::now();
             }
         }
     }
 
-    fn is_full(&self) -> bool {
-        self.guests.borrow().len() >= self.most_clients
-    }
-
-    fn ask_idle_to_leave(&self) {
-        let (guests, now) = (self.guests.borrow(), Instant::now());
-        // Those first who said they would ask and didn't, last those who just came.
-        let rank =
-            |g: &Rc<Guest>| match (g.life.now().was_answered(), now.duration_since(g.since.get()) < NEWCOMER)
-            {
-                (false, false) => 0,
-                (true, _) => 1,
-                (false, true) => 2,
-            };
-        let asleep = guests.iter().filter(|g| !g.is_busy() && !g.asked_to_leave.get());
-        if let Some(guest) = asleep.min_by_key(|g| (rank(g), g.since.get())) {
-            guest.asked_to_leave.set(true);
-            guest.leave.notify_one();
-        }
-    }
-
-    async fn accept(&self, listener: &TcpListener) -> TcpStream {
-        loop {
-            // Guards the descriptors: who finds no room waits in the machine's line, and guards those who wait
-            // there against clients that keep a connection and say nothing.
-            if self.guests.borrow().len() >= self.most_clients / CROWDED_PART {
-                self.ask_idle_to_leave();
-            }
-            while self.is_full() {
-                self.left.notified().await;
-                self.ask_idle_to_leave();
-            }
-            match listener.accept().await {
-                Ok((stream, _)) => return stream,
-                Err(_) => sleep(ACCEPT_PAUSE).await,
-            }
-        }
-    }
-
-    fn welcome(self: Rc<Self>, stream: TcpStream, mut closing: watch::Receiver<u32>) {
-        let guest = Rc::new(Guest::new());
-        self.guests.borrow_mut().push(guest.clone());
+    fn welcome(
+        self: Rc<Self>, stream: TcpStream, ahead: Vec<u8>, guest: Rc<Guest>,
+        mut closing: watch::Receiver<u32>,
+    ) {
         let round = *closing.borrow();
         crate::task::spawn(async move {
             let _ = stream.set_nodelay(true);
             let service = service_fn(|request| {
                 let (front, guest) = (self.clone(), guest.clone());
                 async move {
-                    let response = front.answer(request, &guest).await;
-                    guest.done();
+                    let (response, share) = front.answer(request, &guest).await;
+                    guest.done(share);
                     Ok::<_, Infallible>(response)
                 }
             });
             let connection = http1::Builder::new()
                 .header_read_timeout(None)
                 .max_buf_size(BUFFER)
-                .serve_connection(TokioIo::new(Tap { stream, guest: guest.clone() }), service);
+                .serve_connection(TokioIo::new(Tap::new(stream, ahead, guest.clone())), service);
             let mut connection = pin!(connection);
             // Lets go of what `wait_for` hands out: it locks the channel, and the next round would wait for
             // it on this one thread for ever.
             let mut closing = pin!(async { drop(closing.wait_for(|now| *now > round).await) });
-            let over = async {
-                while Instant::now() < guest.due() {
-                    sleep_until(guest.due()).await;
-                }
-            };
             tokio::select! {
                 biased;
                 _ = connection.as_mut() => {}
-                () = over => guest.life.step(Event::TimeUp),
+                () = guest.over() => guest.life.step(Event::TimeUp),
                 () = closing.as_mut() => {
                     connection.as_mut().graceful_shutdown();
                     let _ = connection.await;
@@ -363,35 +196,84 @@
                 }
             }
             guest.life.step(Event::Closed);
-            self.guests.borrow_mut().retain(|g| !Rc::ptr_eq(g, &guest));
-            self.left.notify_one();
+            self.door.gone(&guest);
         });
     }
 
-    /// The one answer to a request.
-    async fn answer(&self, request: Request<Incoming>, guest: &Guest) -> Response<Full<Bytes>> {
+    /// The one answer to a request, and what it was worth if it was served.
+    async fn answer(
+        &self, request: Request<Incoming>, guest: &Guest,
+    ) -> (Response<Full<Bytes>>, Option<f64>) {
         let mut last = request.headers().contains_key(TRANSFER_ENCODING);
+        let has_body = !request.body().is_end_stream();
+        let mut share = None;
         let mut response = if request.uri().path() == "/up" {
             self.up(request.method())
         } else {
-            let taken = self.take(request, guest).await;
+            let taken = match self.place(request.headers(), guest) {
+                Ok(()) => self.take(request, guest).await,
+                Err(fault) => Err(fault),
+            };
             match taken.and_then(|ticket| Ok((self.enter(ticket.message.id.clone())?, ticket))) {
                 Ok((_entry, ticket)) => {
-                    guest.life.step(Event::Taken);
-                    self.decide(ticket).await
+                    guest.taken();
+                    let worth = self.worth(&ticket);
+                    let (response, served) = self.decide(ticket).await;
+                    share = served.then_some(worth);
+                    response
                 }
                 Err(fault) => {
                     // Who asked wrongly may have meant something else with the bytes that follow.
-                    last = true;
+                    last |= has_body || !matches!(fault, Fault::TooMany(_));
                     refuse(fault)
                 }
             }
         };
         // So that clients find another gateway, or make room for others here.
-        if last || self.draining.get() || self.is_full() {
+        let full = || self.door.desk.ask(|admission, now| admission.is_full(now, guest.id));
+        if last || self.draining.get() || full() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        response
+        (response, share)
+    }
+
+    /// What a request is worth if it is served, as a share of what the worthiest is.
+    fn worth(&self, ticket: &Ticket) -> f64 {
+        let [classes, plans] = &self.worths;
+        let class = self.classes.iter().position(|(name, _)| *name == ticket.class);
+        let plan = self.plans.iter().position(|name| *name == ticket.plan);
+        class.zip(plan).map_or(0.0, |(class, plan)| classes[class] * plans[plan])
+    }
+
+    /// Whose a request is, where its connection is a proxy's that many share; a proxy's header from who is none is a fault.
+    fn place(&self, headers: &HeaderMap, guest: &Guest) -> Result<(), Fault> {
+        let header = match self.door.desk.ask(|admission, _| admission.shared(guest.id)) {
+            Some(header) => header,
+            None if self.door.settings().forged == Forged::Ignore => return Ok(()),
+            None if headers.contains_key(FORWARDED) => {
+                return Err(Fault::Bad("Forwarded, from no proxy that is known"));
+            }
+            None if headers.contains_key(X_FORWARDED_FOR) => {
+                return Err(Fault::Bad("X-Forwarded-For, from no proxy that is known"));
+            }
+            None => return Ok(()),
+        };
+        let values = |name| {
+            let values = headers.get_all(name).iter().map(|v| v.to_str());
+            values.collect::<Result<Vec<_>, _>>().map_err(|_| origin::Malformed)
+        };
+        self.door.desk.ask(|admission, now| {
+            let client = match header {
+                Header::Forwarded => {
+                    values(FORWARDED).and_then(|v| origin::forwarded(&v, admission.networks()))
+                }
+                _ => values(X_FORWARDED_FOR).and_then(|v| origin::x_forwarded_for(&v, admission.networks())),
+            };
+            match client.map_err(|origin::Malformed| Fault::Bad("Forwarded or X-Forwarded-For"))? {
+                None => Ok(()),
+                Some(client) => admission.rides(now, guest.id, client).map_err(Fault::TooMany),
+            }
+        })
     }
 
     /// Whether new clients should come here.
@@ -500,7 +382,8 @@
         (units > 0.0 && units <= most).then_some((units, spread, first.filter(|f| *f < self.gateways)?))
     }
 
-    async fn decide(&self, ticket: Ticket) -> Response<Full<Bytes>> {
+    /// The final answer, and whether it is a backend's.
+    async fn decide(&self, ticket: Ticket) -> (Response<Full<Bytes>>, bool) {
         let Ticket { class, plan, customer, units, spread, first, repeat, patience, message } = ticket;
         let margin = MARGIN.min(patience.mul_f64(MARGIN_SHARE));
         let (patience, now) = (patience - margin, Instant::now());
@@ -521,17 +404,15 @@
             Ok(Ok(Reply::Served(answer))) => {
                 let mut response = Response::new(Full::new(answer.body));
                 *response.headers_mut() = answer.headers;
-                response
+                (response, true)
             }
             Ok(Ok(Reply::Refused(wait))) => {
-                let mut response = plain(StatusCode::TOO_MANY_REQUESTS, "refused, try again later\n");
-                if let Ok(wait) = HeaderValue::from_str(&format!("{:.3}", wait / 1000.0)) {
-                    response.headers_mut().insert(RETRY_AFTER, wait);
-                }
-                response
+                (later(StatusCode::TOO_MANY_REQUESTS, "refused, try again later\n", wait), false)
+            }
+            Ok(Ok(Reply::Failed(false)) | Err(_)) => (plain(StatusCode::BAD_GATEWAY, "failed\n"), false),
+            Ok(Ok(Reply::Failed(true))) | Err(_) => {
+                (plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n"), false)
             }
-            Ok(Ok(Reply::Failed(false)) | Err(_)) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
-            Ok(Ok(Reply::Failed(true))) | Err(_) => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n"),
         }
     }
 }
@@ -584,6 +465,9 @@
 fn refuse(fault: Fault) -> Response<Full<Bytes>> {
     match fault {
         Fault::NoPath => plain(StatusCode::NOT_FOUND, "no such path\n"),
+        Fault::TooMany(wait) => {
+            later(StatusCode::SERVICE_UNAVAILABLE, "too many open for this client, try again later\n", wait)
+        }
         Fault::TooLarge => plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"),
         Fault::Bad(what) => {
             let mut response = plain(StatusCode::BAD_REQUEST, "");
@@ -593,6 +477,15 @@
     }
 }
 
+/// An answer that says when to come again, in ms.
+fn later(status: StatusCode, text: &'static str, wait: f64) -> Response<Full<Bytes>> {
+    let mut response = plain(status, text);
+    if let Ok(wait) = HeaderValue::from_str(&format!("{:.3}", wait / 1000.0)) {
+        response.headers_mut().insert(RETRY_AFTER, wait);
+    }
+    response
+}
+
 fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::from(text));
     *response.status_mut() = status;
--- a/gateway/src/link.rs
+++ b/gateway/src/link.rs
@@ -27,6 +27,14 @@
 /// The longest head of an answer. Guards the memory against heads that don't end.
 const LONGEST_HEAD: usize = 16 * 1024;
 
+/// `EMFILE` and `ENFILE`, of every Unix.
+const NO_DESCRIPTOR: [i32; 2] = [24, 23];
+
+/// Whether a call failed because no descriptor was to be had.
+pub fn is_descriptor_shortage(error: &io::Error) -> bool {
+    error.raw_os_error().is_some_and(|code| NO_DESCRIPTOR.contains(&code))
+}
+
 /// What the socket has seen of the present exchange.
 struct Trace {
     life: Life<Connection>,
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -11,10 +11,15 @@
 use fennelscale::backends::Backends;
 use fennelscale::clients::Front;
 use fennelscale::discovery;
+use fennelscale::door::Door;
 use fennelscale::engine::Engine;
 use fennelscale::faults;
 use fennelscale::task::spawn;
+use fennelscale_admission::budget::{Budget, Limit};
+use fennelscale_settings::admission::Admission;
 use fennelscale_settings::gateway::Config;
+use fennelscale_settings::operators::Operators;
+use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
 use std::fmt::Display;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -24,11 +29,6 @@
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
-/// Descriptors for all but clients and backends: standard streams, the event loop, listener, counter, discovery.
-const OTHER_SOCKETS: usize = 32;
-/// Of the rest, the share for clients; backends get what is left.
-const CLIENT_SHARE: f64 = 0.55;
-
 fn main() -> ExitCode {
     // With no argument this is the gateway, at no cost of reading any.
     if std::env::args_os().len() <= 1 {
@@ -46,11 +46,15 @@
         Ok(config) => config,
         Err(error) => return unusable(&error),
     };
+    let operators = match Operators::from_environment() {
+        Ok(operators) => operators,
+        Err(error) => return unusable(&error),
+    };
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => return unusable(&error),
     };
-    LocalSet::new().block_on(&runtime, run(config))
+    LocalSet::new().block_on(&runtime, run(config, operators))
 }
 
 fn unusable(what: &dyn Display) -> ExitCode {
@@ -58,7 +62,7 @@
     ExitCode::from(2)
 }
 
-async fn run(config: Config) -> ExitCode {
+async fn run(config: Config, operators: Operators) -> ExitCode {
     let signals = [SignalKind::terminate(), SignalKind::interrupt(), SignalKind::hangup()].map(signal);
     let (mut terminate, mut interrupt, hangup) = match signals {
         [Ok(terminate), Ok(interrupt), Ok(hangup)] => (terminate, interrupt, hangup),
@@ -68,20 +72,25 @@
         Ok(listener) => listener,
         Err(error) => return unusable(&format!("cannot listen at {}: {error}", config.listen)),
     };
-    let sockets = config.sockets.saturating_sub(OTHER_SOCKETS).max(2);
-    let most_clients = ((sockets as f64 * CLIENT_SHARE) as usize).max(1);
+    let limit = Limit::of(config.sockets, descriptors_allowed(config.sockets));
+    if limit.is_short() {
+        eprintln!("{limit}");
+    }
+    let admission = operators.admission.unwrap_or_else(Admission::neutral);
+    let budget = Budget::divide(limit.usable, admission.hold.most, admission.refusals.lingering);
     let settings = faults::settings(config.settings);
-    let backends = Backends::new(
-        config.connect_timeout,
-        config.backend_idle,
-        settings.reports,
-        sockets.saturating_sub(most_clients).max(1),
-    );
+    let backends =
+        Backends::new(config.connect_timeout, config.backend_idle, settings.reports, budget.backends);
     let engine = match Engine::start(settings.clone(), config.seed, backends.clone(), config.counter) {
         Ok(engine) => engine,
         Err(error) => return unusable(&error),
     };
-    let front = Front::new(engine.clone(), &settings, most_clients);
+    let door = Door::new(admission, budget);
+    backends.on_shortage({
+        let door = door.clone();
+        Rc::new(move || door.short_of_descriptors())
+    });
+    let front = Front::new(engine.clone(), &settings, door);
     let seq = config.known.seq;
     discovery::tell(config.known, &backends, &engine);
     spawn(backends.clone().keep_tidy());
@@ -101,6 +110,18 @@
     ExitCode::SUCCESS
 }
 
+/// How many descriptors the machine lets this process have, at most what it wants: the soft limit is raised as far as that takes
+/// and the hard one allows. None is no limit.
+fn descriptors_allowed(wanted: usize) -> Option<u64> {
+    let Rlimit { current, maximum } = getrlimit(Resource::Nofile);
+    let reach = maximum.map_or(wanted as u64, |most| most.min(wanted as u64));
+    if current.is_some_and(|now| now < reach) {
+        // Refused, the old limit stands, and is what there is.
+        let _ = setrlimit(Resource::Nofile, Rlimit { current: Some(reach), maximum });
+    }
+    getrlimit(Resource::Nofile).current
+}
+
 /// Reads the configuration again at each SIGHUP and moves to the addresses in it; the rest of it is for the next
 /// start. One that cannot be used changes nothing.
 async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>, engine: Rc<Engine>) {
