--- a/gateway/tests/helper/mod.rs
+++ b/gateway/tests/helper/mod.rs
@@ -3,15 +3,16 @@
 
 #![allow(dead_code)]
 
+use rustix::process::{Pid, Resource, Rlimit, getrlimit, prlimit};
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{ExitStatus, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncRead, AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::process::{Child, Command};
 use tokio::sync::watch;
 
@@ -336,6 +337,10 @@
     pub sockets: usize,
     /// How long a backend may be cold, in ms; one that failed is left alone for a share of that.
     pub cold: u64,
+    /// The text of an operators' settings file.
+    pub operators: Option<String>,
+    /// The process's own limit on descriptors.
+    pub descriptors: Option<u64>,
     /// What classes aim at, how long keys are remembered, the counter's time and that of a connection that comes up, as
     /// multiples of the usual ones.
     pub ease: u64,
@@ -351,6 +356,8 @@
             known: list(1, true, rows),
             sockets: 1024,
             cold: 1000,
+            operators: None,
+            descriptors: None,
             ease: 1,
         }
     }
@@ -369,7 +376,8 @@
 
 impl Gateway {
     pub async fn start(discovery: SocketAddr, counter: SocketAddr, setup: &Setup) -> Self {
-        let Setup { rate, burst, gateways, number, known, sockets, cold, ease } = setup;
+        let Setup { rate, burst, gateways, number, known, sockets, cold, ease, operators, descriptors } =
+            setup;
         let (goal, window, limit, dial) = (800 * ease, 4000 * ease, 50 * ease, 250 * ease);
         let text = format!(
             r#"{{"name":"t","listen":"127.0.0.1:0","discovery":"{discovery}","counter":"{counter}",
@@ -386,7 +394,21 @@
         let number = FILES.fetch_add(1, Ordering::SeqCst);
         let config = std::env::temp_dir().join(format!("fennelscale-{}-{number}.json", std::process::id()));
         std::fs::write(&config, &text).expect("a file");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_fennelscale"))
+        let settings = config.with_extension("toml");
+        let mut command = match descriptors {
+            None => Command::new(env!("CARGO_BIN_EXE_fennelscale")),
+            Some(most) => {
+                let mut shell = Command::new("sh");
+                let line = format!("ulimit -n {most} && exec \"$0\"");
+                shell.args(["-c", &line, env!("CARGO_BIN_EXE_fennelscale")]);
+                shell
+            }
+        };
+        if let Some(text) = operators {
+            std::fs::write(&settings, text).expect("a file");
+            command.env("FENNELSCALE_SETTINGS", &settings);
+        }
+        let mut child = command
             .env("NODE_CONFIG", &config)
             .env_remove("NODE_LISTEN")
             .env("NODE_DISCOVERY", discovery.to_string())
@@ -395,9 +417,15 @@
             .spawn()
             .expect("a gateway");
         let mut log = BufReader::new(child.stderr.take().expect("its log")).lines();
-        let first = soon("the gateway's first line", log.next_line()).await.expect("a log").expect("a line");
-        let at = first.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
         let lines: Arc<Mutex<Vec<String>>> = Arc::default();
+        let at = loop {
+            let line =
+                soon("the gateway's first lines", log.next_line()).await.expect("a log").expect("a line");
+            match line.split_once("listening at ") {
+                Some((_, at)) => break at.parse().expect("an address"),
+                None => lines.lock().expect("lock").push(line),
+            }
+        };
         let noted = lines.clone();
         tokio::spawn(async move {
             while let Ok(Some(line)) = log.next_line().await {
@@ -425,6 +453,40 @@
         Client(BufReader::new(TcpStream::connect(self.at).await.expect("a connection")))
     }
 
+    /// A client at a loopback address of its own.
+    pub async fn client_from(&self, from: Ipv4Addr) -> Client {
+        Client(BufReader::new(connect_from(from, self.at).await.expect("a connection")))
+    }
+
+    /// The same, where a reset may come before the connection is seen to be up.
+    pub async fn try_client_from(&self, from: Ipv4Addr) -> Option<Client> {
+        connect_from(from, self.at).await.ok().map(|stream| Client(BufReader::new(stream)))
+    }
+
+    fn open_descriptors(&self) -> Vec<usize> {
+        let id = self.child.id().expect("a process");
+        let entries = std::fs::read_dir(format!("/proc/{id}/fd")).expect("its descriptors");
+        entries.filter_map(|entry| entry.ok()?.file_name().to_str()?.parse().ok()).collect()
+    }
+
+    /// How many descriptors the process has open.
+    pub fn descriptors(&self) -> usize {
+        self.open_descriptors().len()
+    }
+
+    /// From now on the process gets no further descriptor, as if others had taken all. It may take the place of one that it closes.
+    pub fn exhaust_descriptors(&self) {
+        let open = self.open_descriptors();
+        self.limit_descriptors((0..).find(|n| !open.contains(n)).expect("a number"));
+    }
+
+    /// Sets the process's own limit on descriptors while it runs.
+    pub fn limit_descriptors(&self, most: usize) {
+        let id = self.child.id().and_then(|id| Pid::from_raw(id as i32)).expect("a process");
+        let most = Rlimit { current: Some(most as u64), maximum: getrlimit(Resource::Nofile).maximum };
+        prlimit(Some(id), Resource::Nofile, most).expect("a limit");
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
@@ -443,9 +505,17 @@
 impl Drop for Gateway {
     fn drop(&mut self) {
         let _ = std::fs::remove_file(&self.config);
+        let _ = std::fs::remove_file(self.config.with_extension("toml"));
     }
 }
 
+/// Connects from a loopback address.
+pub async fn connect_from(from: Ipv4Addr, to: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::from((from, 0)))?;
+    socket.connect(to).await
+}
+
 static IDS: AtomicU32 = AtomicU32::new(0);
 
 /// A well-formed request of a class; more headers and a body may be given.
