--- a/crates/rehearsal/src/play/gateways.rs
+++ b/crates/rehearsal/src/play/gateways.rs
@@ -10,6 +10,7 @@
 use super::wire::Connection;
 use crate::log::{GatewayState, What};
 use crate::scenario::{Effect, Scenario};
+use fennelscale_settings::operators;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
@@ -151,7 +152,13 @@
             .create(true)
             .append(true)
             .open(self.kit.folder.join(format!("gateway-{number}.log")))?;
-        let mut child = Command::new(&self.program)
+        let mut command = Command::new(&self.program);
+        if let Some(text) = &self.kit.scenario.settings {
+            let path = self.kit.folder.join("settings.toml");
+            std::fs::write(&path, text)?;
+            command.env(operators::VARIABLE, path);
+        }
+        let mut child = command
             .arg("tethered")
             .arg(std::process::id().to_string())
             .env("NODE_NAME", format!("g{number}"))
--- a/crates/rehearsal/src/play/mod.rs
+++ b/crates/rehearsal/src/play/mod.rs
@@ -3,6 +3,7 @@
 mod clients;
 mod counter;
 mod discovery;
+mod flood;
 mod gateways;
 mod kit;
 mod node;
--- a/crates/rehearsal/src/play/troubles.rs
+++ b/crates/rehearsal/src/play/troubles.rs
@@ -2,6 +2,7 @@
 
 use super::counter::Counter;
 use super::discovery::Discovery;
+use super::flood;
 use super::gateways::Gateways;
 use super::kit::Kit;
 use super::node::Nodes;
@@ -125,6 +126,21 @@
                     let _ = stall.await;
                 }
             }
+            TroubleKind::FloodConnections => {
+                let rate = trouble.rate.map_or(1.0, |rate| rate.0);
+                let floods: Vec<_> = self
+                    .gateways
+                    .all
+                    .iter()
+                    .enumerate()
+                    .map(|(n, gateway)| {
+                        spawn_local(flood::flood(self.kit.clone(), n as u8, gateway.at, rate, trouble.end()))
+                    })
+                    .collect();
+                for flood in floods {
+                    let _ = flood.await;
+                }
+            }
             TroubleKind::CounterReplaced => self.counter.replace(),
             _ => self.kit.until(trouble.end()).await,
         }
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -2,6 +2,7 @@
 
 use crate::node::Cold;
 use fennelscale_settings::file::{self, Fault, FileError};
+use fennelscale_settings::operators::Operators;
 use fennelscale_settings::units::{Quantity, Range, Rate, Share, Time};
 use serde::{Deserialize, Serialize};
 
@@ -15,6 +16,7 @@
 const MOST_GATEWAYS: usize = 16;
 const MOST_NODES: usize = 64;
 const MOST_ACCOUNTS_RATE: f64 = 2000.0;
+const MOST_CONNECTIONS_RATE: f64 = 1000.0;
 const LONGEST: f64 = 600_000.0;
 
 /// A whole scenario.
@@ -51,6 +53,9 @@
     /// What each gateway may use.
     #[serde(default)]
     pub limits: Limits,
+    /// The text of the operators' settings file that the gateways are given; none without it.
+    #[serde(default)]
+    pub settings: Option<String>,
     /// What goes wrong and when.
     #[serde(default)]
     pub trouble: Vec<Trouble>,
@@ -323,6 +328,8 @@
     Flood,
     /// Accounts seen once: `share` of the load offered on top.
     SeenOnce,
+    /// Each gateway gets `rate` connections from ever new addresses that say nothing, half of something or little of worth.
+    FloodConnections,
     /// A share of the attempts is cut off: half before, half after the node has begun with it.
     ResetConnections,
     /// A share of the kept connections is forgotten by their node, which the next request shows.
@@ -349,6 +356,7 @@
                 | Self::CounterSilent
                 | Self::CounterReplaced
                 | Self::DiscoverySilent
+                | Self::FloodConnections
         )
     }
 
@@ -368,6 +376,7 @@
             Self::DrainNodes => "drain-nodes",
             Self::Flood => "flood",
             Self::SeenOnce => "seen-once",
+            Self::FloodConnections => "flood-connections",
             Self::ResetConnections => "reset-connections",
             Self::StaleConnections => "stale-connections",
             Self::SpoilAnswers => "spoil-answers",
@@ -400,6 +409,8 @@
     pub accounts: Option<usize>,
     /// See `accounts`.
     pub plan: Option<String>,
+    /// `flood-connections`: how many.
+    pub rate: Option<PerSecond>,
 }
 
 impl Trouble {
@@ -479,6 +490,10 @@
             return fault("front.moves", "must be at least 100ms");
         }
         self.check_parts()?;
+        if let Some(settings) = &self.settings {
+            Operators::parse("settings", settings)
+                .map_err(|error| ("settings".to_owned(), error.to_string()))?;
+        }
         for (n, trouble) in self.trouble.iter().enumerate() {
             self.check_trouble(trouble).map_err(|(key, what)| {
                 (
@@ -599,6 +614,12 @@
         if kind == TroubleKind::Flood && !(1..=10).contains(&trouble.accounts.unwrap_or(1)) {
             return fault("accounts", "must be from 1 to 10");
         }
+        if (kind == TroubleKind::FloodConnections) != trouble.rate.is_some() {
+            return fault("kind", "`rate` belongs to flood-connections, which needs it");
+        }
+        if trouble.rate.is_some_and(|rate| !(1.0..=MOST_CONNECTIONS_RATE).contains(&rate.0)) {
+            return fault("rate", "must be from 1/s to 1000/s");
+        }
         if trouble.plan.as_ref().is_some_and(|name| self.plan_place(name).is_none()) {
             return fault("plan", "there is no such plan");
         }
--- a/crates/rehearsal/src/shipped.rs
+++ b/crates/rehearsal/src/shipped.rs
@@ -4,7 +4,7 @@
 pub const DEFAULT: &str = "batch-day";
 
 /// Names and texts, the default first.
-pub const SHIPPED: [(&str, &str); 11] = [
+pub const SHIPPED: [(&str, &str); 12] = [
     ("batch-day", include_str!("../scenarios/batch-day.toml")),
     ("calm", include_str!("../scenarios/calm.toml")),
     ("gateways-die", include_str!("../scenarios/gateways-die.toml")),
@@ -12,6 +12,7 @@
     ("rolling", include_str!("../scenarios/rolling.toml")),
     ("counter-lost", include_str!("../scenarios/counter-lost.toml")),
     ("flood", include_str!("../scenarios/flood.toml")),
+    ("connection-flood", include_str!("../scenarios/connection-flood.toml")),
     ("bad-network", include_str!("../scenarios/bad-network.toml")),
     ("blind", include_str!("../scenarios/blind.toml")),
     ("moved", include_str!("../scenarios/moved.toml")),
--- a/gateway/tests/helper/mod.rs
+++ b/gateway/tests/helper/mod.rs
@@ -341,6 +341,8 @@
     pub operators: Option<String>,
     /// The process's own limit on descriptors.
     pub descriptors: Option<u64>,
+    /// Another build of the program, for comparisons.
+    pub program: Option<PathBuf>,
     /// What classes aim at, how long keys are remembered, the counter's time and that of a connection that comes up, as
     /// multiples of the usual ones.
     pub ease: u64,
@@ -358,6 +360,7 @@
             cold: 1000,
             operators: None,
             descriptors: None,
+            program: None,
             ease: 1,
         }
     }
@@ -376,8 +379,19 @@
 
 impl Gateway {
     pub async fn start(discovery: SocketAddr, counter: SocketAddr, setup: &Setup) -> Self {
-        let Setup { rate, burst, gateways, number, known, sockets, cold, ease, operators, descriptors } =
-            setup;
+        let Setup {
+            rate,
+            burst,
+            gateways,
+            number,
+            known,
+            sockets,
+            cold,
+            ease,
+            operators,
+            descriptors,
+            program,
+        } = setup;
         let (goal, window, limit, dial) = (800 * ease, 4000 * ease, 50 * ease, 250 * ease);
         let text = format!(
             r#"{{"name":"t","listen":"127.0.0.1:0","discovery":"{discovery}","counter":"{counter}",
@@ -395,12 +409,13 @@
         let config = std::env::temp_dir().join(format!("fennelscale-{}-{number}.json", std::process::id()));
         std::fs::write(&config, &text).expect("a file");
         let settings = config.with_extension("toml");
+        let program = program.clone().unwrap_or_else(|| env!("CARGO_BIN_EXE_fennelscale").into());
         let mut command = match descriptors {
-            None => Command::new(env!("CARGO_BIN_EXE_fennelscale")),
+            None => Command::new(&program),
             Some(most) => {
                 let mut shell = Command::new("sh");
                 let line = format!("ulimit -n {most} && exec \"$0\"");
-                shell.args(["-c", &line, env!("CARGO_BIN_EXE_fennelscale")]);
+                shell.args(["-c", &line]).arg(&program);
                 shell
             }
         };
@@ -463,9 +478,13 @@
         connect_from(from, self.at).await.ok().map(|stream| Client(BufReader::new(stream)))
     }
 
+    /// The process's id.
+    pub fn id(&self) -> u32 {
+        self.child.id().expect("a process")
+    }
+
     fn open_descriptors(&self) -> Vec<usize> {
-        let id = self.child.id().expect("a process");
-        let entries = std::fs::read_dir(format!("/proc/{id}/fd")).expect("its descriptors");
+        let entries = std::fs::read_dir(format!("/proc/{}/fd", self.id())).expect("its descriptors");
         entries.filter_map(|entry| entry.ok()?.file_name().to_str()?.parse().ok()).collect()
     }
 
