Refusals of known clients are always answered, and strangers' as far as a rate allows

Known clients now have half of the places and of the line for themselves, and where there is none an answer is written without waiting; a reset is left for strangers beyond a rate.

--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -29,7 +29,9 @@
 const RECOVERS: Duration = Duration::from_millis(100);
 /// When they run out, the room shrinks to this much less than what is open.
 const PINCH: usize = 8;
-/// No client holds more than this part of the line of those who wait.
+/// Strangers together have this part of the line of those who wait, and of the places of those who linger ...
+const STRANGERS_PART: usize = 2;
+/// ... and each of them this part of the line.
 const LINE_PART: usize = 4;
 
 /// Why a connection is refused.
@@ -81,11 +83,15 @@
     }
 }
 
-/// How a refusal is told: by an answer while these are few, by a reset beyond that.
+/// How a refusal is told. Known clients always get an answer; strangers while refusals are fewer a second than the settings
+/// say, and a reset beyond that. An answer lingers while there is a place for that, of which known clients have half for
+/// themselves.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Tell {
     /// 503, with this `Retry-After` in ms; the connection is kept until that was read, for a bounded time.
     Answer(f64),
+    /// The same, and a close at once: what the client sends behind it meets a reset, but it can read the answer.
+    Brief(f64),
     /// A reset.
     Reset,
 }
@@ -417,6 +423,9 @@
                 self.strangers.check(self.strangers_due, ms(now)).map_err(|wait| (Why::Strangers, wait))
             }
         });
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.client = Some(client);
+        }
         if let Err((why, wait)) = verdict {
             return self.refuse(now, id, why, wait, out);
         }
@@ -445,9 +454,12 @@
         }
         // Itself it is among the unnamed until now.
         self.unnamed -= 1;
+        let line = &self.lines[class as usize];
         let waits = |id: &&Id| self.connections.get(id).is_some_and(|c| c.client == Some(client));
-        let own = self.lines.iter().flatten().filter(waits).count();
-        if self.line_is_full() || own >= (self.room.held / LINE_PART).max(1) {
+        let crowds = class == Class::Stranger
+            && (line.len() >= (self.room.held / STRANGERS_PART).max(1)
+                || line.iter().filter(waits).count() >= (self.room.held / LINE_PART).max(1));
+        if self.line_is_full() || crowds {
             self.unnamed += 1;
             return self.refuse(now, id, Why::Full, self.retry_after, out);
         }
@@ -548,15 +560,21 @@
         self.unnamed -= 1;
         let place = Why::ALL.iter().position(|w| *w == why).unwrap_or(0);
         self.counts.refused[place] += 1;
-        let lingers =
-            self.lingering < self.room.lingering && self.answers.take(&mut self.answers_due, ms(now)).is_ok();
-        if lingers {
-            self.lingering += 1;
-        } else {
-            self.counts.reset += 1;
-        }
+        let known = self.connections.get(&id).is_some_and(|c| {
+            c.carrier.is_some() || c.client.is_some_and(|c| self.standings.class(c, now) == Class::Known)
+        });
+        let answered = known || self.answers.take(&mut self.answers_due, ms(now)).is_ok();
+        let places = if known { self.room.lingering } else { self.room.lingering / STRANGERS_PART };
+        let lingers = answered && self.lingering < places;
+        self.lingering += usize::from(lingers);
+        self.counts.reset += u64::from(!answered);
         self.set(id, State::Refused { lingers });
-        out.push(Action::Refuse(id, if lingers { Tell::Answer(wait) } else { Tell::Reset }, why));
+        let tell = match (answered, lingers) {
+            (true, true) => Tell::Answer(wait),
+            (true, false) => Tell::Brief(wait),
+            (false, _) => Tell::Reset,
+        };
+        out.push(Action::Refuse(id, tell, why));
     }
 
     /// The first byte of a request came.
--- a/gateway/src/door.rs
+++ b/gateway/src/door.rs
@@ -13,6 +13,7 @@
 use std::collections::HashMap;
 use std::fmt::Write as _;
 use std::io::ErrorKind;
+use std::mem::MaybeUninit;
 use std::net::{IpAddr, Shutdown};
 use std::os::fd::{AsFd, OwnedFd};
 use std::rc::Rc;
@@ -145,10 +146,7 @@
         self.tell(|admission, now, out| admission.exhausted(now, out));
         let had = self.spare.let_go();
         if let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
-            let wait = self.settings.retry_after.0;
-            let mut away = [0; 4096];
-            while stream.try_read(&mut away).is_ok_and(|read| read > 0) {}
-            let _ = stream.try_write(refusal(wait).as_bytes());
+            say_no(&stream, self.settings.retry_after.0);
         }
         self.spare.keep(listener);
         if !had || self.spare.0.borrow().is_none() {
@@ -181,6 +179,7 @@
                 Action::Identify(id) => spawn(self.clone().identify(id)),
                 Action::Admit(id) => self.admit(id),
                 Action::Refuse(id, Tell::Answer(wait), _) => spawn(self.clone().refuse(id, wait)),
+                Action::Refuse(id, Tell::Brief(wait), _) => self.refuse_briefly(id, wait),
                 Action::Refuse(id, Tell::Reset, _) => self.reset(id),
                 Action::Evict(id) => self.evict(id),
             }
@@ -222,6 +221,15 @@
         self.closed(id);
     }
 
+    /// Answers 503 and closes at once.
+    fn refuse_briefly(self: &Rc<Self>, id: Id, wait: f64) {
+        if let Some((stream, _)) = self.waiting.borrow_mut().remove(&id) {
+            // Of a connection that was accepted just now the event loop has heard nothing yet: the socket itself is asked.
+            say_no(&stream, wait);
+        }
+        self.closed(id);
+    }
+
     /// Answers 503 and closes once that was read, or its time is over.
     async fn refuse(self: Rc<Self>, id: Id, wait: f64) {
         let waiting = self.waiting.borrow_mut().remove(&id);
@@ -316,6 +324,20 @@
     }
 }
 
+/// Reads away what is there and answers 503, as far as that goes without waiting.
+fn say_no(stream: &TcpStream, wait: f64) {
+    let socket = socket2::SockRef::from(stream);
+    let mut away = [MaybeUninit::uninit(); 4096];
+    let mut room = READ_AWAY;
+    while let Ok(read) = socket.recv(&mut away) {
+        room = room.saturating_sub(read);
+        if read == 0 || room == 0 {
+            break;
+        }
+    }
+    let _ = socket.send(refusal(wait).as_bytes());
+}
+
 /// A whole answer that says when to come again.
 fn refusal(wait: f64) -> String {
     const TEXT: &str = "no room for this connection, try again later\n";
