--- a/gateway/benches/door.rs
+++ b/gateway/benches/door.rs
@@ -138,7 +138,7 @@
                         kept.pop_front();
                     }
                 }
-                sleep(Duration::from_millis(30)).await;
+                sleep(Duration::from_millis(5)).await;
             }
         });
     }
