Admission: count states in one place, check caps in one place, write a rehearsal's settings once

How many connections are unnamed, leaving or lingering was kept by hand in six places: it follows from a connection's change of state now. Caps of client and site were checked and entered twice, for connections and for requests behind a proxy. A client's load was computed at each served request, needed only when its class changes; the clock was read twice for one event. Order::loads was used by nobody. A rehearsal wrote the operators' file anew at each start of a gateway, while others might be reading it: once before the first now.

--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -327,9 +327,9 @@
         self.lines.iter().map(VecDeque::len).sum()
     }
 
-    /// Whether all held and half-known connections have their descriptors taken.
+    /// Whether there is no place in the line for the one that came just now and is counted already.
     fn line_is_full(&self) -> bool {
-        self.unnamed + self.held() >= self.room.held
+        self.unnamed + self.held() > self.room.held
     }
 
     fn total(&self) -> usize {
@@ -390,8 +390,7 @@
             // Whose requests it carries is told by each: of the connection itself the operators have said enough.
             return self.seek_room(now, id, carrier, Class::Known, out);
         }
-        // Itself it is counted already.
-        if self.unnamed + self.held() > self.room.held {
+        if self.line_is_full() {
             return self.refuse(now, id, Why::Full, self.retry_after, out);
         }
         out.push(Action::Identify(id));
@@ -401,22 +400,7 @@
     pub fn identified(&mut self, now: Time, id: Id, address: IpAddr, out: &mut Vec<Action>) {
         let client = self.networks.client(address);
         let class = self.standings.class(client, now);
-        let tier = self.networks.tier(client);
-        let site = self.networks.site(client);
-        let verdict =
-            self.clients.check(client, now, Some(&tier.rate), tier.open).map_err(|over| match over {
-                Over::Open => (Why::ClientOpen, self.retry_after),
-                Over::Rate(wait) => (Why::ClientRate, wait),
-            });
-        let verdict = verdict.and_then(|()| match site {
-            None => Ok(()),
-            Some(site) => self.sites.check(site, now, Some(&tier.site_rate), tier.site_open).map_err(
-                |over| match over {
-                    Over::Open => (Why::SiteOpen, self.retry_after),
-                    Over::Rate(wait) => (Why::SiteRate, wait),
-                },
-            ),
-        });
+        let verdict = self.within_caps(now, client, true);
         let verdict = verdict.and_then(|()| match class {
             Class::Known => Ok(()),
             Class::Stranger => {
@@ -432,16 +416,38 @@
         if class == Class::Stranger {
             self.strangers_due = self.strangers.next(self.strangers_due, ms(now));
         }
-        self.clients.enter(client, now, Some(&tier.rate));
-        if let Some(site) = site {
-            self.sites.enter(site, now, Some(&tier.site_rate));
-        }
+        self.entered(now, client, true);
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.counted = true;
         }
         self.seek_room(now, id, client, class, out);
     }
 
+    /// Whether a client, and its site, may have one more open; `rated` if it connects for that.
+    fn within_caps(&self, now: Time, client: Client, rated: bool) -> Result<(), (Why, f64)> {
+        let tier = self.networks.tier(client);
+        let told = |open, rate| {
+            move |over| match over {
+                Over::Open => (open, self.retry_after),
+                Over::Rate(wait) => (rate, wait),
+            }
+        };
+        let rate = rated.then_some(&tier.rate);
+        self.clients.check(client, now, rate, tier.open).map_err(told(Why::ClientOpen, Why::ClientRate))?;
+        let Some(site) = self.networks.site(client) else { return Ok(()) };
+        let rate = rated.then_some(&tier.site_rate);
+        self.sites.check(site, now, rate, tier.site_open).map_err(told(Why::SiteOpen, Why::SiteRate))
+    }
+
+    /// A client has one more open; `rated` if it connected for that.
+    fn entered(&mut self, now: Time, client: Client, rated: bool) {
+        let tier = self.networks.tier(client);
+        self.clients.enter(client, now, rated.then_some(&tier.rate));
+        if let Some(site) = self.networks.site(client) {
+            self.sites.enter(site, now, rated.then_some(&tier.site_rate));
+        }
+    }
+
     /// Admits it, holds it, or refuses it for want of room.
     fn seek_room(&mut self, now: Time, id: Id, client: Client, class: Class, out: &mut Vec<Action>) {
         if let Some(connection) = self.connections.get_mut(&id) {
@@ -452,15 +458,12 @@
         if self.has_room(class, now) {
             return self.admit(now, id, class, out);
         }
-        // Itself it is among the unnamed until now.
-        self.unnamed -= 1;
         let line = &self.lines[class as usize];
         let waits = |id: &&Id| self.connections.get(id).is_some_and(|c| c.client == Some(client));
         let crowds = class == Class::Stranger
             && (line.len() >= (self.room.held / STRANGERS_PART).max(1)
                 || line.iter().filter(waits).count() >= (self.room.held / LINE_PART).max(1));
         if self.line_is_full() || crowds {
-            self.unnamed += 1;
             return self.refuse(now, id, Why::Full, self.retry_after, out);
         }
         let until = now + self.hold;
@@ -472,12 +475,23 @@
         }
     }
 
-    fn set(&mut self, id: Id, state: State) {
-        if let Some(connection) = self.connections.get_mut(&id) {
-            connection.state = state;
+    /// How many are in a state, where that is counted.
+    fn tally(&mut self, state: State) -> Option<&mut usize> {
+        match state {
+            State::Unnamed => Some(&mut self.unnamed),
+            State::Leaving => Some(&mut self.leaving),
+            State::Refused { lingers: true } => Some(&mut self.lingering),
+            _ => None,
         }
     }
 
+    fn set(&mut self, id: Id, state: State) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        let old = std::mem::replace(&mut connection.state, state);
+        self.tally(old).into_iter().for_each(|count| *count -= 1);
+        self.tally(state).into_iter().for_each(|count| *count += 1);
+    }
+
     /// What a client holds of what it may.
     fn load(&self, client: Client) -> Load {
         if let Some(proxy) =
@@ -488,9 +502,8 @@
         order::load(self.clients.open(client), self.networks.tier(client).open)
     }
 
-    /// Serves a connection that is among the unnamed.
+    /// Serves a connection.
     fn admit(&mut self, now: Time, id: Id, class: Class, out: &mut Vec<Action>) {
-        self.unnamed -= 1;
         let Some(client) = self.connections.get(&id).and_then(|c| c.client) else { return };
         self.open[class as usize] += 1;
         self.people.entry(client).or_insert(Person { class, admitted: 0 }).admitted += 1;
@@ -509,13 +522,11 @@
 
     /// A client is known now, or not any more.
     fn reclass(&mut self, client: Client, class: Class) {
-        let load = self.load(client);
-        if let Some(person) = self.people.get_mut(&client).filter(|p| p.class != class) {
-            self.open[person.class as usize] -= person.admitted as usize;
-            self.open[class as usize] += person.admitted as usize;
-            person.class = class;
-            self.order.update(client, class, load);
-        }
+        let Some(person) = self.people.get_mut(&client).filter(|p| p.class != class) else { return };
+        self.open[person.class as usize] -= person.admitted as usize;
+        self.open[class as usize] += person.admitted as usize;
+        person.class = class;
+        self.order.update(client, class, self.load(client));
     }
 
     /// Asks one idle connection to leave, for one of a class that comes or, without one, for anybody.
@@ -551,13 +562,11 @@
     fn evict(&mut self, Victim { client, idle, .. }: Victim, out: &mut Vec<Action>) {
         self.order.remove(client, idle);
         self.set(idle.id, State::Leaving);
-        self.leaving += 1;
         self.counts.evicted += 1;
         out.push(Action::Evict(idle.id));
     }
 
     fn refuse(&mut self, now: Time, id: Id, why: Why, wait: f64, out: &mut Vec<Action>) {
-        self.unnamed -= 1;
         let place = Why::ALL.iter().position(|w| *w == why).unwrap_or(0);
         self.counts.refused[place] += 1;
         let known = self.connections.get(&id).is_some_and(|c| {
@@ -566,7 +575,6 @@
         let answered = known || self.answers.take(&mut self.answers_due, ms(now)).is_ok();
         let places = if known { self.room.lingering } else { self.room.lingering / STRANGERS_PART };
         let lingers = answered && self.lingering < places;
-        self.lingering += usize::from(lingers);
         self.counts.reset += u64::from(!answered);
         self.set(id, State::Refused { lingers });
         let tell = match (answered, lingers) {
@@ -610,20 +618,11 @@
     /// When the client, or its site, has as many open as it may; with the time to wait in ms.
     pub fn rides(&mut self, now: Time, id: Id, address: IpAddr) -> Result<(), f64> {
         let client = self.networks.client(address);
-        let tier = self.networks.tier(client);
-        let site = self.networks.site(client);
-        let fits = self.clients.check(client, now, None, tier.open).is_ok()
-            && site.is_none_or(|site| self.sites.check(site, now, None, tier.site_open).is_ok());
-        if !fits {
-            return Err(self.retry_after);
-        }
+        self.within_caps(now, client, false).map_err(|(_, wait)| wait)?;
         self.alight(now, id);
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.rider = Some(client);
-            self.clients.enter(client, now, None);
-            if let Some(site) = site {
-                self.sites.enter(site, now, None);
-            }
+            self.entered(now, client, false);
         }
         Ok(())
     }
@@ -683,15 +682,14 @@
         self.alight(now, id);
         let Some(connection) = self.connections.remove(&id) else { return };
         let Connection { state, client, carrier, counted, .. } = connection;
+        self.tally(state).into_iter().for_each(|count| *count -= 1);
         match state {
-            State::Unnamed => self.unnamed -= 1,
+            State::Unnamed | State::Refused { .. } => {}
             State::Held { .. } => self.lines.iter_mut().for_each(|line| line.retain(|held| *held != id)),
-            State::Refused { lingers } => self.lingering -= usize::from(lingers),
             State::Admitted { .. } | State::Leaving => {
                 if let (State::Admitted { idle: Some(idle) }, Some(client)) = (state, client) {
                     self.order.remove(client, idle);
                 }
-                self.leaving -= usize::from(state == State::Leaving);
                 if let Some(person) = client.and_then(|c| self.people.get_mut(&c)) {
                     self.open[person.class as usize] -= 1;
                     person.admitted -= 1;
@@ -736,7 +734,6 @@
             };
             let (line, id, class) = next;
             self.lines[line as usize].pop_front();
-            self.unnamed += 1;
             self.counts.held += 1;
             self.admit(now, id, class, out);
         }
@@ -764,7 +761,6 @@
                     break;
                 }
                 self.lines[class as usize].pop_front();
-                self.unnamed += 1;
                 self.refuse(now, id, Why::Waited, self.retry_after, out);
             }
         }
--- a/crates/admission/src/order.rs
+++ b/crates/admission/src/order.rs
@@ -111,7 +111,8 @@
         self.change(client, |entry| (entry.class, entry.load) = (class, load));
     }
 
-    fn of(&self, client: Client, now: Time, newcomer: Time) -> Option<Victim> {
+    /// Who of a client's own would go first.
+    pub fn own(&self, client: Client, now: Time, newcomer: Time) -> Option<Victim> {
         let entry = self.clients.get(&client)?;
         let (idle, fresh) = entry.first(now, newcomer)?;
         Some(Victim { client, idle, load: entry.load, fresh })
@@ -120,16 +121,6 @@
     /// Who of some classes would go first.
     pub fn first(&self, classes: &[Class], now: Time, newcomer: Time) -> Option<Victim> {
         let tops = classes.iter().filter_map(|class| self.ranks[*class as usize].last());
-        self.of(tops.max()?.2, now, newcomer)
-    }
-
-    /// Who of a client's own would go first.
-    pub fn own(&self, client: Client, now: Time, newcomer: Time) -> Option<Victim> {
-        self.of(client, now, newcomer)
-    }
-
-    /// What each client with something idle holds, for checks.
-    pub fn loads(&self) -> impl Iterator<Item = (Client, Class, Load)> {
-        self.clients.iter().map(|(client, entry)| (*client, entry.class, entry.load))
+        self.own(tops.max()?.2, now, newcomer)
     }
 }
--- a/crates/rehearsal/src/play/gateways.rs
+++ b/crates/rehearsal/src/play/gateways.rs
@@ -98,6 +98,10 @@
             program: order.program.clone(),
             environment: order.environment.clone(),
         });
+        // Once, before any gateway may read it.
+        if let Some(text) = &kit.scenario.settings {
+            std::fs::write(this.settings_path(), text)?;
+        }
         for number in 0..this.all.len() {
             this.launch(number)?;
         }
@@ -118,6 +122,10 @@
         }
     }
 
+    fn settings_path(&self) -> PathBuf {
+        self.kit.folder.join("settings.toml")
+    }
+
     fn config_path(&self, number: usize) -> PathBuf {
         self.kit.folder.join(format!("gateway-{number}.json"))
     }
@@ -153,10 +161,8 @@
             .append(true)
             .open(self.kit.folder.join(format!("gateway-{number}.log")))?;
         let mut command = Command::new(&self.program);
-        if let Some(text) = &self.kit.scenario.settings {
-            let path = self.kit.folder.join("settings.toml");
-            std::fs::write(&path, text)?;
-            command.env(operators::VARIABLE, path);
+        if self.kit.scenario.settings.is_some() {
+            command.env(operators::VARIABLE, self.settings_path());
         }
         let mut child = command
             .arg("tethered")
--- a/crates/settings/src/admission.rs
+++ b/crates/settings/src/admission.rs
@@ -107,7 +107,7 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct Tier {
-    /// Its name, for the log.
+    /// Its name, for those who read the file.
     pub name: String,
     /// Where they are.
     pub networks: Vec<IpNet>,
--- a/gateway/src/guest.rs
+++ b/gateway/src/guest.rs
@@ -143,8 +143,10 @@
         }
         let began = matches!(self.life.now(), Inbound::Quiet { .. });
         if self.life.now() == (Inbound::Quiet { answered: true }) {
-            self.since.set(self.desk.now());
-            self.desk.ask(|admission, now| admission.began(now, self.id));
+            self.desk.ask(|admission, now| {
+                self.since.set(now);
+                admission.began(now, self.id);
+            });
         }
         self.life.step(Event::Bytes);
         if self.is_busy() {
@@ -177,12 +179,13 @@
     /// Notes an answer. `share` is what a served request is worth, as a share of what the worthiest is.
     pub fn done(&self, share: Option<f64>) {
         self.life.step(if self.is_busy() { Event::Answered } else { Event::TurnedAway });
-        let now = self.desk.now();
-        self.since.set(now);
-        self.answer.set(Some((now, 0)));
         self.head.take();
         self.body.take();
-        self.desk.ask(|admission, now| admission.answered(now, self.id, share));
+        self.desk.ask(|admission, now| {
+            self.since.set(now);
+            self.answer.set(Some((now, 0)));
+            admission.answered(now, self.id, share);
+        });
         self.rearm();
     }
 
