--- /dev/null
+++ b/post/units/src/cache.rs
@@ -0,0 +1,352 @@
+//! The lease cache of a proxy: blocks that end with their window, admission out of them, renewal before they run dry.
+
+use crate::counts::AHEAD;
+use crate::{Millis, SILENT, SLICE, Terms};
+use post_words::news::{Grant, Up};
+use std::collections::{BTreeMap, VecDeque};
+
+/// The weight of the newest demand.
+const ALPHA: f64 = 0.35;
+/// Demand is looked at this often.
+const LOOK: Millis = 100.0;
+/// A block holds the demand of this part of a window.
+const BLOCK: f64 = 0.45;
+/// A block is renewed when less than this part of it is left.
+const RENEW: f64 = 0.5;
+/// An ask without answer is sent again after this: two ways between regions, and some.
+const AGAIN: Millis = 300.0;
+/// A tenant is forgotten after so many windows without a request.
+const IDLE: f64 = 6.0;
+/// After the count said that all is spent it is asked again after this part of a window.
+const SPENT: f64 = 0.12;
+/// The most requests of a tenant that wait for a block.
+const WAITING: usize = 256;
+
+/// A request that waits for a block.
+pub type Request = u64;
+
+/// What becomes of a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Admission {
+    /// It has its unit.
+    Taken,
+    /// Block and count are spent; come back after so long.
+    Refused(Millis),
+    /// It waits for a block; it is told by [`Cache::grant`] or [`Cache::tick`].
+    Waits,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Block {
+    units: f64,
+    window: u64,
+    begins: Millis,
+    ends: Millis,
+}
+
+#[derive(Clone, Debug)]
+struct Tenant {
+    terms: Terms,
+    block: Block,
+    next: Option<Block>,
+    /// Smoothed requests a ms, and those since the last look.
+    demand: f64,
+    came: f64,
+    looked: Millis,
+    last: Millis,
+    /// The ask that is out, since when, and for which window.
+    asked: [Option<Millis>; 2],
+    /// When the count was last heard, and since when it was asked in vain.
+    heard: Millis,
+    unheard: Option<Millis>,
+    /// All of the window at hand is spent until then.
+    spent: Millis,
+    next_spent: Millis,
+    waiting: VecDeque<(Request, Millis)>,
+    /// The slice at hand: what is left of it, and until when.
+    slice: f64,
+    slice_ends: Millis,
+}
+
+/// The lease cache.
+#[derive(Clone, Debug)]
+pub struct Cache {
+    tenants: BTreeMap<String, Tenant>,
+    gateways: f64,
+}
+
+impl Cache {
+    /// An empty cache; how many proxies there are is told by [`Self::gateways`].
+    pub fn new() -> Self {
+        Self { tenants: BTreeMap::new(), gateways: 1.0 }
+    }
+
+    /// There are so many proxies.
+    pub fn gateways(&mut self, gateways: f64) {
+        self.gateways = gateways.max(1.0);
+    }
+
+    /// How many tenants are known.
+    pub fn tenants(&self) -> usize {
+        self.tenants.len()
+    }
+
+    /// A request of a tenant wants its unit; it waits until `until` at most.
+    pub fn admit(
+        &mut self, now: Millis, name: &str, terms: Terms, request: Request, until: Millis, out: &mut Vec<Up>,
+    ) -> Admission {
+        if terms.rate <= 0.0 {
+            return Admission::Taken;
+        }
+        let gateways = self.gateways;
+        if !self.tenants.contains_key(name) {
+            self.tenants.insert(name.to_owned(), Tenant::new(now, terms));
+        }
+        let Some(tenant) = self.tenants.get_mut(name) else { return Admission::Taken };
+        tenant.terms = terms;
+        tenant.came += 1.0;
+        tenant.last = now;
+        tenant.roll(now);
+        tenant.look(now);
+        let admission = if tenant.block.units >= 1.0 {
+            tenant.block.units -= 1.0;
+            Admission::Taken
+        } else if tenant.silent(now) {
+            tenant.spend_slice(now, gateways)
+        } else if now < tenant.spent || tenant.waiting.len() >= WAITING {
+            // The rest of the window, or until it is asked again, and a little apart from others.
+            let wait = (tenant.block.ends - now).max(tenant.spent - now).clamp(20.0, 2000.0);
+            Admission::Refused(wait)
+        } else {
+            tenant.waiting.push_back((request, until));
+            Admission::Waits
+        };
+        tenant.renew(now, name, gateways, out);
+        admission
+    }
+
+    /// A request that had its unit has surely not run: the unit is there for another.
+    pub fn unspent(&mut self, now: Millis, name: &str, window: u64) {
+        if let Some(tenant) = self.tenants.get_mut(name) {
+            tenant.roll(now);
+            if tenant.block.window == window && now < tenant.block.ends {
+                tenant.block.units += 1.0;
+            }
+        }
+    }
+
+    /// The window whose block a tenant's requests are taken from now.
+    pub fn window(&self, name: &str) -> u64 {
+        self.tenants.get(name).map_or(0, |tenant| tenant.block.window)
+    }
+
+    /// An answer of the count. Requests that waited and have their unit or are refused now are told.
+    pub fn grant(&mut self, now: Millis, grant: Grant, out: &mut Vec<Up>, told: &mut Vec<(Request, Admission)>) {
+        let gateways = self.gateways;
+        let name = grant.tenant;
+        let Some(tenant) = self.tenants.get_mut(&name) else {
+            if grant.units >= 1.0 {
+                out.push(Up::Back { tenant: name, units: grant.units, window: grant.window });
+            }
+            return;
+        };
+        tenant.roll(now);
+        (tenant.heard, tenant.unheard) = (now, None);
+        tenant.asked[usize::from(grant.next)] = None;
+        if grant.begins <= 0.0 && tenant.next.as_ref().is_some_and(|next| next.window != grant.window + 1) {
+            tenant.asked[1] = None;
+        }
+        let (begins, ends) = (now + grant.begins, now + grant.ends);
+        if grant.closed {
+            // A new holder lets the window go by. It is a silence of known length, and treated as one.
+            tenant.unheard = Some(now - SILENT);
+            tenant.spent = 0.0;
+        } else if grant.begins > 0.0 {
+            let next = tenant.next.get_or_insert_default();
+            if next.window != grant.window {
+                *next = Block { units: 0.0, window: grant.window, begins, ends };
+            }
+            next.units += grant.units;
+            if grant.units < 1.0 {
+                tenant.next_spent = begins;
+            }
+        } else {
+            if tenant.block.window != grant.window || now >= tenant.block.ends {
+                tenant.block = Block { units: 0.0, window: grant.window, begins: now, ends };
+                // What was let in alone in this window has been spent of it; the slice ends here.
+                (tenant.slice, tenant.slice_ends) = (0.0, ends);
+            }
+            tenant.block.units += grant.units;
+            if grant.units < 1.0 {
+                tenant.spent = (now + tenant.terms.window() * SPENT).min(ends);
+            }
+        }
+        tenant.serve(now, told);
+        tenant.renew(now, &name, gateways, out);
+    }
+
+    /// Time passes: windows end, blocks are asked for, who has waited long enough is told. Due every 20 ms or so while anybody
+    /// waits, every 50 ms else.
+    pub fn tick(&mut self, now: Millis, out: &mut Vec<Up>, told: &mut Vec<(Request, Admission)>) {
+        let gateways = self.gateways;
+        for (name, tenant) in &mut self.tenants {
+            tenant.roll(now);
+            tenant.look(now);
+            tenant.serve(now, told);
+            while let Some(&(request, until)) = tenant.waiting.front()
+                && (now >= until || tenant.silent(now))
+            {
+                tenant.waiting.pop_front();
+                // The wait is over: the silence rule decides, for this one request.
+                told.push((request, tenant.spend_slice(now, gateways)));
+            }
+            tenant.renew(now, name, gateways, out);
+        }
+        self.tenants.retain(|_, tenant| {
+            let idle = now - tenant.last > tenant.terms.window() * IDLE;
+            !(idle && tenant.waiting.is_empty())
+        });
+    }
+
+    /// Whether anybody waits for a block.
+    pub fn waits(&self) -> bool {
+        self.tenants.values().any(|tenant| !tenant.waiting.is_empty())
+    }
+
+    /// A limit is no more, or a tenant: nothing of it is kept.
+    pub fn forget(&mut self, name: &str, told: &mut Vec<(Request, Admission)>) {
+        if let Some(tenant) = self.tenants.remove(name) {
+            told.extend(tenant.waiting.into_iter().map(|(request, _)| (request, Admission::Refused(200.0))));
+        }
+    }
+
+    /// The proxy ends: what was not spent goes back.
+    pub fn hand_back(&mut self, now: Millis, out: &mut Vec<Up>) {
+        for (name, tenant) in &mut self.tenants {
+            tenant.roll(now);
+            let units = std::mem::take(&mut tenant.block.units);
+            if units >= 1.0 {
+                out.push(Up::Back { tenant: name.clone(), units, window: tenant.block.window });
+            }
+        }
+    }
+}
+
+impl Default for Cache {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Tenant {
+    fn new(now: Millis, terms: Terms) -> Self {
+        Self {
+            terms,
+            block: Block::default(),
+            next: None,
+            demand: 0.0,
+            came: 0.0,
+            looked: now,
+            last: now,
+            asked: [None; 2],
+            heard: now,
+            unheard: None,
+            spent: 0.0,
+            next_spent: 0.0,
+            waiting: VecDeque::new(),
+            slice: 0.0,
+            slice_ends: 0.0,
+        }
+    }
+
+    /// Moves to the window at hand.
+    fn roll(&mut self, now: Millis) {
+        if let Some(next) = self.next.take_if(|next| now >= next.begins) {
+            if now < next.ends {
+                self.block = next;
+                (self.slice, self.slice_ends) = (0.0, self.block.ends);
+                self.spent = 0.0;
+            }
+            self.asked[0] = None;
+        }
+        if now >= self.block.ends {
+            self.block.units = 0.0;
+        }
+    }
+
+    fn look(&mut self, now: Millis) {
+        let span = now - self.looked;
+        if span >= LOOK {
+            let recent = self.came / span;
+            // Several looks' worth of time passed: so much more weight has what came.
+            let weight = 1.0 - (1.0 - ALPHA).powf((span / LOOK).min(20.0));
+            self.demand += weight * (recent - self.demand);
+            (self.came, self.looked) = (0.0, now);
+        }
+    }
+
+    fn silent(&self, now: Millis) -> bool {
+        self.unheard.is_some_and(|since| now - since >= SILENT)
+    }
+
+    /// The slice of a proxy on its own; none in a window of which it had a block.
+    fn spend_slice(&mut self, now: Millis, gateways: f64) -> Admission {
+        if now >= self.slice_ends {
+            let window = self.terms.window();
+            self.slice = self.slice.fract() + self.terms.grant() * SLICE / gateways;
+            self.slice_ends = now + window;
+        }
+        if self.slice >= 1.0 {
+            self.slice -= 1.0;
+            Admission::Taken
+        } else {
+            Admission::Refused((self.slice_ends - now).clamp(20.0, 2000.0))
+        }
+    }
+
+    fn serve(&mut self, now: Millis, told: &mut Vec<(Request, Admission)>) {
+        while self.block.units >= 1.0
+            && let Some((request, _)) = self.waiting.pop_front()
+        {
+            self.block.units -= 1.0;
+            told.push((request, Admission::Taken));
+        }
+        if now < self.spent && !self.silent(now) {
+            let wait = (self.block.ends - now).clamp(20.0, 2000.0);
+            told.extend(self.waiting.drain(..).map(|(request, _)| (request, Admission::Refused(wait))));
+        }
+    }
+
+    /// Asks for more before the block runs dry, and for the next window before this one ends.
+    fn renew(&mut self, now: Millis, name: &str, gateways: f64, out: &mut Vec<Up>) {
+        let window = self.terms.window();
+        let first = self.heard <= 0.0 || self.block.ends <= 0.0;
+        let wanted = |span: Millis| self.demand * span;
+        let target = wanted(window * BLOCK).min(self.terms.grant());
+        let left = (self.block.ends - now).max(0.0);
+        // No more than what comes until the window ends.
+        let now_target = if first { self.terms.grant() / gateways } else { target.min(wanted(left) + 1.0) };
+        let waiting = self.waiting.len() as f64;
+        let dry = self.block.units < now_target * RENEW || waiting > 0.0;
+        let used = now - self.last < window;
+        if dry && used && now >= self.spent && (now_target >= 0.5 || waiting > 0.0) {
+            let units = (now_target - self.block.units + waiting).max(1.0).ceil();
+            self.ask(now, name, units, false, out);
+        }
+        let due = self.block.ends > now && left < window * AHEAD * 0.9;
+        let have = self.next.as_ref().map_or(0.0, |next| next.units);
+        if due && used && have < target * RENEW && target >= 0.5 && now >= self.next_spent {
+            self.ask(now, name, (target - have).max(1.0).ceil(), true, out);
+        }
+    }
+
+    fn ask(&mut self, now: Millis, name: &str, units: f64, next: bool, out: &mut Vec<Up>) {
+        let asked = &mut self.asked[usize::from(next)];
+        if asked.is_some_and(|at| now - at < AGAIN) {
+            return;
+        }
+        *asked = Some(now);
+        self.unheard = self.unheard.or(Some(now));
+        out.push(Up::Ask { tenant: name.to_owned(), units, next });
+    }
+}
--- /dev/null
+++ b/post/units/src/counts.rs
@@ -0,0 +1,129 @@
+//! The window count of tenants, at whoever holds the duty.
+
+use crate::{Millis, SLICE, Terms};
+use post_words::news::Grant;
+use std::collections::BTreeMap;
+
+/// Near the total a block is at most this part of what is left, split over the proxies.
+const NEAR: f64 = 0.5;
+/// A tenant not asked for in so many windows is forgotten.
+const IDLE: u64 = 8;
+/// A window may be asked for when less than this part of the one before is left.
+pub(crate) const AHEAD: f64 = 0.4;
+
+#[derive(Clone, Debug)]
+struct Count {
+    terms: Terms,
+    /// When windows begin; the first grants nothing.
+    start: Millis,
+    /// The window at hand and what was granted of it and of the next.
+    window: u64,
+    granted: [f64; 2],
+    /// Windows before this grant nothing.
+    opens: u64,
+    asked: u64,
+}
+
+impl Count {
+    fn roll(&mut self, now: Millis) {
+        let window = ((now - self.start) / self.terms.window()).floor().max(0.0) as u64;
+        if window == self.window + 1 {
+            self.granted = [self.granted[1], 0.0];
+        } else if window != self.window {
+            self.granted = [0.0, 0.0];
+        }
+        self.window = window;
+    }
+}
+
+/// The counts of all tenants whose duty is held here.
+#[derive(Clone, Debug, Default)]
+pub struct Counts {
+    tenants: BTreeMap<String, Count>,
+}
+
+impl Counts {
+    /// A new holder grants nothing for so many windows: what is left of the one at hand, and the next, of which the holder
+    /// before may have granted ahead.
+    pub const REST: u64 = 2;
+
+    /// Asks for units of a tenant. `since` is when the duty came here, `gateways` how many proxies there are, `silent` how many
+    /// of them may be on their own.
+    #[allow(clippy::too_many_arguments)]
+    pub fn ask(
+        &mut self, now: Millis, tenant: &str, units: f64, next: bool, terms: Terms, since: Millis, gateways: f64,
+        silent: f64,
+    ) -> Grant {
+        let count = self.tenants.entry(tenant.to_owned()).or_insert_with(|| {
+            let rests = since + Self::REST as f64 * terms.window();
+            // The windows are laid so that one begins when the rest is over, or now.
+            let start = if now < rests { rests - Self::REST as f64 * terms.window() } else { now };
+            let opens = if now < rests { Self::REST } else { 0 };
+            Count { terms, start, window: 0, granted: [0.0; 2], opens, asked: 0 }
+        });
+        if count.terms != terms {
+            // Another limit holds from the next window on; what was granted of this one stays granted.
+            let share = count.granted[0] / count.terms.grant();
+            *count = Count {
+                terms,
+                start: now,
+                window: 0,
+                granted: [share.min(1.0) * terms.grant(), 0.0],
+                opens: 0,
+                asked: 0,
+            };
+        }
+        count.roll(now);
+        count.asked = count.window;
+        let length = terms.window();
+        let begun = count.start + count.window as f64 * length;
+        let left = (begun + length - now).max(0.0);
+        let next = next && left <= length * AHEAD;
+        let (window, at) = (count.window + u64::from(next), usize::from(next));
+        let closed = window < count.opens;
+        let kept = terms.grant() * SLICE * (silent / gateways.max(1.0)).min(1.0);
+        let free = (terms.grant() - kept - count.granted[at]).max(0.0);
+        let units = if closed {
+            0.0
+        } else {
+            // One request at least, while there is one.
+            let near = (free * NEAR / gateways.max(1.0)).max(1.0);
+            let plenty = free > terms.grant() * NEAR;
+            let most = if plenty { units.min(free * NEAR) } else { units.min(near) };
+            most.max(1.0).min(free).floor()
+        };
+        count.granted[at] += units;
+        debug_assert!(count.granted[at] <= terms.grant() + 1e-6, "more was granted than there is");
+        let (begins, ends) = if next { (left, left + length) } else { (0.0, left) };
+        Grant { tenant: tenant.to_owned(), units, window, begins, ends, next, closed }
+    }
+
+    /// Units of a window come back unspent.
+    pub fn back(&mut self, now: Millis, tenant: &str, units: f64, window: u64) {
+        if let Some(count) = self.tenants.get_mut(tenant) {
+            count.roll(now);
+            if count.window == window && units.is_finite() && units > 0.0 {
+                count.granted[0] = (count.granted[0] - units).max(0.0);
+            }
+        }
+    }
+
+    /// Forgets tenants that nobody asks for. One that is asked for again begins with a whole window at no harm: the last was
+    /// over long before.
+    pub fn sweep(&mut self, now: Millis) {
+        self.tenants.retain(|_, count| {
+            count.roll(now);
+            count.window < count.asked + IDLE
+        });
+    }
+
+    /// Forgets a tenant whose duty is no longer held here.
+    pub fn drop_where(&mut self, gone: impl Fn(&str) -> bool) {
+        self.tenants.retain(|tenant, _| !gone(tenant));
+    }
+
+    /// How many tenants are counted.
+    pub fn tenants(&self) -> usize {
+        self.tenants.len()
+    }
+}
--- /dev/null
+++ b/post/units/src/lib.rs
@@ -0,0 +1,58 @@
+//! Quotas over all proxies: the lease cache of each ([`Cache`]) and the window count that it leases from ([`Counts`]).
+//!
+//! # The sum
+//!
+//! A tenant's window is burst over rate long, at least [`SHORTEST`]. In each window the count grants `rate x window` units at
+//! most, whoever asks; a block ends with its window. A span of time T touches at most `T / window + 1` windows, so all proxies
+//! together send on at most `rate x T + rate x window` in it, which is `rate x T + burst`, or less than the rule's overage more
+//! where the window was lengthened. Beside that:
+//!
+//! - *Ways*: a proxy's window begins and ends later than the holder's by the way of the grant. That shifts a proxy's windows, and
+//!   makes none longer.
+//! - *Silence*: while a proxy hears nothing from the count for more than [`SILENT`], it spends `SLICE` of an even part each
+//!   window, and only in windows of which it has no block. The holder keeps that much back for each proxy that is silent.
+//! - *Another holder*: it takes the window at hand as spent whole, and what the one before may have granted of the next: nothing
+//!   is granted for [`Counts::REST`] windows.
+//!
+//! Times are milliseconds of the caller's steady clock. No I/O, no clock, no chance.
+
+mod cache;
+mod counts;
+
+pub use cache::{Admission, Cache, Request};
+pub use counts::Counts;
+
+/// A time or a span in milliseconds.
+pub type Millis = f64;
+
+/// No window is shorter: it would be over before a block has come from another region.
+pub const SHORTEST: Millis = 500.0;
+/// A proxy that heard nothing for this long, though it asked, is on its own.
+pub const SILENT: Millis = 700.0;
+/// Of an even part a proxy on its own spends so much: how many there are may just have changed.
+pub const SLICE: f64 = 0.7;
+
+/// What a tenant may use.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Terms {
+    /// Requests a second; 0 for no limit.
+    pub rate: f64,
+    /// Requests on top.
+    pub burst: f64,
+}
+
+impl Terms {
+    /// How long a window is.
+    pub fn window(&self) -> Millis {
+        (self.burst / self.rate.max(1e-9) * 1000.0).max(SHORTEST)
+    }
+
+    /// What one window grants.
+    pub fn grant(&self) -> f64 {
+        // A tenant without a burst of its own may still send one by one.
+        (self.rate * self.window() / 1000.0).max(1.0)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/post/words/src/depot.rs
@@ -0,0 +1,202 @@
+//! Words among stores, and between a store and its machine's registry.
+
+use crate::Host;
+use bitcode::{Decode, Encode};
+
+/// Whose turn it is to write. Higher ones go before; two seats never have the same.
+#[derive(Clone, Copy, Debug, Decode, Encode, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct Epoch {
+    /// Counts up.
+    pub round: u64,
+    /// The seat that writes.
+    pub seat: Host,
+}
+
+/// When an entry was written: the order of all entries of one name.
+#[derive(Clone, Copy, Debug, Decode, Encode, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct Stamp {
+    /// By whose turn.
+    pub epoch: Epoch,
+    /// Which write of that turn.
+    pub turn: u64,
+}
+
+/// What is known of one name.
+#[derive(Clone, Debug, Decode, Encode, PartialEq, Eq, Hash, Default)]
+pub struct Entry {
+    /// When it was written.
+    pub stamp: Stamp,
+    /// The version that the operator gave.
+    pub revision: u64,
+    /// The host of a route; empty for all else.
+    pub host: String,
+    /// The item as it was sent; none when it was dropped.
+    pub body: Option<String>,
+    /// Versions before this one and the hashes of what was sent: a call that arrives again is known by it.
+    pub past: Vec<(u64, u64)>,
+}
+
+/// An entry and its name.
+pub type Named = (String, Entry);
+
+/// A change that an operator asks for.
+#[derive(Clone, Debug, Decode, Encode, PartialEq, Eq, Hash)]
+pub struct Change {
+    /// The item's name, with its kind before it.
+    pub name: String,
+    /// Its version.
+    pub revision: u64,
+    /// The host of a route; empty for all else.
+    pub host: String,
+    /// The item; none to drop it.
+    pub body: Option<String>,
+}
+
+/// What a caller wants of the store.
+#[derive(Clone, Debug, Decode, Encode, PartialEq, Eq)]
+pub enum Ask {
+    /// Items are to change, all or none.
+    Change(Vec<Change>),
+    /// A zone is to be emptied, or taken back.
+    Evacuate(String, bool),
+    /// All items that stand.
+    Read,
+}
+
+/// How that went.
+#[derive(Clone, Debug, Decode, Encode, PartialEq, Eq)]
+pub enum Told {
+    /// It is done and stays done.
+    Done,
+    /// It is done: the caller's copy is as new as this digest says.
+    Fresh(Digest),
+    /// The items that stand.
+    Items(Vec<Named>),
+    /// It can't be: why.
+    Invalid(String),
+    /// Another version stands in its way.
+    Conflict(String),
+    /// Nothing is known of how it went or will go.
+    Unclear,
+}
+
+/// How many parts a digest has.
+pub const PARTS: usize = 32;
+/// Hashes of all chosen entries, by part of their names.
+pub type Digest = Vec<u64>;
+
+/// A seat and where it is.
+#[derive(Clone, Debug, Decode, Encode, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Seat {
+    /// The machine.
+    pub host: Host,
+    /// Its zone.
+    pub zone: String,
+    /// Its region.
+    pub region: String,
+}
+
+/// The list of seats.
+#[derive(Clone, Debug, Decode, Encode, PartialEq, Eq, Default, Hash)]
+pub struct Seats {
+    /// Counts up with each change.
+    pub version: u64,
+    /// Those who vote.
+    pub seats: Vec<Seat>,
+}
+
+/// Words among stores.
+#[derive(Clone, Debug, Decode, Encode, PartialEq)]
+pub enum Word {
+    /// I am here, and not (yet) a seat.
+    Announce(Seat),
+    /// Every so often: I am here. What I hold, of whom I know that it writes, and whether I am about to leave.
+    Beat {
+        /// The list of seats that the sender knows.
+        seats: u64,
+        /// The turn that the sender last promised.
+        promised: Epoch,
+        /// Whether it votes: it has not forgotten anything.
+        votes: bool,
+        /// It goes soon.
+        leaving: bool,
+        /// All its chosen entries in one hash.
+        digest: u64,
+    },
+    /// May I write from now on? This is what I hold as chosen.
+    Prepare(Epoch, Digest),
+    /// Yes; I take nothing of earlier turns any more.
+    Promise {
+        /// Whose turn.
+        epoch: Epoch,
+        /// The turn whose first write the sender took last.
+        joined: Epoch,
+        /// What the sender holds as chosen, of the parts where that differs.
+        chosen: Vec<Named>,
+        /// What it took and does not know to be chosen.
+        pending: Vec<Named>,
+    },
+    /// Take this.
+    Accept {
+        /// Whose turn and which write.
+        stamp: Stamp,
+        /// What is written.
+        entries: Vec<Named>,
+        /// Up to here the turn's writes are chosen.
+        chosen: u64,
+    },
+    /// Taken and safe.
+    Accepted(Stamp),
+    /// Not taken: a higher turn was promised.
+    Refused(Epoch),
+    /// Not taken: the first write of this turn is missing here.
+    Behind(Epoch),
+    /// The turn's writes up to this one are chosen.
+    Chosen(Stamp),
+    /// Entries that the sender holds as chosen.
+    Parts(Vec<Named>),
+    /// What do you hold as chosen, where it differs from this? `true`: and ask me back the same.
+    Compare(Digest, bool),
+    /// I have forgotten everything: tell me all.
+    Learn,
+    /// All.
+    Learned {
+        /// The turn that the sender last promised.
+        promised: Epoch,
+        /// The turn whose first write it took last.
+        joined: Epoch,
+        /// What it holds as chosen.
+        chosen: Vec<Named>,
+        /// What it took and does not know to be chosen.
+        pending: Vec<Named>,
+    },
+    /// A call that I took, for who writes.
+    Pass(u64, Ask),
+    /// How that went.
+    Passed(u64, Told),
+}
+
+/// From a registry to its machine's store.
+#[derive(Clone, Debug, Decode, Encode, PartialEq)]
+pub enum Order {
+    /// A call from outside.
+    Call(u64, Ask),
+}
+
+/// From a store to its machine's registry.
+#[derive(Clone, Debug, Decode, Encode, PartialEq)]
+pub enum Report {
+    /// How a call went.
+    Answer(u64, Told),
+    /// Chosen entries: all of them, or those that are new. `fresh` if a quorum was heard lately and none held more.
+    Items {
+        /// All that there are.
+        whole: bool,
+        /// The entries.
+        entries: Vec<Named>,
+    },
+    /// Whether this copy is as new as a quorum's.
+    Fresh(bool),
+    /// The seats.
+    Seats(Seats),
+}
--- /dev/null
+++ b/post/words/src/news.rs
@@ -0,0 +1,129 @@
+//! Words between a proxy and the registry that it has its session with, and what proxies pass on to each other.
+
+use crate::Host;
+use crate::depot::Named;
+use bitcode::{Decode, Encode};
+
+/// A proxy.
+#[derive(Clone, Debug, Decode, Encode, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Member {
+    /// The machine.
+    pub host: Host,
+    /// Its life.
+    pub life: u64,
+    /// Its zone.
+    pub zone: String,
+    /// Its region.
+    pub region: String,
+    /// The port that clients are sent to.
+    pub port: u16,
+    /// Whether it takes clients.
+    pub ready: bool,
+}
+
+/// One backend as the platform lists it.
+#[derive(Clone, Debug, Decode, Encode, PartialEq)]
+pub struct Backend {
+    /// Its life.
+    pub id: String,
+    /// What it serves.
+    pub service: String,
+    /// Where it listens.
+    pub address: String,
+    /// Its zone.
+    pub zone: String,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// It finishes its work and must be sent nothing new.
+    pub draining: bool,
+    /// For how long it stays cold, in ms, as of when the list was read.
+    pub cold_ms: u32,
+}
+
+/// The platform's list, as it was read once.
+#[derive(Clone, Debug, Decode, Encode, PartialEq, Default)]
+pub struct Listing {
+    /// Counts up with each reading, over all readers; the reader tells two of the same apart.
+    pub stamp: (u64, Host),
+    /// All backends.
+    pub backends: Vec<Backend>,
+}
+
+/// From a proxy to a registry.
+#[derive(Clone, Debug, Decode, Encode, PartialEq)]
+pub enum Up {
+    /// A session begins.
+    Hello(Member),
+    /// Still here. What this proxy holds of the items and of the list.
+    Beat {
+        /// Whether it takes clients.
+        ready: bool,
+        /// All its items in one hash.
+        items: u64,
+        /// The list that it has.
+        listing: (u64, Host),
+    },
+    /// Units of a tenant, for the window at hand or the one after.
+    Ask {
+        /// Whose.
+        tenant: String,
+        /// How many.
+        units: f64,
+        /// For the next window.
+        next: bool,
+    },
+    /// Units that were not spent.
+    Back {
+        /// Whose.
+        tenant: String,
+        /// How many.
+        units: f64,
+        /// Of which window.
+        window: u64,
+    },
+    /// The session ends in order.
+    Bye,
+}
+
+/// What was leased.
+#[derive(Clone, Debug, Decode, Encode, PartialEq)]
+pub struct Grant {
+    /// Whose.
+    pub tenant: String,
+    /// How many units; 0 when all are spent.
+    pub units: f64,
+    /// Which window.
+    pub window: u64,
+    /// How long until it begins, in ms; 0 when it is at hand.
+    pub begins: f64,
+    /// How long until it ends, in ms.
+    pub ends: f64,
+    /// What was asked for was for the next window.
+    pub next: bool,
+    /// Nobody grants at the moment: the holder has just changed.
+    pub closed: bool,
+}
+
+/// From a registry to a proxy.
+#[derive(Clone, Debug, Decode, Encode, PartialEq)]
+pub enum Down {
+    /// Items: all that there are, or those that are new.
+    Items {
+        /// All.
+        whole: bool,
+        /// A quorum vouches for all of them as of now.
+        fresh: bool,
+        /// The entries.
+        entries: Vec<Named>,
+    },
+    /// The list of backends.
+    Listing(Listing),
+    /// All proxies, and how many there are for shares: those that are silent count for a while.
+    Members(Vec<Member>, u32),
+    /// The registries, this one's nearest first.
+    Registries(Vec<(Host, String, String)>),
+    /// Units.
+    Grant(Grant),
+    /// Still here.
+    Beat,
+}
--- a/src/check.rs
+++ b/src/check.rs
@@ -31,6 +31,7 @@
         }
     }
     figure(settings.tick, "tick")?;
+    figure(settings.sweep, "sweep")?;
     figure(settings.counter_timeout, "counter time-out")?;
     figure(settings.most_units, "most units")?;
     figure(settings.longest_advice, "longest advice")?;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,5 +1,6 @@
 //! The types that pass between a host and a gateway: settings, events and actions. No behaviour lives here.
 
+use crate::mesh::{BackendTerms, MeshTerms, RequestBound};
 use std::sync::Arc;
 
 /// A name that the host hands in and gets back unchanged: a customer, backend, class, plan, zone.
@@ -106,6 +107,8 @@
     pub zone: Name,
     /// The shortest time between two calls of `handle`.
     pub tick: Millis,
+    /// The time between two rounds of housekeeping; 0 for the usual.
+    pub sweep: Millis,
     /// The request classes.
     pub classes: Vec<Class>,
     /// The plans.
@@ -259,6 +262,8 @@
     pub first: u32,
     /// How many gateways the customer's requests come in through.
     pub spread: u32,
+    /// Where it may go, where not everywhere.
+    pub bound: Option<Arc<RequestBound>>,
 }
 
 /// The end of an attempt.
@@ -332,6 +337,10 @@
     },
     /// Accounts are counted on these counters; how each that was there is stays known.
     Counters(fennelscale_quota::Partition),
+    /// What is known of the backends beyond the list, of each that is on it, and of the gateways.
+    Mesh(MeshTerms, Vec<(Name, BackendTerms)>),
+    /// A class beyond those of the settings; one of a name that is there takes its place.
+    Class(Class),
     /// The gateway is about to end: no more requests come.
     Ending,
     /// A message from another gateway.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,7 +19,8 @@
 //!     started: None };
 //! gateway.handle(0.0, Event::BackendList(vec![backend]), &mut actions);
 //! gateway.handle(1.0, Event::Request(Arrival { id: 1, customer: "c".into(), plan: "basic".into(),
-//!     class: "read".into(), units: 1.0, repeat: false, patience: 900.0, first: 0, spread: 1 }), &mut actions);
+//!     class: "read".into(), units: 1.0, repeat: false, patience: 900.0, first: 0, spread: 1,
+//!     bound: None }), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { id: 1, .. })));
 //! # Ok::<(), doorcourse::SettingsError>(())
 //! ```
@@ -42,6 +43,8 @@
 mod hash;
 mod interface;
 mod logic;
+mod mesh;
 
 pub use interface::*;
 pub use logic::Gateway;
+pub use mesh::{BackendTerms, MeshTerms, RequestBound};
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -8,6 +8,7 @@
 use crate::check::check;
 use crate::hash::{hash, mix, unit};
 use crate::interface::*;
+use crate::mesh::{Mesh, RequestBound};
 use fennelscale_quota::{Health, Heard, Ledger, Loss, Partition, Share, Slice};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::ops::Bound;
@@ -115,13 +116,21 @@
     room: f64,
     failures: u32,
     told: bool,
+    /// An answer has moved its room.
+    heard: bool,
     eject_until: Millis,
 }
 
 impl Backend {
+    /// Whether no answer has told anything of it.
+    fn fresh(&self) -> bool {
+        !self.heard
+    }
+
     /// Bounds what is out so that most answers keep to their aim: room follows the share of late answers.
     /// Guards against overload of any cause; it needs no figure of the backend's size.
     fn note_latency(&mut self, late: bool) {
+        self.heard = true;
         let used = f64::from(self.out) + 1.0 >= self.room.floor();
         if late || used {
             let step = ROOM_STEP * (ROOM_LATE - f64::from(u8::from(late)));
@@ -294,6 +303,7 @@
     stage: Stage,
     attempts: u32,
     may_have_run: Option<(Millis, Name, u64)>, // since when, in which zone and cell
+    bound: Option<Arc<RequestBound>>,
     sent_at: Millis,
 }
 
@@ -325,6 +335,7 @@
     /// When the first event came.
     born: Millis,
     backends: BTreeMap<Name, Backend>,
+    mesh: Mesh,
     customers: BTreeMap<Name, Customer>,
     requests: BTreeMap<RequestId, Request>,
     queue: VecDeque<RequestId>,
@@ -390,6 +401,16 @@
             },
             Event::Timer { token: SWEEP_TOKEN } => self.on_sweep(out),
             Event::Timer { token } => self.on_hold_over(token / 2, out),
+            Event::Mesh(terms, backends) => {
+                self.mesh.told(self.now, terms, backends);
+                // A backend without an answer yet has the room that its slots give.
+                for (name, backend) in &mut self.backends {
+                    let room = self.mesh.room(name).filter(|_| backend.fresh());
+                    backend.room = room.unwrap_or(backend.room);
+                }
+                self.drain_queue(out);
+            }
+            Event::Class(class) => self.on_class(class),
             Event::Ending => self.ending = true,
             Event::Counters(partition) => self.set_counters(partition),
             Event::Counted { name, outcome, latency } => self.on_counted(name, outcome, latency, out),
@@ -398,6 +419,17 @@
         }
     }
 
+    fn on_class(&mut self, class: Class) {
+        let settings = Arc::make_mut(&mut self.settings);
+        match settings.classes.iter_mut().find(|c| c.name == class.name) {
+            Some(known) => *known = class,
+            None => {
+                settings.classes.push(class);
+                self.class_latency.push(0.0);
+            }
+        }
+    }
+
     /// Whether each gateway sees too little of a backend: choice goes by chance and by all answers together.
     fn many(&self) -> bool {
         ROOM_FIRST < ROOM_LEAST * f64::from(self.settings.gateways)
@@ -456,8 +488,10 @@
         let now = self.now;
         let units = if arrival.units.is_finite() { arrival.units.max(0.0) } else { 1.0 };
         let (arrived, deadline) = (now, now + arrival.patience);
-        let (customer, repeat, rest) = (name.clone(), arrival.repeat, Request::default());
+        let (customer, repeat, bound) = (name.clone(), arrival.repeat, arrival.bound);
+        let rest = Request { bound, ..Request::default() };
         self.requests.insert(id, Request { customer, plan, class, units, repeat, arrived, deadline, ..rest });
+        self.mesh.came();
         let customer = self.customers.entry(name.clone()).or_insert_with(|| {
             let (salt, store) = (hash(&name) >> 8, Customer::start_of(&self.settings.plans[plan]));
             Customer { plan, salt, store, store_at: now, demand_at: now, ..Customer::default() }
@@ -708,6 +742,7 @@
             return false;
         }
         backend.out += 1;
+        self.mesh.sent(&name, self.now, request.attempts > 0);
         self.customers.get_mut(&request.customer).into_iter().for_each(|c| c.open += 1);
         (request.stage, request.sent_at, request.attempts) = (Stage::Out, self.now, request.attempts + 1);
         out.push(Action::Send { id, backend: name, timeout: None, write_by });
@@ -732,6 +767,7 @@
         let request = self.requests.get(&id)?;
         let class = &self.settings.classes[request.class];
         let tied = request.may_have_run.as_ref().filter(|_| class.effect == Effect::Keyed);
+        let bound = request.bound.as_deref();
         let out: f64 = self.backends.values().map(|b| f64::from(b.out)).sum();
         if out >= self.room().max(1.0) {
             return None;
@@ -751,7 +787,12 @@
             let warmth = backend.warmth(self.now, &self.settings);
             // Guards cold backends with no agreement: by chance their share of an even part, from the start.
             let cold = warmth < 1.0 && luck * ready >= warmth * cold_share;
-            if !backend.ready || !in_group || full || cold || self.now < backend.eject_until {
+            let barred = bound.is_some_and(|b| !b.cells.is_empty() && !b.cells.contains(&cell));
+            if !backend.ready || !in_group || full || cold || barred || self.now < backend.eject_until {
+                continue;
+            }
+            let expected = self.mesh.score(name, backend.out, self.now, luck);
+            if expected == Some(None) {
                 continue;
             }
             // Among many, a draw by weight: no two gateways follow the same order.
@@ -759,7 +800,8 @@
             let far = if *zone == self.settings.zone { 1.0 } else { far };
             let own = unit(hash(name) ^ own) * ready < OWN_BACKENDS;
             let far = if own || !many { far } else { far * STRANGE };
-            let score = if warmth < 1.0 { 0.0 } else { (1.0 + f64::from(backend.out)) * far * draw };
+            let alike = if warmth < 1.0 { 0.0 } else { (1.0 + f64::from(backend.out)) * far * draw };
+            let score = expected.flatten().unwrap_or(alike);
             if best.is_none_or(|(s, _)| score < s) {
                 best = Some((score, name));
             }
@@ -783,6 +825,7 @@
                     out.push(Action::Log(format!("backend {name} back: it answers again")));
                 }
                 backend.failures = 0;
+                self.mesh.served(name, latency);
                 *usual = if *usual == 0.0 { latency } else { *usual + USUAL_WEIGHT * (latency - *usual) };
                 latency > self.settings.classes[class].aim * ROOM_SHARE
             }
@@ -829,7 +872,10 @@
             (Some((sent, ..)), Effect::Keyed) => self.now - sent < class.memory - last,
             (Some(_), Effect::Unsafe) => false,
         };
-        allowed && request.deadline - self.now > last && request.attempts < self.settings.most_attempts
+        let most = request.bound.as_ref().map_or(0, |b| b.most_attempts);
+        let most = if most > 0 { most } else { self.settings.most_attempts };
+        let in_budget = request.attempts == 0 || self.mesh.may_repeat();
+        allowed && in_budget && request.deadline - self.now > last && request.attempts < most
     }
 
     // ---- The counter ----
@@ -1031,7 +1077,8 @@
     // ---- Housekeeping ----
 
     fn on_sweep(&mut self, out: &mut Vec<Action>) {
-        out.push(Action::SetTimer { after: SWEEP, token: SWEEP_TOKEN });
+        let after = if self.settings.sweep > 0.0 { self.settings.sweep } else { SWEEP };
+        out.push(Action::SetTimer { after, token: SWEEP_TOKEN });
         let now = self.now;
         let (mut asking, mut idle) = (Vec::new(), Vec::new());
         let (plans, ending) = (&self.settings.plans, self.ending);
--- a/src/logic/view.rs
+++ b/src/logic/view.rs
@@ -55,6 +55,7 @@
             now,
             born,
             backends,
+            mesh,
             customers,
             requests,
             queue,
@@ -68,7 +69,7 @@
             sweeping,
             ending,
         } = self;
-        (random, backends, customers, requests, queue, counters).hash(state);
+        (random, backends, mesh, customers, requests, queue, counters).hash(state);
         // A partition changes only when operators say so; who compares gateways gives them the same.
         (partition.addresses(), swept, sweeping, ending).hash(state);
         floats(state, &[*now, *born, *late]);
@@ -93,8 +94,8 @@
 
 impl Hash for Backend {
     fn hash<H: Hasher>(&self, state: &mut H) {
-        let Self { zone, cell, ready, gone, started, out, room, failures, told, eject_until } = self;
-        (zone, cell, ready, gone, out, failures, told).hash(state);
+        let Self { zone, cell, ready, gone, started, out, room, failures, told, heard, eject_until } = self;
+        (zone, cell, ready, gone, out, failures, told, heard).hash(state);
         maybe(state, *started);
         floats(state, &[*room, *eject_until]);
     }
@@ -151,9 +152,10 @@
             stage,
             attempts,
             may_have_run,
+            bound,
             sent_at,
         } = self;
-        (customer, plan, class, blind, repeat, *stage as u8, attempts).hash(state);
+        (customer, plan, class, blind, repeat, *stage as u8, attempts, bound).hash(state);
         floats(state, &[*units, *arrived, *deadline, *hold_until, *sent_at]);
         let run = may_have_run.as_ref();
         run.map(|(_, zone, cell)| (zone, cell)).hash(state);
--- /dev/null
+++ b/src/mesh.rs
@@ -0,0 +1,162 @@
+//! What the decisions heed where the deployment tells of it: how far each backend is and how much it bears, which regions a
+//! request may go to, what repeats may cost. A gateway that is told nothing of this decides as without it.
+//!
+//! - *Choice*: the answer expected first wins. What is expected of a backend is its smoothed latency, its way included,
+//!   grown by what this gateway has out there beyond its part of the slots, and the price of the way in ms.
+//! - *Cold backends* take what this gateway was given of their rate, one by one, and nothing else.
+//! - *Repeats*: a part of the requests, and a part of the slack that all gateways share. Each gateway keeps its own:
+//!   the parts add up to no more than the whole.
+
+use crate::interface::{Millis, Name};
+use std::collections::BTreeMap;
+use std::hash::{Hash, Hasher};
+
+/// The weight of the newest latency in a backend's.
+const NEWEST: f64 = 0.1;
+/// A gateway has out at a backend so many times its part of the slots before that makes it wait in line.
+const ROOM_TIMES: f64 = 2.0;
+/// Of the ratio that rules allow for repeats so much is used: what one gateway counts comes late at another's window.
+const RATIO_SHARE: f64 = 0.75;
+/// Of the slack that all gateways share so much is handed out.
+const SLACK_SHARE: f64 = 0.6;
+
+/// What is known of one backend.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct BackendTerms {
+    /// Requests that it works on at once.
+    pub slots: f64,
+    /// How many gateways are likely to send there.
+    pub sharers: f64,
+    /// The way there and back.
+    pub way: Millis,
+    /// What the way costs, as a time that an answer may come later.
+    pub price: Millis,
+    /// It is cold until then ...
+    pub cold_until: Millis,
+    /// ... and takes this many requests a second from this gateway meanwhile.
+    pub cold_per_s: f64,
+}
+
+/// What is known of all gateways together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct MeshTerms {
+    /// How many gateways there are.
+    pub gateways: f64,
+    /// Further tries for each request, over all gateways.
+    pub retry_ratio: f64,
+    /// Further tries beyond the ratio, over all gateways.
+    pub retry_slack: f64,
+    /// The usual time of work, for backends that have not answered yet.
+    pub usual: Millis,
+}
+
+/// What one request is bound to.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct RequestBound {
+    /// The cells whose backends may have it; empty for all.
+    pub cells: Vec<u64>,
+    /// The most backends that it may be sent to; 0 for as many as the settings say.
+    pub most_attempts: u32,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Known {
+    terms: BackendTerms,
+    latency: Millis,
+    /// What may still be sent while it is cold, and as of when.
+    tokens: f64,
+    at: Millis,
+}
+
+/// The part of a gateway that heeds all this.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Mesh {
+    terms: MeshTerms,
+    backends: BTreeMap<Name, Known>,
+    repeats: f64,
+}
+
+impl Mesh {
+    pub(crate) fn told(&mut self, now: Millis, terms: MeshTerms, backends: Vec<(Name, BackendTerms)>) {
+        if self.terms.retry_ratio == 0.0 {
+            self.repeats = terms.retry_slack * SLACK_SHARE / terms.gateways.max(1.0);
+        }
+        self.terms = terms;
+        let mut before = std::mem::take(&mut self.backends);
+        for (name, terms) in backends {
+            let fresh = Known { terms, latency: terms.way + self.terms.usual, tokens: 1.0, at: now };
+            let mut known = before.remove(&name).unwrap_or(fresh);
+            if terms.cold_until > known.terms.cold_until && known.terms.cold_until <= now {
+                // A cold spell begins: no more at once than one.
+                (known.tokens, known.at) = (1.0, now);
+            }
+            known.terms = terms;
+            self.backends.insert(name, known);
+        }
+    }
+
+    /// What this gateway has out at a backend at most, at first; none where nothing was told of it.
+    pub(crate) fn room(&self, name: &Name) -> Option<f64> {
+        self.backends.get(name).map(|k| (k.terms.slots / k.terms.sharers.max(1.0) * ROOM_TIMES).max(1.0))
+    }
+
+    fn tokens(known: &Known, now: Millis) -> f64 {
+        (known.tokens + (now - known.at).max(0.0) / 1000.0 * known.terms.cold_per_s).min(1.0)
+    }
+
+    /// How soon a backend's answer is expected; none where it may not be sent anything. Unknown: not told of.
+    pub(crate) fn score(&self, name: &Name, out: u32, now: Millis, luck: f64) -> Option<Option<f64>> {
+        let known = self.backends.get(name)?;
+        let terms = &known.terms;
+        if now < terms.cold_until && (terms.cold_per_s <= 0.0 || Self::tokens(known, now) < 1.0) {
+            return Some(None);
+        }
+        let part = (terms.slots / terms.sharers.max(1.0)).max(0.5);
+        let line = f64::from(out) / part;
+        Some(Some(known.latency * (1.0 + 0.2 * luck) * (1.0 + line * line.min(1.0)) + terms.price))
+    }
+
+    /// A request goes to a backend; `again` if it has been sent before.
+    pub(crate) fn sent(&mut self, name: &Name, now: Millis, again: bool) {
+        if again {
+            self.repeats -= 1.0;
+        }
+        if let Some(known) = self.backends.get_mut(name)
+            && now < known.terms.cold_until
+        {
+            (known.tokens, known.at) = (Self::tokens(known, now) - 1.0, now);
+        }
+    }
+
+    pub(crate) fn served(&mut self, name: &Name, latency: Millis) {
+        if let Some(known) = self.backends.get_mut(name) {
+            known.latency += NEWEST * (latency - known.latency);
+        }
+    }
+
+    /// A request came: it earns its part of a repeat.
+    pub(crate) fn came(&mut self) {
+        let most = self.terms.retry_slack * SLACK_SHARE / self.terms.gateways.max(1.0);
+        self.repeats = (self.repeats + self.terms.retry_ratio * RATIO_SHARE).min(most.max(1.0));
+    }
+
+    /// Whether a request may be sent once more.
+    pub(crate) fn may_repeat(&self) -> bool {
+        self.terms.retry_ratio <= 0.0 || self.repeats >= 1.0
+    }
+}
+
+impl Hash for Mesh {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        let Self { terms, backends, repeats } = self;
+        let MeshTerms { gateways, retry_ratio, retry_slack, usual } = terms;
+        [*gateways, *retry_ratio, *retry_slack, *usual, *repeats].map(f64::to_bits).hash(state);
+        for (name, Known { terms, latency, tokens, at }) in backends {
+            let BackendTerms { slots, sharers, way, price, cold_until, cold_per_s } = terms;
+            name.hash(state);
+            [*slots, *sharers, *way, *price, *cold_until, *cold_per_s, *latency, *tokens, *at]
+                .map(f64::to_bits)
+                .hash(state);
+        }
+    }
+}
--- a/tests/effects.rs
+++ b/tests/effects.rs
@@ -130,6 +130,7 @@
         patience: -5.0,
         first: 99,
         spread: 0,
+        bound: None,
     }));
     assert!(count(&did).is_some());
 }
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -111,6 +111,7 @@
             patience: 2000.0,
             first: 0,
             spread,
+            bound: None,
         }))
     }
 
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -109,6 +109,7 @@
         patience,
         first: random.below(2) as u32,
         spread: random.below(3) as u32,
+        bound: None,
     })
 }
 
