Backends shared out among proxies of a region; a name may stand twice in a call

Cause by one request: its route allows central and pacifico, its tenant caribe only; both bind, so nobody may serve it (left). The change at 2.7 s was refused with 400 for a route that is set and dropped in one call: of a name the highest version holds now. Choice: each backend is one proxy's own; late answers take room down to half of the slots' part.

--- a/post/courier/src/front.rs
+++ b/post/courier/src/front.rs
@@ -273,7 +273,11 @@
         }
         let bound = match self.bound(&route, tenant.as_deref()) {
             Ok(bound) => bound,
-            Err(()) => return later(Kind::NoRoom, "no region may serve this", 1000.0),
+            Err(()) => {
+                let regions = (&route.regions, tenant.as_ref().map(|t| &t.regions));
+                tracing::debug!(event = "no-region", route = route.name, regions = ?regions);
+                return later(Kind::NoRoom, "no region may serve this", 1000.0);
+            }
         };
         let service = pick(&route.services, &message.id);
         let Some(service) = self.proxy.services.get(service) else {
--- a/post/courier/src/held.rs
+++ b/post/courier/src/held.rs
@@ -162,14 +162,42 @@
     pub fn backends(&mut self, now: f64, service: &str) -> Vec<Known> {
         self.back.retain(|_, until| now < *until);
         let of = self.listing.backends.iter().filter(|b| b.service == service);
-        of.map(|backend| self.known(now, service, backend)).collect()
+        let own = self.own(of.clone());
+        of.map(|backend| self.known(now, service, backend, own.contains(backend.id.as_str()))).collect()
     }
 
-    fn known(&self, now: f64, service: &str, backend: &Backend) -> Known {
+    /// The backends of this proxy's region are shared out among its proxies: each in turn goes to the one with the fewest slots
+    /// so far, one of its zone if there are several. All proxies that know the same share alike.
+    fn own<'a>(&self, backends: impl Iterator<Item = &'a Backend>) -> BTreeSet<&'a str> {
+        let here = |zone: &str| self.region(zone) == self.place.region;
+        let mut near: Vec<&Backend> = backends.filter(|b| here(&b.zone) && self.takes(b)).collect();
+        let draw = |b: &Backend| post_words::hash(b.id.as_bytes());
+        near.sort_by_key(|b| (draw(b), &b.id));
+        let mut parts: Vec<(u32, &Member)> =
+            self.members.iter().filter(|m| m.ready && m.region == self.place.region).map(|m| (0, m)).collect();
+        let mut own = BTreeSet::new();
+        for backend in near {
+            let first = |(slots, member): &&mut (u32, &Member)| {
+                let turn = post_words::mix(draw(backend) ^ u64::from(member.host.0));
+                (*slots, member.zone != backend.zone, turn)
+            };
+            if let Some((slots, member)) = parts.iter_mut().min_by_key(first) {
+                *slots += backend.slots.max(1);
+                if member.host == self.place.me {
+                    own.insert(backend.id.as_str());
+                }
+            }
+        }
+        own
+    }
+
+    fn takes(&self, backend: &Backend) -> bool {
+        !backend.draining && !self.drained.contains(&backend.id) && !self.table.evacuated.contains(&backend.zone)
+    }
+
+    fn known(&self, now: f64, service: &str, backend: &Backend, own: bool) -> Known {
         let region = self.region(&backend.zone);
-        let ready = !backend.draining
-            && !self.drained.contains(&backend.id)
-            && !self.table.evacuated.contains(&backend.zone);
+        let ready = self.takes(backend);
         let (way, price) = if backend.zone == self.place.zone {
             (IN_ZONE, 0.0)
         } else if region == self.place.region {
@@ -183,7 +211,7 @@
         let cold = self.table.services.get(service).map_or(0.0, |s| s.cold_per_s);
         let cold_per_s = if cold_until > now && self.owns(backend) { cold * COLD_SHARE } else { 0.0 };
         let slots = f64::from(backend.slots.max(1));
-        let terms = doorcourse::BackendTerms { slots, sharers, way, price, cold_until, cold_per_s };
+        let terms = doorcourse::BackendTerms { slots, sharers, own, way, price, cold_until, cold_per_s };
         Known { backend: backend.clone(), ready, cell: self.cell(region), terms }
     }
 
--- a/post/items/src/call.rs
+++ b/post/items/src/call.rs
@@ -1,9 +1,10 @@
 //! Calls of the operator: read into changes, and all items laid out again.
 
 use crate::{Invalid, LIMITS, fact};
-use post_words::depot::{Change, Entry};
+use post_words::depot::{self, Change};
 use sonic_rs::{JsonValueTrait, LazyValue};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::hash_map::{Entry, HashMap};
+use std::collections::BTreeMap;
 use std::fmt::Write as _;
 
 /// The most items of one call. Guards the store against a call that would keep every seat busy for long.
@@ -88,15 +89,35 @@
     if changes.len() > MOST {
         return Err(Invalid(format!("{} items in one call, at most {MOST}: send them in parts", changes.len())));
     }
-    let mut names = BTreeSet::new();
-    match changes.iter().find(|change| !names.insert(&change.name)) {
-        Some(twice) => Err(Invalid(format!("{} stands twice in the call", twice.name))),
-        None => Ok(changes),
+    newest(changes)
+}
+
+/// Of a name that stands several times in a call, set and dropped, the highest version holds.
+fn newest(changes: Vec<Change>) -> Result<Vec<Change>, Invalid> {
+    let mut newest: Vec<Change> = Vec::with_capacity(changes.len());
+    let mut places: HashMap<String, usize> = HashMap::new();
+    for change in changes {
+        match places.entry(change.name.clone()) {
+            Entry::Vacant(place) => {
+                place.insert(newest.len());
+                newest.push(change);
+            }
+            Entry::Occupied(place) => {
+                let known = &mut newest[*place.get()];
+                if known.revision == change.revision && *known != change {
+                    return Err(Invalid(format!("{} stands twice in the call with one version", change.name)));
+                }
+                if known.revision < change.revision {
+                    *known = change;
+                }
+            }
+        }
     }
+    Ok(newest)
 }
 
 /// All items that stand, laid out as calls are, each as it was sent.
-pub fn lay_out<'a>(entries: impl Iterator<Item = (&'a str, &'a Entry)>) -> String {
+pub fn lay_out<'a>(entries: impl Iterator<Item = (&'a str, &'a depot::Entry)>) -> String {
     let (mut tenants, mut services, mut limits) = (Vec::new(), Vec::new(), None);
     let mut hosts: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
     for (name, entry) in entries {
--- a/post/postmaster/src/calls.rs
+++ b/post/postmaster/src/calls.rs
@@ -46,7 +46,10 @@
             return None;
         }
         Some(method(asked, &[Method::PATCH, Method::GET]).and_then(|()| {
-            post_items::read_call(&asked.body).map(Self).map_err(|invalid| Failure::new(Kind::Invalid, invalid.0))
+            post_items::read_call(&asked.body).map(Self).map_err(|invalid| {
+                tracing::debug!(event = "invalid-call", body = %String::from_utf8_lossy(&asked.body));
+                Failure::new(Kind::Invalid, invalid.0)
+            })
         }))
     }
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -129,12 +129,12 @@
 
     /// Bounds what is out so that most answers keep to their aim: room follows the share of late answers.
     /// Guards against overload of any cause; it needs no figure of the backend's size.
-    fn note_latency(&mut self, late: bool) {
+    fn note_latency(&mut self, late: bool, least: f64) {
         self.heard = true;
         let used = f64::from(self.out) + 1.0 >= self.room.floor();
         if late || used {
             let step = ROOM_STEP * (ROOM_LATE - f64::from(u8::from(late)));
-            self.room = (self.room * (1.0 + step)).max(ROOM_LEAST);
+            self.room = (self.room * (1.0 + step)).max(ROOM_LEAST.max(least));
         }
     }
 
@@ -834,7 +834,7 @@
             // A client with little time left proves nothing of the fleet.
             _ => latency > *usual * LATE_LATENCIES,
         };
-        backend.note_latency(late);
+        backend.note_latency(late, self.mesh.least_room(name));
         self.late += NEWEST * (f64::from(u8::from(late)) - self.late);
         let lost = end.outcome != Outcome::Served;
         if lost && backend.failed(now, end, &self.settings) {
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -2,7 +2,8 @@
 //! request may go to, what repeats may cost. A gateway that is told nothing of this decides as without it.
 //!
 //! - *Choice*: the answer expected first wins. What is expected of a backend is its smoothed latency, its way included,
-//!   grown by what this gateway has out there beyond its part of the slots, and the price of the way in ms.
+//!   grown by what is out there, and the price of the way in ms. Backends are shared out: each is some gateway's own, which
+//!   mostly it alone sends to, so what it has out there is all that is there. Of others' it expects that they are in use.
 //! - *Cold backends* take what this gateway was given of their rate, one by one, and nothing else.
 //! - *Repeats*: a part of the requests, and a part of the slack that all gateways share. Each gateway keeps its own:
 //!   the parts add up to no more than the whole.
@@ -13,8 +14,17 @@
 
 /// The weight of the newest latency in a backend's.
 const NEWEST: f64 = 0.1;
-/// A gateway has out at a backend so many times its part of the slots before that makes it wait in line.
-const ROOM_TIMES: f64 = 2.0;
+/// A gateway has out at a backend of its own at most so many times its slots, of others so many times its part of them; what
+/// comes beyond that waits in line. Late answers take this down to the other share of it.
+const ROOM_OWN: f64 = 1.5;
+const ROOM_OTHERS: f64 = 2.0;
+const ROOM_LEAST: f64 = 0.5;
+/// What others' backends are expected to take longer, by themselves and by chance: who finds none of its own free spreads what
+/// it has over all of them.
+const OTHERS: f64 = 1.25;
+const OTHERS_LUCK: f64 = 0.5;
+/// Of two free ones of its own the one with less to do goes first by this much.
+const BUSY: f64 = 0.2;
 /// Of the ratio that rules allow for repeats so much is used: what one gateway counts comes late at another's window.
 const RATIO_SHARE: f64 = 0.75;
 /// Of the slack that all gateways share so much is handed out.
@@ -27,6 +37,8 @@
     pub slots: f64,
     /// How many gateways are likely to send there.
     pub sharers: f64,
+    /// It is this gateway's own.
+    pub own: bool,
     /// The way there and back.
     pub way: Millis,
     /// What the way costs, as a time that an answer may come later.
@@ -97,7 +109,14 @@
 
     /// What this gateway has out at a backend at most, at first; none where nothing was told of it.
     pub(crate) fn room(&self, name: &Name) -> Option<f64> {
-        self.backends.get(name).map(|k| (k.terms.slots / k.terms.sharers.max(1.0) * ROOM_TIMES).max(1.0))
+        let terms = self.backends.get(name)?.terms;
+        let others = terms.slots / terms.sharers.max(1.0) * ROOM_OTHERS;
+        Some(if terms.own { terms.slots * ROOM_OWN } else { others.max(1.0) })
+    }
+
+    /// Late answers take it down to this.
+    pub(crate) fn least_room(&self, name: &Name) -> f64 {
+        self.room(name).map_or(0.0, |room| room * ROOM_LEAST)
     }
 
     fn tokens(known: &Known, now: Millis) -> f64 {
@@ -111,9 +130,15 @@
         if now < terms.cold_until && (terms.cold_per_s <= 0.0 || Self::tokens(known, now) < 1.0) {
             return Some(None);
         }
-        let part = (terms.slots / terms.sharers.max(1.0)).max(0.5);
-        let line = f64::from(out) / part;
-        Some(Some(known.latency * (1.0 + 0.2 * luck) * (1.0 + line * line.min(1.0)) + terms.price))
+        let (out, slots) = (f64::from(out), terms.slots.max(1.0));
+        let line = if terms.own {
+            let over = (out + 1.0 - slots).max(0.0) / slots;
+            1.0 + BUSY * (out / slots).min(1.0) + over + 0.1 * luck
+        } else {
+            let part = (slots / terms.sharers.max(1.0)).max(0.5);
+            OTHERS + OTHERS_LUCK * luck + out / part
+        };
+        Some(Some(known.latency * line + terms.price))
     }
 
     /// A request goes to a backend; `again` if it has been sent before.
@@ -152,8 +177,8 @@
         let MeshTerms { gateways, retry_ratio, retry_slack, usual } = terms;
         [*gateways, *retry_ratio, *retry_slack, *usual, *repeats].map(f64::to_bits).hash(state);
         for (name, Known { terms, latency, tokens, at }) in backends {
-            let BackendTerms { slots, sharers, way, price, cold_until, cold_per_s } = terms;
-            name.hash(state);
+            let BackendTerms { slots, sharers, own, way, price, cold_until, cold_per_s } = terms;
+            (name, own).hash(state);
             [*slots, *sharers, *way, *price, *cold_until, *cold_per_s, *latency, *tokens, *at]
                 .map(f64::to_bits)
                 .hash(state);
