--- a/post/book/src/calls.rs
+++ b/post/book/src/calls.rs
@@ -189,7 +189,9 @@
             if let Some(known) = self.view(&name) {
                 let own = (known.revision, content(&known.host, known.body.as_deref()));
                 if revision <= known.revision {
-                    if own == (revision, sent) || known.past.contains(&(revision, sent)) {
+                    // An older change, or the same once more: it has been overtaken and has no effect. Another content under
+                    // the version in force is a race that it has lost.
+                    if revision < known.revision || own == (revision, sent) {
                         continue;
                     }
                     let text = format!("{name}: version {:08x} is in force, {revision:08x} was sent", known.revision);
--- a/post/book/src/lib.rs
+++ b/post/book/src/lib.rs
@@ -317,7 +317,8 @@
         if now < self.beat_at {
             return;
         }
-        self.beat_at = now + BEAT;
+        // After a start others are to find soon that this copy is as new as theirs, or not.
+        self.beat_at = now + if self.fresh { BEAT } else { BEAT / 3.0 };
         if self.votes {
             let beat = Word::Beat {
                 seats: self.seats.version,
--- a/post/host/src/call.rs
+++ b/post/host/src/call.rs
@@ -125,7 +125,9 @@
             response
         }
         Err(failure) => {
-            tracing::info!(event = "call-failed", call = C::FORM, kind = failure.kind.row().1, text = failure.text);
+            if failure.kind != Kind::NoRoom {
+                tracing::info!(event = "call-failed", call = C::FORM, kind = failure.kind.row().1, text = failure.text);
+            }
             failed(&failure)
         }
     })
--- a/post/rounds/src/lib.rs
+++ b/post/rounds/src/lib.rs
@@ -18,7 +18,7 @@
 
 use duties::Duties;
 use members::Members;
-use post_units::{Counts, Terms};
+use post_units::{Ask, Counts, Terms};
 use post_words::Host;
 use post_words::depot::{Entry, Seats};
 use post_words::news::{Backend, Down, Grant, Listing, Member, Up};
@@ -38,6 +38,9 @@
 /// ... and this often by each who knows of nobody that has it.
 pub const READ_ALONE: Millis = 2000.0;
 
+/// A registry that has heard of no list for so long after its start reads one itself.
+pub const NO_LIST: Millis = 250.0;
+
 /// What the host does.
 #[derive(Clone, Debug)]
 pub enum Out {
@@ -232,7 +235,9 @@
         let holds = self.held(now) & duties::LIST != 0;
         let others = self.peers.values().any(|p| now - p.heard < SILENT && p.claims & duties::LIST != 0);
         let alone = !others && now - self.born > 2.0 * SILENT;
-        if holds || alone {
+        // After a start of all nobody has a list, and nobody can hold the duty yet: no proxy is ready before there is one.
+        let none = self.listing.stamp.0 == 0 && now - self.born > NO_LIST;
+        if holds || alone || none {
             self.read_at = now + if holds { READ } else { READ_ALONE };
             self.out.push(Out::ReadList);
         }
@@ -299,8 +304,8 @@
                 let listing = self.listing.clone();
                 self.out.push(Out::Send(from, Word::Listing(listing)));
             }
-            Word::Ask { from: proxy, tenant, units, next } => {
-                let grant = self.count(now, &tenant, units, next);
+            Word::Ask { from: proxy, tenant, units, next, demand } => {
+                let grant = self.count(now, Ask { tenant: &tenant, proxy, units, next, demand });
                 self.out.push(Out::Send(from, Word::Grant(proxy, grant)));
             }
             Word::Grant(proxy, grant) => self.out.push(Out::Down(proxy, Rc::new(Down::Grant(grant)))),
@@ -313,7 +318,8 @@
     }
 
     /// Grants units of a tenant, if the duty is held here: the fence is looked at here, where units are granted.
-    fn count(&mut self, now: Millis, tenant: &str, units: f64, next: bool) -> Grant {
+    fn count(&mut self, now: Millis, ask: Ask<'_>) -> Grant {
+        let (tenant, next) = (ask.tenant, ask.next);
         let bit = duties::bit_of(tenant);
         let terms = self.terms.get(tenant).copied().unwrap_or_default();
         if self.held(now) & bit == 0 || terms.rate <= 0.0 {
@@ -325,7 +331,7 @@
             return closed(tenant, next, terms);
         }
         let (gateways, silent) = self.members.counted(now);
-        self.counts.ask(now, tenant, units, next, terms, since, gateways, silent)
+        self.counts.ask(now, ask, terms, since, gateways, silent)
     }
 
     /// A word from a proxy of this registry's.
@@ -333,14 +339,14 @@
         match up {
             Up::Hello(member) => self.hello(now, member),
             Up::Beat { ready, items, listing } => self.on_up_beat(now, from, ready, items, listing),
-            Up::Ask { tenant, units, next } => {
+            Up::Ask { tenant, units, next, demand } => {
                 self.members.heard(from, now);
                 match self.holder(now, duties::bit_of(&tenant)) {
                     Some(host) if host == self.me => {
-                        let grant = self.count(now, &tenant, units, next);
+                        let grant = self.count(now, Ask { tenant: &tenant, proxy: from, units, next, demand });
                         self.out.push(Out::Down(from, Rc::new(Down::Grant(grant))));
                     }
-                    Some(host) => self.out.push(Out::Send(host, Word::Ask { from, tenant, units, next })),
+                    Some(host) => self.out.push(Out::Send(host, Word::Ask { from, tenant, units, next, demand })),
                     None => {
                         let terms = self.terms.get(&tenant).copied().unwrap_or_default();
                         let grant = closed(&tenant, next, terms);
--- a/post/units/src/cache.rs
+++ b/post/units/src/cache.rs
@@ -347,6 +347,6 @@
         }
         *asked = Some(now);
         self.unheard = self.unheard.or(Some(now));
-        out.push(Up::Ask { tenant: name.to_owned(), units, next });
+        out.push(Up::Ask { tenant: name.to_owned(), units, next, demand: self.demand });
     }
 }
--- a/post/units/src/counts.rs
+++ b/post/units/src/counts.rs
@@ -1,6 +1,7 @@
 //! The window count of tenants, at whoever holds the duty.
 
 use crate::{Millis, SLICE, Terms};
+use post_words::Host;
 use post_words::news::Grant;
 use std::collections::BTreeMap;
 
@@ -11,6 +12,33 @@
 /// A window may be asked for when less than this part of the one before is left.
 pub(crate) const AHEAD: f64 = 0.4;
 
+/// When proxies together want more than this part of what a window grants, each has a share by its demand ...
+const SCARCE: f64 = 0.85;
+/// ... until this part of the window is left; then what nobody took is there for all.
+const OPEN: f64 = 0.2;
+
+/// A proxy asks for units of a tenant.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// Whose.
+    pub tenant: &'a str,
+    /// Who asks.
+    pub proxy: Host,
+    /// How many.
+    pub units: f64,
+    /// For the next window.
+    pub next: bool,
+    /// Requests a ms that come to the proxy.
+    pub demand: f64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Asker {
+    demand: f64,
+    asked: u64,
+    granted: [f64; 2],
+}
+
 #[derive(Clone, Debug)]
 struct Count {
     terms: Terms,
@@ -22,16 +50,21 @@
     /// Windows before this grant nothing.
     opens: u64,
     asked: u64,
+    askers: BTreeMap<Host, Asker>,
 }
 
 impl Count {
     fn roll(&mut self, now: Millis) {
         let window = ((now - self.start) / self.terms.window()).floor().max(0.0) as u64;
-        if window == self.window + 1 {
-            self.granted = [self.granted[1], 0.0];
-        } else if window != self.window {
-            self.granted = [0.0, 0.0];
+        if window == self.window {
+            return;
         }
+        let on = |granted: &mut [f64; 2]| {
+            *granted = [if window == self.window + 1 { granted[1] } else { 0.0 }, 0.0];
+        };
+        on(&mut self.granted);
+        self.askers.values_mut().for_each(|asker| on(&mut asker.granted));
+        self.askers.retain(|_, asker| window <= asker.asked + 2);
         self.window = window;
     }
 }
@@ -49,17 +82,16 @@
 
     /// Asks for units of a tenant. `since` is when the duty came here, `gateways` how many proxies there are, `silent` how many
     /// of them may be on their own.
-    #[allow(clippy::too_many_arguments)]
     pub fn ask(
-        &mut self, now: Millis, tenant: &str, units: f64, next: bool, terms: Terms, since: Millis, gateways: f64,
-        silent: f64,
+        &mut self, now: Millis, ask: Ask<'_>, terms: Terms, since: Millis, gateways: f64, silent: f64,
     ) -> Grant {
+        let Ask { tenant, proxy, units, next, demand } = ask;
         let count = self.tenants.entry(tenant.to_owned()).or_insert_with(|| {
             let rests = since + Self::REST as f64 * terms.window();
             // The windows are laid so that one begins when the rest is over, or now.
             let start = if now < rests { rests - Self::REST as f64 * terms.window() } else { now };
             let opens = if now < rests { Self::REST } else { 0 };
-            Count { terms, start, window: 0, granted: [0.0; 2], opens, asked: 0 }
+            Count { terms, start, window: 0, granted: [0.0; 2], opens, asked: 0, askers: BTreeMap::new() }
         });
         if count.terms != terms {
             // Another limit holds from the next window on; what was granted of this one stays granted.
@@ -71,6 +103,7 @@
                 granted: [share.min(1.0) * terms.grant(), 0.0],
                 opens: 0,
                 asked: 0,
+                askers: BTreeMap::new(),
             };
         }
         count.roll(now);
@@ -80,6 +113,11 @@
         let left = (begun + length - now).max(0.0);
         let next = next && left <= length * AHEAD;
         let (window, at) = (count.window + u64::from(next), usize::from(next));
+        let asker = count.askers.entry(proxy).or_default();
+        (asker.demand, asker.asked) = (if demand.is_finite() { demand.max(0.0) } else { 0.0 }, count.window);
+        let own = *asker;
+        let wanted: f64 = count.askers.values().map(|asker| asker.demand).sum();
+        let scarce = wanted * length > terms.grant() * SCARCE;
         let closed = window < count.opens;
         let kept = terms.grant() * SLICE * (silent / gateways.max(1.0)).min(1.0);
         let free = (terms.grant() - kept - count.granted[at]).max(0.0);
@@ -87,12 +125,21 @@
             0.0
         } else {
             // One request at least, while there is one.
-            let near = (free * NEAR / gateways.max(1.0)).max(1.0);
-            let plenty = free > terms.grant() * NEAR;
-            let most = if plenty { units.min(free * NEAR) } else { units.min(near) };
-            most.max(1.0).min(free).floor()
+            let most = if scarce && (next || left > length * OPEN) {
+                // First come would be nearest come: each has its share, whole and at once.
+                let share = (terms.grant() - kept) * own.demand / wanted.max(1e-12);
+                (share.max(1.0) - own.granted[at]).max(0.0)
+            } else if free > terms.grant() * NEAR {
+                (free * NEAR).max(1.0)
+            } else {
+                (free * NEAR / gateways.max(1.0)).max(1.0)
+            };
+            units.max(1.0).min(most).min(free).floor()
         };
         count.granted[at] += units;
+        if let Some(asker) = count.askers.get_mut(&proxy) {
+            asker.granted[at] += units;
+        }
         debug_assert!(count.granted[at] <= terms.grant() + 1e-6, "more was granted than there is");
         let (begins, ends) = if next { (left, left + length) } else { (0.0, left) };
         Grant { tenant: tenant.to_owned(), units, window, begins, ends, next, closed }
--- a/post/units/src/lib.rs
+++ b/post/units/src/lib.rs
@@ -20,7 +20,7 @@
 mod counts;
 
 pub use cache::{Admission, Cache, Request};
-pub use counts::Counts;
+pub use counts::{Ask, Counts};
 
 /// A time or a span in milliseconds.
 pub type Millis = f64;
--- a/post/words/src/news.rs
+++ b/post/words/src/news.rs
@@ -71,6 +71,8 @@
         units: f64,
         /// For the next window.
         next: bool,
+        /// Requests a ms that come here, smoothed: shares of what is scarce follow it.
+        demand: f64,
     },
     /// Units that were not spent.
     Back {
--- a/post/words/src/round.rs
+++ b/post/words/src/round.rs
@@ -47,6 +47,8 @@
         units: f64,
         /// For the next window.
         next: bool,
+        /// Requests a ms that come to the proxy, smoothed.
+        demand: f64,
     },
     /// Units for a proxy of the receiver's.
     Grant(Host, Grant),
