--- a/post/courier/src/front.rs
+++ b/post/courier/src/front.rs
@@ -16,7 +16,7 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, TRAILER,
+    CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, TRAILER,
     TRANSFER_ENCODING, UPGRADE,
 };
 use hyper::server::conn::http1;
@@ -75,6 +75,32 @@
     Some(response)
 }
 
+/// A request that is answered here: why, and when to come back where that is a promise.
+struct Refusal {
+    failure: Failure,
+    wait: Option<f64>,
+}
+
+impl Refusal {
+    fn new(kind: Kind, text: &str) -> Self {
+        Self { failure: Failure::new(kind, text), wait: None }
+    }
+
+    /// It has not run and will not; best tried again after so many ms.
+    fn later(kind: Kind, text: &str, wait: f64) -> Self {
+        Self { failure: Failure::new(kind, text), wait: Some(wait) }
+    }
+
+    fn answer(&self) -> Response<Full<Bytes>> {
+        let mut response = failed(&self.failure);
+        let wait = self.wait.map(|wait| format!("{:.3}", wait.max(0.0) / 1000.0));
+        if let Some(wait) = wait.and_then(|wait| HeaderValue::from_str(&wait).ok()) {
+            response.headers_mut().insert(RETRY_AFTER, wait);
+        }
+        response
+    }
+}
+
 /// What is decided of a request before it goes on.
 struct Ticket {
     route: Rc<Route>,
@@ -176,12 +202,12 @@
             Ok(ticket) => {
                 guest.taken();
                 last = false;
-                self.decide(ticket).await
+                self.decide(ticket).await.unwrap_or_else(|refusal| refusal.answer())
             }
             Err(refusal) => {
                 // What follows on the connection may have been meant as something else.
-                last |= has_body || refusal.status() == StatusCode::BAD_REQUEST;
-                refusal
+                last |= has_body || refusal.failure.kind == Kind::Malformed;
+                refusal.answer()
             }
         };
         if last || self.proxy.leaving() {
@@ -191,8 +217,8 @@
     }
 
     /// Reads a request whole and looks up what is to become of it.
-    async fn take(&self, request: Request<Incoming>, guest: &Guest) -> Result<Ticket, Response<Full<Bytes>>> {
-        let refuse = |kind, text: &str| Err(failed(&Failure::new(kind, text)));
+    async fn take(&self, request: Request<Incoming>, guest: &Guest) -> Result<Ticket, Refusal> {
+        let refuse = |kind, text: &str| Err(Refusal::new(kind, text));
         // Guards against requests hidden in the body of another.
         if request.headers().contains_key(TRANSFER_ENCODING) && !guest.is_plainly_chunked(&request) {
             return refuse(Kind::Malformed, "Transfer-Encoding");
@@ -214,7 +240,7 @@
         };
         // A proxy without a table knows of nothing that it is not there.
         if !self.proxy.held.borrow().is_ready() || self.refusing.get() {
-            return Err(later(Kind::NoRoom, "this proxy takes no requests now", NOT_READY));
+            return Err(Refusal::later(Kind::NoRoom, "this proxy takes no requests now", NOT_READY));
         }
         let most = self.proxy.held.borrow().table.limits.body.min(LARGEST);
         if body.size_hint().lower() > most as u64 {
@@ -246,11 +272,11 @@
         Ok(Ticket { route, tenant, message, patience })
     }
 
-    async fn read(&self, body: Incoming, most: usize) -> Result<Bytes, Response<Full<Bytes>>> {
+    async fn read(&self, body: Incoming, most: usize) -> Result<Bytes, Refusal> {
         let expected = body.size_hint().exact().unwrap_or(0) as usize;
         let all = (self.proxy.settings.limits.memory as f64 * BODIES) as usize;
         if self.bodies.get() + expected > all {
-            return Err(later(Kind::NoRoom, "no memory for this body now", NOT_READY));
+            return Err(Refusal::later(Kind::NoRoom, "no memory for this body now", NOT_READY));
         }
         self.bodies.set(self.bodies.get() + expected);
         let read = Limited::new(body, most).collect().await;
@@ -258,14 +284,14 @@
         match read {
             Ok(body) => Ok(body.to_bytes()),
             Err(error) if error.is::<LengthLimitError>() => {
-                Err(failed(&Failure::new(Kind::TooLarge, "the body is too large")))
+                Err(Refusal::new(Kind::TooLarge, "the body is too large"))
             }
-            Err(_) => Err(failed(&Failure::new(Kind::Malformed, "the body ended early"))),
+            Err(_) => Err(Refusal::new(Kind::Malformed, "the body ended early")),
         }
     }
 
     /// The final answer.
-    async fn decide(&self, ticket: Ticket) -> Response<Full<Bytes>> {
+    async fn decide(&self, ticket: Ticket) -> Result<Response<Full<Bytes>>, Refusal> {
         let Ticket { route, tenant, message, patience } = ticket;
         let begun = Instant::now();
         let until = begun + patience.saturating_sub(MARGIN.min(patience / 4));
@@ -273,7 +299,7 @@
         if let Some(tenant) = &tenant {
             let wait = Duration::from_secs_f64(route.aim * UNIT_WAIT / 1000.0).min(patience / 4);
             if let Err(wait) = self.proxy.admit(tenant, wait).await {
-                return later(Kind::OverQuota, "the quota is spent", wait);
+                return Err(Refusal::later(Kind::OverQuota, "the quota is spent", wait));
             }
             window = self.proxy.window(&tenant.name);
         }
@@ -282,12 +308,12 @@
             Err(()) => {
                 let regions = (&route.regions, tenant.as_ref().map(|t| &t.regions));
                 tracing::debug!(event = "no-region", route = route.name, regions = ?regions);
-                return later(Kind::NoRoom, "no region may serve this", 1000.0);
+                return Err(Refusal::later(Kind::NoRoom, "no region may serve this", 1000.0));
             }
         };
         let service = pick(&route.services, &message.id);
         let Some(service) = self.proxy.services.get(service) else {
-            return later(Kind::NoRoom, "the service has no backends yet", NOT_READY);
+            return Err(Refusal::later(Kind::NoRoom, "the service has no backends yet", NOT_READY));
         };
         let priority = tenant.as_ref().and_then(|t| t.priority).unwrap_or(route.priority);
         let class = service.class(&route, priority);
@@ -318,20 +344,16 @@
                 let mut response = Response::new(Full::new(answer.body));
                 *response.status_mut() = answer.status;
                 *response.headers_mut() = kept(answer.headers);
-                response
+                Ok(response)
             }
             Ok(Ok(Reply::Refused(wait))) => {
                 if let Some(tenant) = &tenant {
                     self.proxy.unspent(&tenant.name, window);
                 }
-                later(Kind::NoRoom, "no backend has room", wait)
-            }
-            Ok(Ok(Reply::Failed(false)) | Err(_)) => {
-                failed(&Failure::new(Kind::BadAnswer, "no usable answer"))
-            }
-            Ok(Ok(Reply::Failed(true))) | Err(_) => {
-                failed(&Failure::new(Kind::NoAnswer, "no answer in time"))
+                Err(Refusal::later(Kind::NoRoom, "no backend has room", wait))
             }
+            Ok(Ok(Reply::Failed(false)) | Err(_)) => Err(Refusal::new(Kind::BadAnswer, "no usable answer")),
+            Ok(Ok(Reply::Failed(true))) | Err(_) => Err(Refusal::new(Kind::NoAnswer, "no answer in time")),
         }
     }
 
@@ -376,16 +398,6 @@
     headers
 }
 
-/// An answer that promises that nothing has run, and says when to come again, in ms.
-fn later(kind: Kind, text: &str, wait: f64) -> Response<Full<Bytes>> {
-    let mut response = failed(&Failure::new(kind, text));
-    if let Ok(wait) = HeaderValue::from_str(&format!("{:.3}", wait.max(0.0) / 1000.0)) {
-        response.headers_mut().insert(RETRY_AFTER, wait);
-    }
-    response.headers_mut().entry(CONTENT_TYPE).or_insert(HeaderValue::from_static("application/json"));
-    response
-}
-
 /// A request whose client waits. Dropped without an answer, as when its connection closes, it tells that the client has
 /// left; after an answer that finds nothing.
 struct Waiting<'a> {
--- a/post/courier/src/heads.rs
+++ b/post/courier/src/heads.rs
@@ -97,7 +97,9 @@
     fn a_deadline_is_digits_given_once() {
         let of = |values: &[&'static str]| {
             let mut headers = HeaderMap::new();
-            values.iter().for_each(|v| drop(headers.append(DEADLINE, HeaderValue::from_static(v))));
+            for value in values {
+                headers.append(DEADLINE, HeaderValue::from_static(value));
+            }
             patience(&headers)
         };
         assert_eq!(of(&["3000"]), Some(Duration::from_secs(3)));
--- a/post/rounds/src/tests.rs
+++ b/post/rounds/src/tests.rs
@@ -7,6 +7,9 @@
 
 const STEP: f64 = 20.0;
 
+/// What a registry is told, and when.
+type Input<'a> = Box<dyn FnOnce(&mut Round, f64) + 'a>;
+
 struct World {
     now: f64,
     seed: u64,
@@ -73,7 +76,7 @@
         self.give(n, Box::new(input));
     }
 
-    fn give(&mut self, n: usize, input: Box<dyn FnOnce(&mut Round, f64) + '_>) {
+    fn give(&mut self, n: usize, input: Input<'_>) {
         let now = self.now;
         let Some(round) = self.nodes[n].as_mut() else { return };
         input(round, now);
--- a/post/units/src/tests.rs
+++ b/post/units/src/tests.rs
@@ -42,7 +42,7 @@
         let proxy = |n: usize| {
             let mut cache = Cache::new();
             cache.gateways(proxies as f64);
-            Proxy { cache, way: if n % 3 == 0 { 1.0 } else { 55.0 }, cut: false }
+            Proxy { cache, way: if n.is_multiple_of(3) { 1.0 } else { 55.0 }, cut: false }
         };
         Self {
             now: 10_000.0,
@@ -126,7 +126,7 @@
             }
             for n in 0..self.proxies.len() {
                 let (mut out, mut told) = (Vec::new(), Vec::new());
-                if (self.now / STEP) as usize % 4 == 0 {
+                if ((self.now / STEP) as usize).is_multiple_of(4) {
                     self.proxies[n].cache.tick(self.now, &mut out, &mut told);
                 }
                 let mut come = load / self.proxies.len() as f64 * STEP / 1000.0;
