--- a/crates/dataplane/src/back/backends.rs
+++ b/crates/dataplane/src/back/backends.rs
@@ -29,6 +29,8 @@
 const ROUND: Duration = Duration::from_secs(1);
 /// A connection is kept idle for this share of the time after which backends close it: well before.
 const IDLE_SHARE: f64 = 0.5;
+/// Of the time that a backend says so much is used.
+const KEEPS_SHARE: f64 = 0.8;
 /// How old kept connections are is told apart in so many steps, each this many times the one before; the first
 /// ends here.
 const AGES: usize = 6;
@@ -137,6 +139,22 @@
     idle: Vec<(Link, Instant)>,
     /// When bytes for nobody last came from it.
     fault: Option<Instant>,
+    /// How long it keeps idle connections, where it says so.
+    keeps: Option<Duration>,
+}
+
+impl Backend {
+    /// How long a free connection to it is trusted: what it says, less the time that its word may be late, or what is usual.
+    fn longest_idle(&self, usual: Duration) -> Duration {
+        self.keeps.map_or(usual, |keeps| keeps.mul_f64(KEEPS_SHARE))
+    }
+}
+
+/// How long a backend keeps idle connections, by its `Keep-Alive`.
+fn keeps(head: &response::Parts) -> Option<Duration> {
+    let text = head.headers.get("keep-alive")?.to_str().ok()?;
+    let timeout = text.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    timeout.trim().parse().ok().map(Duration::from_secs)
 }
 
 /// How often connections break under a request before anything comes back: new ones, and kept ones by how long
@@ -280,6 +298,7 @@
                 heard: Instant::now(),
                 idle: Vec::new(),
                 fault: None,
+                keeps: None,
             });
             if !ready || backend.dial != host.dial {
                 backend.idle.clear();
@@ -293,13 +312,14 @@
         loop {
             sleep(ROUND).await;
             for backend in self.known.borrow_mut().values_mut() {
+                let longest = backend.longest_idle(self.longest_idle);
                 let Backend { idle, fault, .. } = backend;
                 idle.retain(|(link, since)| {
                     let stands = link.stands();
                     if link.fault().is_some() {
                         *fault = Some(Instant::now());
                     }
-                    stands && since.elapsed() < self.longest_idle
+                    stands && since.elapsed() < longest
                 });
             }
         }
@@ -438,7 +458,7 @@
                     if fault.is_none() {
                         let free = link.is_free().await;
                         let behind = link.fault().is_some();
-                        self.answered(name, dial, free.then_some(link), behind);
+                        self.answered(name, dial, free.then_some(link), behind, keeps(&head));
                         return Some((head, body));
                     }
                     life.step(Event::Broke(Progress::Spoilt));
@@ -474,7 +494,7 @@
             // Guards unsafe requests: one written to a connection that is closed or about to be is lost in
             // doubt.
             let idle = since.elapsed();
-            let trusted = idle < self.longest_idle && link.is_up();
+            let trusted = idle < backend.longest_idle(self.longest_idle) && link.is_up();
             if trusted && self.breaks.borrow_mut().trusts(idle, wants.repeatable) {
                 return Some((backend.dial, Some((link, idle))));
             }
@@ -502,13 +522,16 @@
 
     /// Notes that a backend answered, and keeps the connection if it is free again and may be kept. `behind` tells that
     /// more came than the answer.
-    fn answered(&self, name: &Name, dial: SocketAddr, link: Option<Link>, behind: bool) {
+    fn answered(
+        &self, name: &Name, dial: SocketAddr, link: Option<Link>, behind: bool, keeps: Option<Duration>,
+    ) {
         if behind {
             self.suspect(name, dial);
         }
         let mut known = self.known.borrow_mut();
         if let Some(backend) = known.get_mut(name).filter(|b| b.dial == dial) {
             backend.heard = Instant::now();
+            backend.keeps = keeps.or(backend.keeps);
             let keep = backend.ready && self.reuse.may_keep(backend.fault.map(|at| at.elapsed()));
             backend.idle.extend(link.filter(|_| keep).map(|link| (link, backend.heard)));
         }
--- a/post/book/src/writer.rs
+++ b/post/book/src/writer.rs
@@ -283,6 +283,12 @@
         }
         match ask {
             Ask::Read => self.write(now, Vec::new(), vec![(ticket, true)]),
+            Ask::Note(name, text) => {
+                let name = format!("m:{name}");
+                let revision = self.view(&name).map_or(0, |entry| entry.revision) + 1;
+                let entry = Entry { revision, body: Some(text), ..Entry::default() };
+                self.write(now, vec![(name, entry)], vec![(ticket, false)]);
+            }
             Ask::Evacuate(zone, on, seen) => {
                 let name = format!("e:{zone}");
                 let known = self.view(&name);
--- a/post/courier/src/front.rs
+++ b/post/courier/src/front.rs
@@ -303,7 +303,7 @@
             }
             window = self.proxy.window(&tenant.name);
         }
-        let bound = match self.bound(&route, tenant.as_deref()) {
+        let bound = match self.bound(&route, tenant.as_deref(), message.body.len()) {
             Ok(bound) => bound,
             Err(()) => {
                 let regions = (&route.regions, tenant.as_ref().map(|t| &t.regions));
@@ -358,7 +358,7 @@
     }
 
     /// Where a request may go: the regions that its route and its tenant both allow.
-    fn bound(&self, route: &Route, tenant: Option<&Tenant>) -> Result<Arc<RequestBound>, ()> {
+    fn bound(&self, route: &Route, tenant: Option<&Tenant>, bytes: usize) -> Result<Arc<RequestBound>, ()> {
         let held = self.proxy.held.borrow();
         let of_tenant = tenant.map_or(&[][..], |t| &t.regions);
         let regions: Vec<&String> = match (route.regions.as_slice(), of_tenant) {
@@ -372,7 +372,11 @@
             }
         };
         let cells = regions.into_iter().map(|region| held.cell(region)).collect();
-        Ok(Arc::new(RequestBound { cells, most_attempts: route.attempts }))
+        Ok(Arc::new(RequestBound {
+            cells,
+            most_attempts: route.attempts,
+            bytes: bytes.min(u32::MAX as usize) as u32,
+        }))
     }
 }
 
--- a/post/courier/src/held.rs
+++ b/post/courier/src/held.rs
@@ -163,35 +163,48 @@
         self.back.retain(|_, until| now < *until);
         let of = self.listing.backends.iter().filter(|b| b.service == service);
         let own = self.own(of.clone());
-        of.map(|backend| self.known(now, service, backend, own.contains(backend.id.as_str()))).collect()
+        of.map(|backend| self.known(now, service, backend, own.get(backend.id.as_str()).copied())).collect()
     }
 
-    /// The backends of this proxy's region are shared out among its proxies: each in turn goes to the one with the fewest slots
-    /// so far, one of its zone if there are several. All proxies that know the same share alike.
-    fn own<'a>(&self, backends: impl Iterator<Item = &'a Backend>) -> BTreeSet<&'a str> {
+    /// The backends of this proxy's region are shared out among its proxies, so that each has some of its own: with how many
+    /// others it shares each. Where there are more backends, each in turn goes to the proxy with the fewest slots so far; where
+    /// there are more proxies, each in turn takes the backend with the fewest proxies to a slot. Those of one zone go together
+    /// as far as that is even. All proxies that know the same share alike.
+    fn own<'a>(&self, backends: impl Iterator<Item = &'a Backend>) -> BTreeMap<&'a str, f64> {
         let here = |zone: &str| self.region(zone) == self.place.region;
         let mut near: Vec<&Backend> = backends.filter(|b| here(&b.zone) && self.takes(b)).collect();
         let draw = |b: &Backend| post_words::hash(b.id.as_bytes());
         near.sort_by_key(|b| (draw(b), &b.id));
-        let mut parts: Vec<(u32, &Member)> = self
-            .members
-            .iter()
-            .filter(|m| m.ready && m.region == self.place.region)
-            .map(|m| (0, m))
-            .collect();
-        let mut own = BTreeSet::new();
-        for backend in near {
-            let first = |(slots, member): &&mut (u32, &Member)| {
-                let turn = post_words::mix(draw(backend) ^ u64::from(member.host.0));
-                (*slots, member.zone != backend.zone, turn)
-            };
-            if let Some((slots, member)) = parts.iter_mut().min_by_key(first) {
+        let proxies = self.members.iter().filter(|m| m.ready && m.region == self.place.region);
+        let turn = |b: &Backend, m: &Member| post_words::mix(draw(b) ^ u64::from(m.host.0));
+        let mut own = BTreeMap::new();
+        if near.len() >= proxies.clone().count() {
+            let mut parts: Vec<(u32, &Member)> = proxies.map(|m| (0, m)).collect();
+            for backend in near {
+                let first =
+                    |(slots, m): &&mut (u32, &Member)| (*slots, m.zone != backend.zone, turn(backend, m));
+                let Some((slots, member)) = parts.iter_mut().min_by_key(first) else { continue };
                 *slots += backend.slots.max(1);
                 if member.host == self.place.me {
-                    own.insert(backend.id.as_str());
+                    own.insert(backend.id.as_str(), 1.0);
                 }
             }
+            return own;
+        }
+        let mut parts: Vec<(u32, &Backend)> = near.into_iter().map(|b| (0, b)).collect();
+        let mut mine = None;
+        for member in proxies {
+            let first = |(at, (taken, b)): &(usize, &(u32, &Backend))| {
+                // In whole numbers: all must share alike.
+                (*taken * 1000 / b.slots.max(1), b.zone != member.zone, turn(b, member), *at)
+            };
+            let Some((at, _)) = parts.iter().enumerate().min_by_key(first) else { continue };
+            parts[at].0 += 1;
+            if member.host == self.place.me {
+                mine = Some(at);
+            }
         }
+        own.extend(mine.map(|at| (parts[at].1.id.as_str(), f64::from(parts[at].0))));
         own
     }
 
@@ -201,7 +214,7 @@
             && !self.table.evacuated.contains(&backend.zone)
     }
 
-    fn known(&self, now: f64, service: &str, backend: &Backend, own: bool) -> Known {
+    fn known(&self, now: f64, service: &str, backend: &Backend, own: Option<f64>) -> Known {
         let region = self.region(&backend.zone);
         let ready = self.takes(backend);
         let (way, price) = if backend.zone == self.place.zone {
@@ -212,6 +225,7 @@
             (FAR, REGION_PRICE)
         };
         let sharers = self.members.iter().filter(|m| m.ready && m.region == region).count().max(1) as f64;
+        let (own, sharers) = (own.is_some(), own.unwrap_or(sharers));
         let listed = if backend.cold_ms > 0 { self.listed + f64::from(backend.cold_ms) } else { 0.0 };
         let cold_until = listed.max(self.back.get(&backend.zone).copied().unwrap_or(0.0));
         let cold = self.table.services.get(service).map_or(0.0, |s| s.cold_per_s);
--- a/post/postmaster/src/registry.rs
+++ b/post/postmaster/src/registry.rs
@@ -157,6 +157,14 @@
                         registry.with(|round, now| round.list_read(now, backends));
                     });
                 }
+                Out::Note(proxies) => {
+                    let registry = self.clone();
+                    spawn(async move {
+                        let ask = Ask::Note(post_rounds::FLEET.to_owned(), proxies.to_string());
+                        let told = registry.ask(ask).await;
+                        tracing::info!(event = "fleet-noted", proxies, done = told == Told::Done);
+                    });
+                }
                 Out::Close(host) => drop(self.sessions.borrow_mut().remove(&host)),
                 Out::Log(event, about) => tracing::info!(event, about),
             }
--- a/post/rounds/src/lib.rs
+++ b/post/rounds/src/lib.rs
@@ -41,6 +41,13 @@
 /// A registry that has heard of no list for so long after its start reads one itself.
 pub const NO_LIST: Millis = 250.0;
 
+/// A registry goes by the number of proxies that the store kept for so long after its start.
+pub const YOUNG: Millis = 8000.0;
+/// That number is kept anew when it differs by more than this part.
+const NOTED: f64 = 0.15;
+/// The name under which the store keeps it.
+pub const FLEET: &str = "fleet";
+
 /// What the host does.
 #[derive(Clone, Debug)]
 pub enum Out {
@@ -50,6 +57,8 @@
     Down(Host, Rc<Down>),
     /// Reads the platform's list and tells [`Round::list_read`].
     ReadList,
+    /// Has the store keep how many proxies there are, for registries that start anew.
+    Note(u32),
     /// Ends a proxy's session: another line of it has taken its place, or it was silent.
     Close(Host),
     /// A line for the log.
@@ -83,6 +92,9 @@
     read_at: Millis,
     beat_at: Millis,
     number: u64,
+    /// How many proxies there were, by the store, and since when that has not been so.
+    noted: f64,
+    differs: Option<Millis>,
     out: Vec<Out>,
 }
 
@@ -107,6 +119,8 @@
             read_at: now,
             beat_at: now,
             number: 0,
+            noted: 0.0,
+            differs: None,
             out: Vec::new(),
         }
     }
@@ -189,6 +203,32 @@
         }
         self.read_list(now);
         self.tell_members(now);
+        self.note(now);
+    }
+
+    /// How many proxies there are for shares, and how many may be on their own. A registry that has just started knows few: it
+    /// goes by what the store kept. Too many is a smaller share for each, too few would add up to more than there is.
+    fn counted(&self, now: Millis) -> (f64, f64) {
+        let (gateways, silent) = self.members.counted(now);
+        let young = now - self.born < YOUNG;
+        (if young { gateways.max(self.noted) } else { gateways }, silent)
+    }
+
+    /// Who reads the list also keeps how many proxies there are, where that has changed for good.
+    fn note(&mut self, now: Millis) {
+        let (gateways, _) = self.members.counted(now);
+        let same = (gateways - self.noted).abs() <= self.noted * NOTED;
+        if same || self.held(now) & duties::LIST == 0 || now - self.born < YOUNG / 2.0 {
+            self.differs = None;
+            return;
+        }
+        let since = *self.differs.get_or_insert(now);
+        // More is kept at once, fewer only when they stay away.
+        let patience = if gateways > self.noted { BEAT } else { members::CUT };
+        if now - since > patience {
+            self.differs = Some(now);
+            self.out.push(Out::Note(gateways as u32));
+        }
     }
 
     fn beat(&mut self, now: Millis) {
@@ -334,7 +374,7 @@
             // Held, but not looked at since: the rest has not begun.
             return closed(tenant, next, terms);
         }
-        let (gateways, silent) = self.members.counted(now);
+        let (gateways, silent) = self.counted(now);
         self.counts.ask(now, ask, terms, since, gateways, silent)
     }
 
--- a/post/rounds/src/news.rs
+++ b/post/rounds/src/news.rs
@@ -23,6 +23,13 @@
     pub fn items(&mut self, whole: bool, entries: Vec<Named>) {
         let mut fresh = Vec::new();
         for (name, entry) in entries {
+            if name.strip_prefix("m:") == Some(crate::FLEET) {
+                self.noted = entry.body.as_deref().and_then(|body| body.parse().ok()).unwrap_or(0.0);
+            }
+            if name.starts_with("m:") {
+                // The system's own: no proxy needs it.
+                continue;
+            }
             let known = self.items.get(&name);
             if known.is_some_and(|known| known.stamp >= entry.stamp) {
                 continue;
@@ -94,7 +101,7 @@
     }
 
     fn members_word(&self, now: Millis) -> Down {
-        Down::Members(self.members.all(now), self.members.counted(now).0 as u32)
+        Down::Members(self.members.all(now), self.counted(now).0 as u32)
     }
 
     pub(crate) fn tell_members(&mut self, now: Millis) {
--- a/post/rounds/src/tests.rs
+++ b/post/rounds/src/tests.rs
@@ -107,7 +107,7 @@
                     round.list_read(now, Some(vec![backend]));
                     again = true;
                 }
-                Out::Close(_) | Out::Log(..) => {}
+                Out::Close(_) | Out::Note(_) | Out::Log(..) => {}
             }
         }
         if again {
--- a/post/words/src/depot.rs
+++ b/post/words/src/depot.rs
@@ -62,6 +62,8 @@
     Evacuate(String, bool, Option<u64>),
     /// All items that stand.
     Read,
+    /// Something that the system itself wants to know after its next start.
+    Note(String, String),
 }
 
 /// How that went.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -768,6 +768,7 @@
         let class = &self.settings.classes[request.class];
         let tied = request.may_have_run.as_ref().filter(|_| class.effect == Effect::Keyed);
         let bound = request.bound.as_deref();
+        let bytes = bound.map_or(0, |b| b.bytes);
         let out: f64 = self.backends.values().map(|b| f64::from(b.out)).sum();
         if out >= self.room().max(1.0) {
             return None;
@@ -791,7 +792,7 @@
             if !backend.ready || !in_group || full || cold || barred || self.now < backend.eject_until {
                 continue;
             }
-            let expected = self.mesh.score(name, backend.out, self.now, luck);
+            let expected = self.mesh.score(name, backend.out, self.now, luck, bytes);
             if expected == Some(None) {
                 continue;
             }
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -23,6 +23,8 @@
 /// it has over all of them.
 const OTHERS: f64 = 1.25;
 const OTHERS_LUCK: f64 = 0.5;
+/// The bytes of a usual request and its answer.
+const USUAL_BYTES: f64 = 6000.0;
 /// Of two free ones of its own the one with less to do goes first by this much.
 const BUSY: f64 = 0.2;
 /// Of the ratio that rules allow for repeats so much is used: what one gateway counts comes late at another's window.
@@ -35,13 +37,13 @@
 pub struct BackendTerms {
     /// Requests that it works on at once.
     pub slots: f64,
-    /// How many gateways are likely to send there.
+    /// How many gateways are likely to send there; of an own one, how many have it as theirs.
     pub sharers: f64,
-    /// It is this gateway's own.
+    /// It is this gateway's own, or one of few that share it.
     pub own: bool,
     /// The way there and back.
     pub way: Millis,
-    /// What the way costs, as a time that an answer may come later.
+    /// What the way costs a usual request, as a time that an answer may come later.
     pub price: Millis,
     /// It is cold until then ...
     pub cold_until: Millis,
@@ -69,6 +71,8 @@
     pub cells: Vec<u64>,
     /// The most backends that it may be sent to; 0 for as many as the settings say.
     pub most_attempts: u32,
+    /// Its bytes; 0 for a usual request. What a way costs goes by them.
+    pub bytes: u32,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -111,7 +115,8 @@
     pub(crate) fn room(&self, name: &Name) -> Option<f64> {
         let terms = self.backends.get(name)?.terms;
         let others = terms.slots / terms.sharers.max(1.0) * ROOM_OTHERS;
-        Some(if terms.own { terms.slots * ROOM_OWN } else { others.max(1.0) })
+        let own = terms.slots / terms.sharers.max(1.0) * ROOM_OWN;
+        Some(if terms.own { own.max(1.0) } else { others.max(1.0) })
     }
 
     /// Late answers take it down to this.
@@ -124,7 +129,9 @@
     }
 
     /// How soon a backend's answer is expected; none where it may not be sent anything. Unknown: not told of.
-    pub(crate) fn score(&self, name: &Name, out: u32, now: Millis, luck: f64) -> Option<Option<f64>> {
+    pub(crate) fn score(
+        &self, name: &Name, out: u32, now: Millis, luck: f64, bytes: u32,
+    ) -> Option<Option<f64>> {
         let known = self.backends.get(name)?;
         let terms = &known.terms;
         if now < terms.cold_until && (terms.cold_per_s <= 0.0 || Self::tokens(known, now) < 1.0) {
@@ -132,13 +139,14 @@
         }
         let (out, slots) = (f64::from(out), terms.slots.max(1.0));
         let line = if terms.own {
+            let slots = (slots / terms.sharers.max(1.0)).max(1.0);
             let over = (out + 1.0 - slots).max(0.0) / slots;
             1.0 + BUSY * (out / slots).min(1.0) + over + 0.1 * luck
         } else {
             let part = (slots / terms.sharers.max(1.0)).max(0.5);
             OTHERS + OTHERS_LUCK * luck + out / part
         };
-        Some(Some(known.latency * line + terms.price))
+        Some(Some(known.latency * line + terms.price * (1.0 + f64::from(bytes) / USUAL_BYTES)))
     }
 
     /// A request goes to a backend; `again` if it has been sent before.
