A relay of units for each region; the whole path walked over loopback with real processes

Cause by one request: 74 tenants over 59 proxies, 0.2 requests a second each, so every request waited for a unit from another region and blocks were stranded. Registries now lease for their region and hand on in parts; proxies ask ahead only for what is likely to be used.

--- a/post/courier/src/main.rs
+++ b/post/courier/src/main.rs
@@ -1,33 +1,5 @@
-//! `courier`: the proxy (the field's term: reverse proxy, the data plane). Every machine that clients reach runs one. It looks up
-//! the route, checks the key, takes a unit of the tenant's lease, and has the decision module choose a backend.
+//! `courier`: see the library of this package.
 
-mod front;
-mod heads;
-mod held;
-mod proxy;
-mod services;
-mod session;
-mod speech;
-
-use gumdrop::Options;
-use post_host::start;
-use std::process::ExitCode;
-
-/// The proxy. FENNELSCALE_CONFIG names the settings file.
-#[derive(Debug, Options)]
-struct Arguments {
-    #[options(help = "show this and end")]
-    help: bool,
-    #[options(no_short, help = "only check the settings file")]
-    check: bool,
-    #[options(no_short, help = "log single steps too")]
-    verbose: bool,
-}
-
-fn main() -> ExitCode {
-    let arguments = Arguments::parse_args_default_or_exit();
-    if arguments.check {
-        return start::check("courier");
-    }
-    start::run("courier", arguments.verbose, proxy::run)
+fn main() -> std::process::ExitCode {
+    post_courier::main()
 }
--- /dev/null
+++ b/post/depot/src/lib.rs
@@ -0,0 +1,173 @@
+//! `depot`: the store of configuration (the field's term: a replicated configuration store). Every core machine runs one. It
+//! holds a copy of every item on its disk, takes calls from its machine's registry, and tells that what is chosen.
+
+mod disk;
+
+use disk::Disk;
+use gumdrop::Options;
+use post_book::{Book, Origin, Out, Place};
+use post_host::link::{Peers, Writer, hear, split};
+use post_host::{link, spawn, start};
+use post_settings::{Port, Settings};
+use post_words::Host;
+use post_words::depot::{Order, Report, Seat, Word};
+use std::cell::RefCell;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+
+/// The store of configuration. FENNELSCALE_CONFIG names the settings file.
+#[derive(Debug, Options)]
+struct Arguments {
+    #[options(help = "show this and end")]
+    help: bool,
+    #[options(no_short, help = "only check the settings file")]
+    check: bool,
+    #[options(no_short, help = "log single steps too")]
+    verbose: bool,
+}
+
+/// Time passes for the machine this often.
+const TICK: Duration = Duration::from_millis(100);
+/// After SIGTERM the others are told and may take over what this one does.
+const FAREWELL: Duration = Duration::from_millis(700);
+
+/// Runs the program by its arguments.
+pub fn main() -> ExitCode {
+    run_with(&Arguments::parse_args_default_or_exit())
+}
+
+/// Runs the program with a settings file and usual arguments, for programs that are several in one.
+pub fn run_plain() -> ExitCode {
+    run_with(&Arguments { help: false, check: false, verbose: false })
+}
+
+fn run_with(arguments: &Arguments) -> ExitCode {
+    if arguments.check {
+        return start::check("depot");
+    }
+    start::run("depot", arguments.verbose, run)
+}
+
+struct Depot {
+    book: RefCell<Book>,
+    disk: Disk,
+    peers: Peers,
+    /// The registry of this machine.
+    registry: RefCell<Option<Writer>>,
+    born: Instant,
+}
+
+async fn run(settings: Settings, mut signals: start::Signals) -> miette::Result<()> {
+    let unusable = |field: &str| {
+        miette::miette!(help = "the store runs on machines that have it", "settings field {field} is missing")
+    };
+    let folder = settings.data.as_ref().ok_or_else(|| unusable("dataDirectory"))?;
+    let host = Host::of(settings.ip).ok_or_else(|| unusable("ipAddress (IPv4)"))?;
+    let (disk, memory) = Disk::open(folder, settings.limits.disk)?;
+    let life = post_words::mix(u64::from(std::process::id()) ^ random());
+    let place = Place {
+        me: Seat { host, zone: settings.zone.clone(), region: settings.region.clone() },
+        seeds: settings.seeds.iter().filter_map(|seed| Host::of(seed.ip())).collect(),
+        bootstrap: settings.bootstrap,
+        tolerance: (settings.tolerance.machines, settings.tolerance.zones, settings.tolerance.regions),
+        life: life >> 24,
+    };
+    tracing::info!(event = "disk-read", items = memory.items.len(), blank = memory.vows.is_none());
+    let others = start::listen(settings.own(Port::Depot)).await?;
+    let depot = Rc::new(Depot {
+        book: RefCell::new(Book::new(place, memory, 0.0)),
+        disk,
+        peers: Peers::new(host, settings.own(Port::Depot).port()),
+        registry: RefCell::default(),
+        born: Instant::now(),
+    });
+    let heard = depot.clone();
+    hear(others, move |from, word: Word| heard.with(|book, now| book.word(now, from, word)));
+    // The registry of this machine is the one caller; it listens, as it may start later or again.
+    let at = settings.own(Port::Shelf);
+    let calls = depot.clone();
+    spawn(async move {
+        loop {
+            if let Ok(stream) = link::dial(at).await {
+                calls.clone().serve(stream).await;
+            }
+            sleep(TICK).await;
+        }
+    });
+    let ticking = depot.clone();
+    spawn(async move {
+        loop {
+            sleep(TICK).await;
+            ticking.with(|book, now| book.tick(now));
+        }
+    });
+    loop {
+        tokio::select! {
+            _ = signals.terminate.recv() => break,
+            _ = signals.hangup.recv() => {
+                // What changes here (seeds, tolerance) is for machines that start; those that run know the list of seats.
+                let _ = start::again();
+            }
+        }
+    }
+    depot.with(|book, now| book.leave(now));
+    sleep(FAREWELL).await;
+    Ok(())
+}
+
+/// A number that differs from start to start.
+fn random() -> u64 {
+    use std::hash::{BuildHasher, Hasher};
+    std::collections::hash_map::RandomState::new().build_hasher().finish()
+}
+
+impl Depot {
+    /// Gives the machine an input; what it writes is safe before anything of it is sent.
+    fn with(&self, input: impl FnOnce(&mut Book, f64)) {
+        let now = self.born.elapsed().as_secs_f64() * 1000.0;
+        let mut book = self.book.borrow_mut();
+        input(&mut book, now);
+        let writes = book.writes();
+        if let Err(error) = self.disk.write(&writes) {
+            // No promise may be made that is not on the disk; the next life starts from what is.
+            tracing::error!(event = "disk-failed", error);
+            std::process::exit(3);
+        }
+        for out in book.outs() {
+            match out {
+                Out::Send(to, word) => self.peers.send(to, &word),
+                Out::Answer(id, told) => self.report(&Report::Answer(id, told)),
+                Out::News(entries) => self.report(&Report::Items { whole: false, entries }),
+                Out::Seats(seats) => self.report(&Report::Seats(seats)),
+                Out::Fresh(fresh) => self.report(&Report::Fresh(fresh)),
+                Out::Log(event, about) => tracing::info!(event, about),
+            }
+        }
+    }
+
+    fn report(&self, report: &Report) {
+        if let Some(registry) = self.registry.borrow().as_ref() {
+            registry.send(report);
+        }
+    }
+
+    async fn serve(self: Rc<Self>, stream: TcpStream) {
+        let (mut reader, writer) = split(stream);
+        let (whole, seats, fresh) = {
+            let book = self.book.borrow();
+            (book.all(), book.seats().clone(), book.is_fresh())
+        };
+        *self.registry.borrow_mut() = Some(writer);
+        self.report(&Report::Seats(seats));
+        self.report(&Report::Items { whole: true, entries: whole });
+        self.report(&Report::Fresh(fresh));
+        while let Ok(order) = reader.next::<Order>().await {
+            let Order::Call(id, ask) = order;
+            self.with(|book, now| book.call(now, Origin::Registry(id), ask));
+        }
+        *self.registry.borrow_mut() = None;
+    }
+}
--- a/post/rounds/src/lib.rs
+++ b/post/rounds/src/lib.rs
@@ -18,7 +18,7 @@
 
 use duties::Duties;
 use members::Members;
-use post_units::{Ask, Counts, Terms};
+use post_units::{Ask, Counts, Relay, Sent, Terms};
 use post_words::Host;
 use post_words::depot::{Entry, Seats};
 use post_words::news::{Backend, Down, Grant, Listing, Member, Up};
@@ -84,6 +84,9 @@
     members: Members,
     duties: Duties,
     counts: Counts,
+    relay: Relay,
+    /// The registries that proxies of other registries ask this relay by.
+    ways: BTreeMap<Host, Host>,
     terms: BTreeMap<String, Terms>,
     items: BTreeMap<String, Entry>,
     items_sum: u64,
@@ -111,6 +114,8 @@
             members: Members::default(),
             duties: Duties::new(me, if bootstrap { f64::MIN } else { now }),
             counts: Counts::default(),
+            relay: Relay::default(),
+            ways: BTreeMap::new(),
             terms: BTreeMap::new(),
             items: BTreeMap::new(),
             items_sum: 0,
@@ -200,7 +205,12 @@
             self.beat_at = now + BEAT;
             self.beat(now);
             self.counts.sweep(now);
+            let known: BTreeSet<Host> = self.members.all(now).iter().map(|m| m.host).collect();
+            self.ways.retain(|proxy, _| known.contains(proxy));
         }
+        let mut sent = Vec::new();
+        self.relay.tick(now, &mut sent);
+        self.relay_sent(now, sent);
         self.read_list(now);
         self.tell_members(now);
         self.note(now);
@@ -352,6 +362,10 @@
                 let grant = self.count(now, Ask { tenant: &tenant, proxy, units, next, demand });
                 self.out.push(Out::Send(from, Word::Grant(proxy, grant)));
             }
+            Word::AskNear { from: proxy, tenant, units, next, demand } => {
+                self.relay_ask(now, proxy, Some(from), &tenant, units, next, demand);
+            }
+            Word::Grant(to, grant) if to == self.me => self.relay_grant(now, grant),
             Word::Grant(proxy, grant) => self.out.push(Out::Down(proxy, Rc::new(Down::Grant(grant)))),
             Word::Back { tenant, units, window } => {
                 if self.held(now) & duties::bit_of(&tenant) != 0 {
@@ -385,20 +399,11 @@
             Up::Beat { ready, items, listing } => self.on_up_beat(now, from, ready, items, listing),
             Up::Ask { tenant, units, next, demand } => {
                 self.members.heard(from, now);
-                match self.holder(now, duties::bit_of(&tenant)) {
-                    Some(host) if host == self.me => {
-                        let grant =
-                            self.count(now, Ask { tenant: &tenant, proxy: from, units, next, demand });
-                        self.out.push(Out::Down(from, Rc::new(Down::Grant(grant))));
-                    }
-                    Some(host) => {
-                        self.out.push(Out::Send(host, Word::Ask { from, tenant, units, next, demand }))
-                    }
-                    None => {
-                        let terms = self.terms.get(&tenant).copied().unwrap_or_default();
-                        let grant = closed(&tenant, next, terms);
-                        self.out.push(Out::Down(from, Rc::new(Down::Grant(grant))));
-                    }
+                let near = self.near(now, &tenant);
+                if near == self.me {
+                    self.relay_ask(now, from, None, &tenant, units, next, demand);
+                } else {
+                    self.out.push(Out::Send(near, Word::AskNear { from, tenant, units, next, demand }));
                 }
             }
             Up::Back { tenant, units, window } => match self.holder(now, duties::bit_of(&tenant)) {
@@ -413,6 +418,66 @@
         }
     }
 
+    /// The relay of this region for a tenant: the registry with the highest draw among those of the region that are heard.
+    fn near(&self, now: Millis, tenant: &str) -> Host {
+        let draw = |host: &Host| post_words::mix(post_words::hash(tenant.as_bytes()) ^ u64::from(host.0));
+        let here = self.seats.seats.iter().filter(|seat| seat.region == self.zones.1).map(|seat| seat.host);
+        let alive = here.filter(|host| *host == self.me || self.alive(*host, now));
+        alive.max_by_key(draw).unwrap_or(self.me)
+    }
+
+    /// A proxy asks this relay, by way of another registry where its session is there.
+    #[expect(clippy::too_many_arguments, reason = "the fields of one word")]
+    fn relay_ask(
+        &mut self, now: Millis, proxy: Host, by: Option<Host>, tenant: &str, units: f64, next: bool,
+        demand: f64,
+    ) {
+        let terms = self.terms.get(tenant).copied().unwrap_or_default();
+        if terms.rate <= 0.0 {
+            return;
+        }
+        match by {
+            Some(by) => drop(self.ways.insert(proxy, by)),
+            None => drop(self.ways.remove(&proxy)),
+        }
+        let mut sent = Vec::new();
+        self.relay.ask(now, proxy, tenant, units, next, demand, terms, &mut sent);
+        self.relay_sent(now, sent);
+    }
+
+    fn relay_grant(&mut self, now: Millis, grant: Grant) {
+        let mut sent = Vec::new();
+        self.relay.grant(now, grant, &mut sent);
+        self.relay_sent(now, sent);
+    }
+
+    fn relay_sent(&mut self, now: Millis, sent: Vec<Sent>) {
+        for sent in sent {
+            match sent {
+                Sent::Down(proxy, grant) => match self.ways.get(&proxy) {
+                    Some(by) => self.out.push(Out::Send(*by, Word::Grant(proxy, grant))),
+                    None => self.out.push(Out::Down(proxy, Rc::new(Down::Grant(grant)))),
+                },
+                Sent::Up(tenant, units, next, demand) => self.ask_holder(now, tenant, units, next, demand),
+            }
+        }
+    }
+
+    fn ask_holder(&mut self, now: Millis, tenant: String, units: f64, next: bool, demand: f64) {
+        let from = self.me;
+        match self.holder(now, duties::bit_of(&tenant)) {
+            Some(host) if host == self.me => {
+                let grant = self.count(now, Ask { tenant: &tenant, proxy: from, units, next, demand });
+                self.relay_grant(now, grant);
+            }
+            Some(host) => self.out.push(Out::Send(host, Word::Ask { from, tenant, units, next, demand })),
+            None => {
+                let terms = self.terms.get(&tenant).copied().unwrap_or_default();
+                self.relay_grant(now, closed(&tenant, next, terms));
+            }
+        }
+    }
+
     /// Who is thought to hold a duty.
     fn holder(&self, now: Millis, bit: u64) -> Option<Host> {
         if self.held(now) & bit != 0 {
--- a/post/units/src/cache.rs
+++ b/post/units/src/cache.rs
@@ -6,13 +6,16 @@
 use std::collections::{BTreeMap, VecDeque};
 
 /// The weight of the newest demand.
-const ALPHA: f64 = 0.35;
+const ALPHA: f64 = 0.1;
 /// Demand is looked at this often.
 const LOOK: Millis = 100.0;
 /// A block holds the demand of this part of a window.
 const BLOCK: f64 = 0.45;
 /// A block is renewed when less than this part of it is left.
 const RENEW: f64 = 0.5;
+/// A block is asked for ahead only if so many requests are likely to want it: the relay is near, and what is asked for in vain
+/// is stranded here.
+const AHEAD_LEAST: f64 = 1.5;
 /// An ask without answer is sent again after this: two ways between regions, and some.
 const AGAIN: Millis = 300.0;
 /// A tenant is forgotten after so many windows without a request.
@@ -104,10 +107,11 @@
         }
         let Some(tenant) = self.tenants.get_mut(name) else { return Admission::Taken };
         tenant.terms = terms;
-        tenant.came += 1.0;
-        tenant.last = now;
         tenant.roll(now);
+        // Before this request counts: seen from the moment of one, the next is no nearer than from any other.
         tenant.look(now);
+        tenant.came += 1.0;
+        tenant.last = now;
         let admission = if tenant.block.units >= 1.0 {
             tenant.block.units -= 1.0;
             Admission::Taken
@@ -331,13 +335,14 @@
         let waiting = self.waiting.len() as f64;
         let dry = self.block.units < now_target * RENEW || waiting > 0.0;
         let used = now - self.last < window;
-        if dry && used && now >= self.spent && (now_target >= 0.5 || waiting > 0.0) {
-            let units = (now_target - self.block.units + waiting).max(1.0).ceil();
+        if dry && used && now >= self.spent && (now_target >= AHEAD_LEAST || waiting > 0.0) {
+            let now_target = if now_target < AHEAD_LEAST { 0.0 } else { now_target };
+            let units = ((now_target - self.block.units).max(0.0).round() + waiting).max(1.0);
             self.ask(now, name, units, false, out);
         }
         let due = self.block.ends > now && left < window * AHEAD * 0.9;
         let have = self.next.as_ref().map_or(0.0, |next| next.units);
-        if due && used && have < target * RENEW && target >= 0.5 && now >= self.next_spent {
+        if due && used && have < target * RENEW && target >= AHEAD_LEAST && now >= self.next_spent {
             self.ask(now, name, (target - have).max(1.0).ceil(), true, out);
         }
     }
--- a/post/units/src/counts.rs
+++ b/post/units/src/counts.rs
@@ -119,6 +119,7 @@
         (asker.demand, asker.asked) = (if demand.is_finite() { demand.max(0.0) } else { 0.0 }, count.window);
         let own = *asker;
         let wanted: f64 = count.askers.values().map(|asker| asker.demand).sum();
+        let askers = count.askers.len().max(1) as f64;
         let scarce = wanted * length > terms.grant() * SCARCE;
         let closed = window < count.opens;
         let kept = terms.grant() * SLICE * (silent / gateways.max(1.0)).min(1.0);
@@ -134,7 +135,7 @@
             } else if free > terms.grant() * LATE {
                 (free * NEAR).max(1.0)
             } else {
-                (free * NEAR / gateways.max(1.0)).max(1.0)
+                (free * NEAR / askers).max(1.0)
             };
             units.max(1.0).min(most).min(free).floor()
         };
--- a/post/units/src/lib.rs
+++ b/post/units/src/lib.rs
@@ -1,4 +1,5 @@
-//! Quotas over all proxies: the lease cache of each ([`Cache`]) and the window count that it leases from ([`Counts`]).
+//! Quotas over all proxies: the lease cache of each ([`Cache`]), the window count that is leased from ([`Counts`]), and between
+//! them a relay for each region ([`Relay`]).
 //!
 //! # The sum
 //!
@@ -18,9 +19,11 @@
 
 mod cache;
 mod counts;
+mod relay;
 
 pub use cache::{Admission, Cache, Request};
 pub use counts::{Ask, Counts};
+pub use relay::{Relay, Sent};
 
 /// A time or a span in milliseconds.
 pub type Millis = f64;
--- a/post/units/src/tests.rs
+++ b/post/units/src/tests.rs
@@ -12,19 +12,26 @@
 
 struct Proxy {
     cache: Cache,
-    way: f64,
     cut: bool,
 }
 
+/// The way of a proxy to its region's relay, and of a relay to the holder, which is in the first region.
+const NEAR: f64 = 1.0;
+const FAR: f64 = 55.0;
+const REGIONS: usize = 3;
+
 enum Word {
     Up(usize, Up),
     Down(usize, Grant),
+    Ask(usize, f64, bool, f64),
+    Grant(usize, Grant),
 }
 
 struct World {
     now: f64,
     seed: u64,
     proxies: Vec<Proxy>,
+    relays: Vec<Relay>,
     counts: Counts,
     since: f64,
     holder_up: bool,
@@ -39,15 +46,16 @@
 
 impl World {
     fn new(seed: u64, proxies: usize) -> Self {
-        let proxy = |n: usize| {
+        let proxy = |_| {
             let mut cache = Cache::new();
             cache.gateways(proxies as f64);
-            Proxy { cache, way: if n.is_multiple_of(3) { 1.0 } else { 55.0 }, cut: false }
+            Proxy { cache, cut: false }
         };
         Self {
             now: 10_000.0,
             seed,
             proxies: (0..proxies).map(proxy).collect(),
+            relays: vec![Relay::default(); REGIONS],
             counts: Counts::default(),
             since: 0.0,
             holder_up: true,
@@ -71,7 +79,7 @@
 
     fn up(&mut self, n: usize, out: Vec<Up>) {
         if !self.proxies[n].cut {
-            let due = self.now + self.proxies[n].way;
+            let due = self.now + NEAR;
             self.wire.extend(out.into_iter().map(|up| (due, Word::Up(n, up))));
         }
     }
@@ -105,24 +113,12 @@
                     self.wire.push_back((due, word));
                     continue;
                 }
-                match word {
-                    Word::Up(n, Up::Ask { tenant, units, next, demand }) if self.holder_up => {
-                        let silent = self.proxies.iter().filter(|p| p.cut).count() as f64;
-                        let (all, proxy) = (self.proxies.len() as f64, Host(n as u32));
-                        let ask = Ask { tenant: &tenant, proxy, units, next, demand };
-                        let grant = self.counts.ask(self.now, ask, Self::terms(), self.since, all, silent);
-                        if !self.proxies[n].cut {
-                            self.wire.push_back((self.now + self.proxies[n].way, Word::Down(n, grant)));
-                        }
-                    }
-                    Word::Up(..) => {}
-                    Word::Down(n, grant) => {
-                        let (mut out, mut told) = (Vec::new(), Vec::new());
-                        self.proxies[n].cache.grant(self.now, grant, &mut out, &mut told);
-                        self.up(n, out);
-                        self.told(told);
-                    }
-                }
+                self.deliver(word);
+            }
+            for r in 0..REGIONS {
+                let mut sent = Vec::new();
+                self.relays[r].tick(self.now, &mut sent);
+                self.relayed(r, sent);
             }
             for n in 0..self.proxies.len() {
                 let (mut out, mut told) = (Vec::new(), Vec::new());
@@ -145,6 +141,55 @@
         }
     }
 
+    fn relayed(&mut self, r: usize, sent: Vec<Sent>) {
+        for sent in sent {
+            match sent {
+                Sent::Down(Host(n), grant) => {
+                    self.wire.push_back((self.now + NEAR, Word::Down(n as usize, grant)))
+                }
+                Sent::Up(_, units, next, demand) => {
+                    let way = if r == 0 { NEAR } else { FAR };
+                    self.wire.push_back((self.now + way, Word::Ask(r, units, next, demand)));
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, word: Word) {
+        match word {
+            Word::Up(n, Up::Ask { tenant, units, next, demand }) => {
+                let (r, mut sent) = (n % REGIONS, Vec::new());
+                let from = Host(n as u32);
+                self.relays[r].ask(self.now, from, &tenant, units, next, demand, Self::terms(), &mut sent);
+                self.relayed(r, sent);
+            }
+            Word::Up(..) => {}
+            Word::Ask(r, units, next, demand) if self.holder_up => {
+                let silent = self.proxies.iter().filter(|p| p.cut).count() as f64;
+                let (all, proxy) = (self.proxies.len() as f64, Host(r as u32));
+                let ask = Ask { tenant: "t", proxy, units, next, demand };
+                let grant = self.counts.ask(self.now, ask, Self::terms(), self.since, all, silent);
+                let way = if r == 0 { NEAR } else { FAR };
+                self.wire.push_back((self.now + way, Word::Grant(r, grant)));
+            }
+            Word::Ask(..) => {}
+            Word::Grant(r, grant) => {
+                let mut sent = Vec::new();
+                self.relays[r].grant(self.now, grant, &mut sent);
+                self.relayed(r, sent);
+            }
+            Word::Down(n, grant) => {
+                if self.proxies[n].cut {
+                    return;
+                }
+                let (mut out, mut told) = (Vec::new(), Vec::new());
+                self.proxies[n].cache.grant(self.now, grant, &mut out, &mut told);
+                self.up(n, out);
+                self.told(told);
+            }
+        }
+    }
+
     /// The rule: in every span of five seconds.
     fn check(&self) {
         const SPAN: f64 = 5000.0;
@@ -173,6 +218,20 @@
     }
 }
 
+#[test]
+fn a_small_quota_over_many_proxies_is_not_stranded() {
+    for seed in 0..5 {
+        // Each proxy sees one request of the tenant a second.
+        let mut world = World::new(seed, 60);
+        world.run(2000.0, 60.0);
+        (world.asked, world.refused) = (0, 0);
+        world.run(20_000.0, 60.0);
+        world.check();
+        let share = world.refused as f64 / world.asked as f64;
+        assert!(share < 0.03, "{share} refused at 0.6 of the quota");
+    }
+}
+
 #[test]
 fn a_flood_gets_its_quota_and_no_more() {
     for seed in 0..5 {
@@ -221,4 +280,5 @@
     world.run(20_000.0, 0.0);
     world.counts.sweep(world.now);
     assert_eq!((world.counts.tenants(), world.proxies[0].cache.tenants(), world.waiting), (0, 0, 0));
+    assert_eq!(world.relays.iter().map(Relay::tenants).sum::<usize>(), 0);
 }
--- /dev/null
+++ b/post/walk/src/machines.rs
@@ -0,0 +1,151 @@
+//! Machines of the walk: each an address of the loopback range, its processes children of this one.
+
+use rustix::process::{Pid, Signal, kill_process};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use tokio::process::{Child, Command};
+
+/// Zones and their regions.
+pub const ZONES: [(&str, &str); 3] = [("alder-a", "alder"), ("birch-a", "birch"), ("cedar-a", "cedar")];
+
+/// A core machine's or a proxy's number in its zone.
+pub const CORE: u8 = 1;
+pub const PROXY: u8 = 2;
+
+/// All machines.
+pub struct Machines {
+    folder: PathBuf,
+    base: u16,
+    net: u8,
+    platform: SocketAddr,
+    logs: bool,
+    running: Vec<(usize, &'static str, Child)>,
+}
+
+impl Machines {
+    /// None running yet; addresses and ports are drawn by this process's number, so that two walks go side by side.
+    pub fn new(folder: &Path, logs: bool) -> Self {
+        let number = std::process::id();
+        let (base, net) = (20_000 + (number % 600) as u16 * 16, 1 + (number / 600 % 250) as u8);
+        let platform = SocketAddr::new(Ipv4Addr::new(127, net, 9, 9).into(), base);
+        Self { folder: folder.to_owned(), base, net, platform, logs, running: Vec::new() }
+    }
+
+    pub fn platform(&self) -> SocketAddr {
+        self.platform
+    }
+
+    pub fn ip(&self, zone: usize, machine: u8) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.net, zone as u8 + 1, machine)
+    }
+
+    /// An address of a zone that no process of the system uses.
+    pub fn backend(&self, zone: usize, number: u8) -> SocketAddr {
+        SocketAddr::new(self.ip(zone, 100 + number).into(), self.base + 9)
+    }
+
+    pub fn control(&self, zone: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(zone, CORE).into(), self.base + 10)
+    }
+
+    pub fn directory(&self, zone: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(zone, CORE).into(), self.base + 11)
+    }
+
+    pub fn clients(&self, zone: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(zone, PROXY).into(), self.base + 12)
+    }
+
+    pub fn readiness(&self, zone: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(zone, PROXY).into(), self.base + 13)
+    }
+
+    fn settings(&self, zone: usize, program: &str, bootstrap: bool) -> String {
+        let (name, region) = ZONES[zone];
+        let core = program != "courier";
+        let ip = self.ip(zone, if core { CORE } else { PROXY });
+        let seeds: Vec<String> = (0..ZONES.len()).map(|z| format!("\"{}\"", self.control(z))).collect();
+        let zones: Vec<String> =
+            ZONES.iter().map(|(zone, region)| format!("{zone} = \"{region}\"\n")).collect();
+        let listen = if core {
+            format!("controlPlane = \"{}\"\ndirectory = \"{}\"", self.control(zone), self.directory(zone))
+        } else {
+            format!("frontend = \"{}\"\nreadiness = \"{}\"", self.clients(zone), self.readiness(zone))
+        };
+        let data = self.folder.join(format!("disk-{zone}"));
+        format!(
+            r#"nodeName = "{program}-{name}"
+role = "{program}"
+machineClass = "{class}"
+serves = []
+ipAddress = "{ip}"
+zone = "{name}"
+region = "{region}"
+internalPortRange = [{first}, {last}]
+seedNodes = [{seeds}]
+bootstrap = {bootstrap}
+countsTowardQuorum = {core}
+dataDirectory = "{data}"
+heartbeatInterval = "1500ms"
+bounds = ["drain=4000ms", "gracePeriod=3s"]
+[zones]
+{zones}
+[listenAddresses]
+{listen}
+[limits]
+memoryMb = 256
+maxFileDescriptors = 2000
+diskMb = 256
+[faultTolerance]
+machineLosses = 1
+zones = 1
+regionLosses = 1
+[cloudApi]
+address = "{platform}"
+ratePerS = 50.0
+maxLag = "100ms"
+"#,
+            class = if core { "core" } else { "frontend" },
+            first = self.base,
+            last = self.base + 8,
+            seeds = seeds.join(", "),
+            data = data.display(),
+            zones = zones.concat(),
+            platform = self.platform,
+        )
+    }
+
+    /// Starts a program of a machine.
+    pub fn start(&mut self, zone: usize, program: &'static str, bootstrap: bool) -> miette::Result<()> {
+        let file = self.folder.join(format!("{program}-{zone}.toml"));
+        let failed = |error: std::io::Error| miette::miette!("{program} in {}: {error}", ZONES[zone].0);
+        std::fs::write(&file, self.settings(zone, program, bootstrap)).map_err(failed)?;
+        let me = std::env::current_exe().map_err(failed)?;
+        let mut command = Command::new(me);
+        command.arg(program).env("FENNELSCALE_CONFIG", &file).kill_on_drop(true);
+        if !self.logs {
+            command.stderr(Stdio::null());
+        }
+        let child = command.spawn().map_err(failed)?;
+        self.running.push((zone, program, child));
+        Ok(())
+    }
+
+    /// Sends a signal to a program of a machine.
+    pub fn signal(&self, zone: usize, program: &str, signal: Signal) {
+        for (_, _, child) in self.running.iter().filter(|(z, p, _)| *z == zone && *p == program) {
+            if let Some(pid) = child.id().and_then(|id| Pid::from_raw(id as i32)) {
+                // It may have ended by itself just now; then there is nobody to tell.
+                let _ = kill_process(pid, signal);
+            }
+        }
+    }
+
+    /// Waits for a program to end; its status.
+    pub async fn ended(&mut self, zone: usize, program: &str) -> Option<i32> {
+        let at = self.running.iter().position(|(z, p, _)| *z == zone && *p == program)?;
+        let (_, _, mut child) = self.running.remove(at);
+        child.wait().await.ok()?.code()
+    }
+}
--- /dev/null
+++ b/post/walk/src/main.rs
@@ -0,0 +1,54 @@
+//! `walk`: the whole path on one machine in under a minute. Starts three core machines and three proxies as real processes on
+//! addresses of the loopback range, stand-ins for the platform, the backends, the operator and clients, and walks through what
+//! the system promises, with a core machine killed on the way. Ends with status 0 if every step held.
+
+mod client;
+mod machines;
+mod standins;
+mod steps;
+
+use gumdrop::Options;
+use std::process::ExitCode;
+
+/// Walks the whole path on this machine.
+#[derive(Debug, Options)]
+struct Arguments {
+    #[options(help = "show this and end")]
+    help: bool,
+    #[options(no_short, help = "show what the programs write")]
+    logs: bool,
+    #[options(free, help = "a program to be: courier, postmaster or depot (used by walk itself)")]
+    program: Option<String>,
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse_args_default_or_exit();
+    match arguments.program.as_deref() {
+        None => {}
+        Some("courier") => return post_courier::run_plain(),
+        Some("postmaster") => return post_postmaster::run_plain(),
+        Some("depot") => return post_depot::run_plain(),
+        Some(other) => {
+            eprintln!("walk: {other}: there is no such program; courier, postmaster and depot are");
+            return ExitCode::from(2);
+        }
+    }
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("walk: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    let walked = tokio::task::LocalSet::new().block_on(&runtime, steps::walk(arguments.logs));
+    match walked {
+        Ok(()) => {
+            println!("every step held");
+            ExitCode::SUCCESS
+        }
+        Err(report) => {
+            println!("walk: {report}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/post/words/src/round.rs
+++ b/post/words/src/round.rs
@@ -37,8 +37,8 @@
     Listing(Listing),
     /// Tell me your list.
     WantListing,
-    /// A proxy of the sender's asks for units.
-    Ask {
+    /// A proxy of the sender's asks its region's relay for units.
+    AskNear {
         /// The proxy.
         from: Host,
         /// Whose.
@@ -50,7 +50,20 @@
         /// Requests a ms that come to the proxy, smoothed.
         demand: f64,
     },
-    /// Units for a proxy of the receiver's.
+    /// A relay asks the holder for units.
+    Ask {
+        /// The relay's registry.
+        from: Host,
+        /// Whose.
+        tenant: String,
+        /// How many.
+        units: f64,
+        /// For the next window.
+        next: bool,
+        /// Requests a ms that come to its proxies, smoothed.
+        demand: f64,
+    },
+    /// Units for a proxy of the receiver's, or for its relay.
     Grant(Host, Grant),
     /// Units that a proxy did not spend.
     Back {
