--- a/post/units/src/counts.rs
+++ b/post/units/src/counts.rs
@@ -131,7 +131,8 @@
             let most = if scarce && (next || left > length * OPEN) {
                 // First come would be nearest come: each has its share, whole and at once.
                 let share = (terms.grant() - kept) * own.demand / wanted.max(1e-12);
-                (share.max(1.0) - own.granted[at]).max(0.0)
+                // Parts of a unit go to who comes first: a small quota has few to lose.
+                (share.ceil().max(1.0) - own.granted[at]).max(0.0)
             } else if free > terms.grant() * LATE {
                 (free * NEAR).max(1.0)
             } else {
--- a/post/walk/src/steps.rs
+++ b/post/walk/src/steps.rs
@@ -176,12 +176,20 @@
         until_ready(walk.machines.readiness(zone)).await?;
     }
     check(true, "all proxies are ready")?;
+    // Registries tell each other within a beat.
     let path = format!("/fennelscale/resolve?name={HOST}&region=birch&zone=birch-a");
-    let reply = send(walk.machines.directory(0), Method::GET, &path, &[], "").await;
-    let address = walk.machines.clients(1).to_string();
-    let near =
-        reply.as_ref().is_some_and(|r| r.status == 200 && r.text().contains(&format!("[\"{address}\"]")));
-    check(near, "the directory names the proxy of the client's region")?;
+    let (begun, near) = (Instant::now(), format!("[\"{}\"]", walk.machines.clients(1)));
+    loop {
+        let reply = send(walk.machines.directory(0), Method::GET, &path, &[], "").await;
+        if reply.is_some_and(|r| r.status == 200 && r.text().contains(&near)) {
+            break;
+        }
+        if begun.elapsed() > PATIENCE {
+            return Err(miette!("the directory never names the proxy of the client's region"));
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    check(true, "the directory names the proxy of the client's region")?;
     let read = walk.until_clear(2, Method::GET, "/fennelscale/config", "").await?;
     check(read.text().contains(r#""apiKeys":["key-small"]"#), "items are read back as they were sent")
 }
@@ -220,16 +228,20 @@
     let home = walk.outside.runs_of(&id).iter().all(|run| run.zone == ZONES[0].0);
     check(reply.is_some_and(|r| r.status == 200) && home, "a route with a home is served there")?;
     let (mut served, mut over, mut told) = (0, 0, true);
-    for n in 0..60 {
-        let (_, reply) = walk.ask(n % 3, Method::GET, "/listen/x", Some("key-small"), "").await;
+    let begun = Instant::now();
+    for n in (0..3).cycle() {
+        if begun.elapsed() > Duration::from_secs(3) {
+            break;
+        }
+        let (_, reply) = walk.ask(n, Method::GET, "/listen/x", Some("key-small"), "").await;
         let Some(reply) = reply else { continue };
         served += usize::from(reply.status == 200);
         over += usize::from(reply.status == 429);
         told &= reply.status != 429 || reply.header("retry-after").is_some_and(|w| w.parse::<f64>().is_ok());
     }
     check(
-        over > 20 && served >= 4 && told,
-        format!("a tenant of 5 a second: {served} served, {over} told when to come back"),
+        over > 20 && (9..=25).contains(&served) && told,
+        format!("a tenant of 5 a second, for 3 s: {served} served, {over} told when to come back"),
     )
 }
 
