--- a/src/logic/view.rs
+++ b/src/logic/view.rs
@@ -1,5 +1,5 @@
-//! A gateway as others may look at it: its counts, and the whole of it for a checker to compare (every field, each map in
-//! its order, floats by their bits). Nothing is decided here.
+//! A gateway as others may look at it: its counts, and the whole of it for a checker to compare (every
+//! field, each map in its order, floats by their bits). Nothing is decided here.
 
 use super::{Backend, Counter, Customer, Gateway, Request};
 use crate::interface::Millis;
@@ -27,8 +27,8 @@
         self.counters.iter().any(|counter| counter.health.silent_at > 0.0)
     }
 
-    /// Units of all customers: in blocks in hand, and used but not yet added to the shared count (negative: to be given
-    /// back).
+    /// Units of all customers: in blocks in hand, and used but not yet added to the shared count (negative:
+    /// to be given back).
     pub fn units(&self) -> (f64, f64) {
         let sum = |of: fn(&Customer) -> f64| self.customers.values().map(of).sum();
         (sum(|c| c.lease), sum(|c| c.owed))
@@ -46,7 +46,8 @@
 }
 
 impl Hash for Gateway {
-    /// All but the settings, which never change. Whoever compares gateways of different settings must add these.
+    /// All but the settings, which never change. Whoever compares gateways of different settings must add
+    /// these.
     fn hash<H: Hasher>(&self, state: &mut H) {
         // Taken apart whole, so that no field can be forgotten.
         let Self {
