--- a/post/courier/src/held.rs
+++ b/post/courier/src/held.rs
@@ -97,6 +97,19 @@
         self.sum
     }
 
+    /// All items by parts of their names.
+    pub fn digest(&self) -> Vec<u64> {
+        post_items::digest(&self.items)
+    }
+
+    /// Items of the parts in which another copy holds something else.
+    pub fn differing(&self, theirs: &[u64]) -> Vec<Named> {
+        let own = self.digest();
+        let differs = |name: &str| theirs.get(post_items::part(name)) != own.get(post_items::part(name));
+        let items = self.items.iter().filter(|(name, _)| differs(name));
+        items.map(|(name, entry)| (name.clone(), entry.clone())).collect()
+    }
+
     /// Whether enough is known to serve clients.
     pub fn is_ready(&self) -> bool {
         self.fresh && self.listing.stamp.0 > 0 && !self.table.services.is_empty()
--- a/post/courier/src/lib.rs
+++ b/post/courier/src/lib.rs
@@ -1,6 +1,7 @@
 //! `courier`: the proxy (the field's term: reverse proxy, the data plane). Every machine that clients reach runs one. It looks up
 //! the route, checks the key, takes a unit of the tenant's lease, and has the decision module choose a backend.
 
+mod beside;
 mod front;
 mod heads;
 mod held;
--- a/post/courier/src/proxy.rs
+++ b/post/courier/src/proxy.rs
@@ -1,5 +1,6 @@
 //! The proxy's host: joins news, lease cache, services and clients.
 
+use crate::beside;
 use crate::front::Front;
 use crate::held::{Held, Place};
 use crate::services::Services;
@@ -9,10 +10,10 @@
 use post_host::start::{self, Signals};
 use post_host::{call, spawn};
 use post_items::Tenant;
-use post_settings::Settings;
+use post_settings::{Port, Settings};
 use post_units::{Admission, Cache, Terms};
 use post_words::Host;
-use post_words::news::{Down, Member, Up};
+use post_words::news::{Beside, Down, Member, Up};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -54,6 +55,7 @@
     let readiness = settings.listen.readiness.ok_or_else(|| missing("listenAddresses.readiness"))?;
     let clients = start::listen(frontend).await?;
     let readiness = start::listen(readiness).await?;
+    let besides = start::listen(settings.own(Port::Courier)).await?;
     let budget = Budget::divide(settings.limits.descriptors.saturating_sub(OTHERS), 0, 0, 0);
     let place = Place {
         me: host,
@@ -82,6 +84,7 @@
         born: Instant::now(),
     });
     spawn(session::keep(proxy.clone()));
+    beside::keep(proxy.clone(), besides);
     let of = proxy.clone();
     call::listen(readiness, move |asked| {
         let ready = of.is_ready();
@@ -192,6 +195,35 @@
         hosts
     }
 
+    pub fn has_session(&self) -> bool {
+        self.session.borrow().is_some()
+    }
+
+    /// Other proxies, those of this region first.
+    pub fn others(&self) -> Vec<Host> {
+        let held = self.held.borrow();
+        let mut others: Vec<(bool, Host)> = held
+            .members
+            .iter()
+            .filter(|m| m.host != self.host)
+            .map(|m| (m.region != self.settings.region, m.host))
+            .collect();
+        others.sort_unstable();
+        others.into_iter().map(|(_, host)| host).collect()
+    }
+
+    pub fn have(&self) -> Beside {
+        let held = self.held.borrow();
+        Beside::Have { items: held.digest(), listing: held.listing.stamp }
+    }
+
+    pub fn news_for(&self, items: &[u64], listing: (u64, Host)) -> Beside {
+        let held = self.held.borrow();
+        let newer = (held.listing.stamp > listing).then(|| held.listing.clone());
+        let members = (held.members.clone(), held.gateways as u32);
+        Beside::News { entries: held.differing(items), listing: newer, members }
+    }
+
     pub fn session(&self, writer: Option<Writer>) {
         *self.session.borrow_mut() = writer;
     }
--- a/post/postmaster/src/calls.rs
+++ b/post/postmaster/src/calls.rs
@@ -6,6 +6,7 @@
 use hyper::{Method, Response};
 use post_host::call::{Asked, Call, Done, Json, Serves, handle};
 use post_host::error::{Failure, Kind};
+use post_rounds::feed::{self, Wanted};
 use post_words::depot::{Ask, Change, Told};
 use std::rc::Rc;
 use std::time::Duration;
@@ -24,6 +25,10 @@
 pub struct GetConfig;
 /// A zone is emptied or taken back.
 pub struct Evacuate(String, bool);
+/// What happened.
+pub struct Events(Wanted);
+/// How this registry is.
+pub struct Status;
 /// Where to go.
 pub struct Resolve {
     region: String,
@@ -74,6 +79,47 @@
     }
 }
 
+impl Call for Events {
+    type Answer = Json;
+    const FORM: &'static str = "GET /fennelscale/events";
+    fn read(asked: &Asked) -> Option<Result<Self, Failure>> {
+        if asked.path != "/fennelscale/events" {
+            return None;
+        }
+        Some(method(asked, &[Method::GET]).and_then(|()| {
+            let wrong = |what: &str, help: &str| Failure::new(Kind::Malformed, format!("{what}: {help}"));
+            let after = asked.query("after").filter(|after| !after.is_empty());
+            let cursor = |text: String| {
+                let (life, number) = text.split_once('-')?;
+                Some((u64::from_str_radix(life, 16).ok()?, number.parse().ok()?))
+            };
+            let after = after
+                .map(|text| cursor(text).ok_or_else(|| wrong("after", "the cursor of an answer is wanted")));
+            let kind = asked.query("kind").map(|name| {
+                let known = feed::Kind::ALL.into_iter().find(|kind| kind.name() == name);
+                known.ok_or_else(|| wrong("kind", &feed::Kind::ALL.map(feed::Kind::name).join(", ")))
+            });
+            let most =
+                asked.query("most").map(|most| most.parse().map_err(|_| wrong("most", "a number is wanted")));
+            let what = asked.query("what").unwrap_or_default();
+            Ok(Self(Wanted {
+                after: after.transpose()?,
+                kind: kind.transpose()?,
+                what,
+                most: most.transpose()?.unwrap_or_default(),
+            }))
+        }))
+    }
+}
+
+impl Call for Status {
+    type Answer = Json;
+    const FORM: &'static str = "GET /fennelscale/status";
+    fn read(asked: &Asked) -> Option<Result<Self, Failure>> {
+        (asked.path == "/fennelscale/status").then(|| method(asked, &[Method::GET]).map(|()| Self))
+    }
+}
+
 impl Call for Resolve {
     type Answer = Json;
     const FORM: &'static str = "GET /fennelscale/resolve";
@@ -125,6 +171,43 @@
     }
 }
 
+fn quoted(text: &str) -> String {
+    sonic_rs::to_string(text).unwrap_or_else(|_| "\"\"".into())
+}
+
+impl Serves<Events> for Rc<Registry> {
+    async fn serve(&self, Events(wanted): Events) -> Result<Json, Failure> {
+        let told = self.round.borrow().feed().read(&wanted);
+        let event = |event: &feed::Event| {
+            format!(
+                "{{\"id\":{},\"kind\":\"{}\",\"what\":{},\"cause\":{},\"at\":\"{:.0}ms\"}}",
+                quoted(&event.id),
+                event.kind.name(),
+                quoted(&event.what),
+                quoted(&event.cause),
+                event.at
+            )
+        };
+        let events: Vec<String> = told.events.iter().map(event).collect();
+        let (life, number) = told.cursor;
+        Ok(Json(format!(
+            "{{\"version\":{},\"events\":[{}],\"cursor\":\"{life:x}-{number}\",\"missed\":{}}}",
+            feed::VERSION,
+            events.join(","),
+            told.missed
+        )))
+    }
+}
+
+impl Serves<Status> for Rc<Registry> {
+    async fn serve(&self, _: Status) -> Result<Json, Failure> {
+        let pairs = self.round.borrow().status(self.now());
+        let pairs: Vec<String> =
+            pairs.iter().map(|(name, value)| format!("\"{name}\":{}", quoted(value))).collect();
+        Ok(Json(format!("{{{}}}", pairs.join(","))))
+    }
+}
+
 impl Serves<Resolve> for Rc<Registry> {
     async fn serve(&self, call: Resolve) -> Result<Json, Failure> {
         let region = match self.settings.zones.get(&call.zone) {
@@ -150,6 +233,12 @@
     if let Some(answer) = handle::<GetConfig, _>(registry, &asked).await {
         return Some(answer);
     }
+    if let Some(answer) = handle::<Events, _>(registry, &asked).await {
+        return Some(answer);
+    }
+    if let Some(answer) = handle::<Status, _>(registry, &asked).await {
+        return Some(answer);
+    }
     handle::<Evacuate, _>(registry, &asked).await
 }
 
--- a/post/postmaster/src/registry.rs
+++ b/post/postmaster/src/registry.rs
@@ -207,18 +207,18 @@
                     }
                 }
                 Report::Items { whole, entries } => self.items(whole, entries),
-                Report::Fresh(fresh) => self.with(|round, _| round.fresh(fresh)),
+                Report::Fresh(fresh) => self.with(|round, now| round.fresh(now, fresh)),
                 Report::Seats(seats) => self.with(|round, now| round.seats(now, seats)),
             }
         }
         *self.depot.borrow_mut() = None;
-        self.with(|round, _| round.fresh(false));
+        self.with(|round, now| round.fresh(now, false));
         // Nobody knows how these went.
         self.waiting.borrow_mut().clear();
     }
 
     fn items(self: &Rc<Self>, whole: bool, entries: Vec<Named>) {
-        self.with(|round, _| {
+        self.with(|round, now| {
             for (name, entry) in &entries {
                 let Some(tenant) = name.strip_prefix("t:") else { continue };
                 let fact = entry.body.as_deref().map(|body| post_items::fact(name, &entry.host, body));
@@ -228,7 +228,7 @@
                 };
                 round.set_terms(tenant, terms);
             }
-            round.items(whole, entries);
+            round.items(now, whole, entries);
         });
     }
 
--- a/post/rounds/src/lib.rs
+++ b/post/rounds/src/lib.rs
@@ -13,10 +13,12 @@
 //! Carries out [`Round::outs`] after each input. `now` never goes back. Words to one registry go out in order or not at all.
 
 pub mod duties;
+pub mod feed;
 pub mod members;
 mod news;
 
 use duties::Duties;
+use feed::{Feed, Kind};
 use members::Members;
 use post_units::{Ask, Counts, Relay, Sent, Terms};
 use post_words::Host;
@@ -98,6 +100,7 @@
     /// How many proxies there were, by the store, and since when that has not been so.
     noted: f64,
     differs: Option<Millis>,
+    feed: Feed,
     out: Vec<Out>,
 }
 
@@ -126,6 +129,7 @@
             number: 0,
             noted: 0.0,
             differs: None,
+            feed: Feed::new(life),
             out: Vec::new(),
         }
     }
@@ -145,6 +149,37 @@
         &self.listing
     }
 
+    /// What this registry saw happen.
+    pub fn feed(&self) -> &Feed {
+        &self.feed
+    }
+
+    /// What operators are told of this registry: pairs of names and values, in a fixed order.
+    pub fn status(&self, now: Millis) -> Vec<(&'static str, String)> {
+        let (gateways, silent) = self.counted(now);
+        let alive = self.others().into_iter().filter(|host| self.alive(*host, now)).count();
+        let lagging = self.members.lagging();
+        vec![
+            ("registry", self.me.to_string()),
+            ("zone", self.zones.0.clone()),
+            ("seats", self.seats.seats.len().to_string()),
+            ("seats_version", self.seats.version.to_string()),
+            ("registries_heard", alive.to_string()),
+            ("copy_fresh", self.fresh.to_string()),
+            ("items", self.items.len().to_string()),
+            ("listing", self.listing.stamp.0.to_string()),
+            ("backends", self.listing.backends.len().to_string()),
+            ("proxies", self.members.all(now).len().to_string()),
+            ("proxies_for_shares", gateways.to_string()),
+            ("proxies_silent", silent.to_string()),
+            ("sessions_here", self.members.sessions().len().to_string()),
+            ("sessions_lagging", lagging.to_string()),
+            ("duties_held", self.held(now).count_ones().to_string()),
+            ("tenants_counted", self.counts.tenants().to_string()),
+            ("tenants_relayed", self.relay.tenants().to_string()),
+        ]
+    }
+
     /// Duties that are held here.
     pub fn held(&self, now: Millis) -> u64 {
         self.duties.held(now, self.majority())
@@ -167,12 +202,20 @@
         others
     }
 
+    fn here(&self) -> String {
+        format!("registry {}", self.me)
+    }
+
     fn alive(&self, host: Host, now: Millis) -> bool {
         self.peers.get(&host).is_some_and(|peer| now - peer.heard < SILENT)
     }
 
     /// The seats, as the store has them chosen.
     pub fn seats(&mut self, now: Millis, seats: Seats) {
+        if seats.version != self.seats.version {
+            let hosts: Vec<String> = seats.seats.iter().map(|seat| seat.host.to_string()).collect();
+            self.feed.note(now, Kind::SeatsChanged, "seats", seats.version, hosts.join(" "));
+        }
         self.seats = seats;
         self.tell_registries();
         self.beat_at = now;
@@ -198,6 +241,13 @@
     pub fn tick(&mut self, now: Millis) {
         for host in self.members.expire(now) {
             self.out.push(Out::Close(host));
+            self.feed.note(
+                now,
+                Kind::MemberSilent,
+                &host.to_string(),
+                self.life ^ now.to_bits(),
+                self.here(),
+            );
             self.out.push(Out::Log("session-silent", format!("proxy={host}")));
         }
         self.claim(now);
@@ -272,6 +322,16 @@
         let (gained, lost) = self.duties.changed(now, held);
         if gained != 0 || lost != 0 {
             self.out.push(Out::Log("duties", format!("held={held:x} gained={gained:x} lost={lost:x}")));
+            for key in 0..=duties::SHARDS {
+                let what =
+                    if 1 << key == duties::LIST { "list".to_owned() } else { format!("tenants-{key}") };
+                let mark = self.life ^ now.to_bits();
+                if gained & 1 << key != 0 {
+                    self.feed.note(now, Kind::DutyTaken, &what, mark, self.here());
+                } else if lost & 1 << key != 0 {
+                    self.feed.note(now, Kind::DutyLost, &what, mark, self.here());
+                }
+            }
         }
         if lost != 0 {
             self.counts.drop_where(|tenant| lost & duties::bit_of(tenant) != 0);
@@ -303,14 +363,14 @@
             return;
         }
         let listing = Listing { stamp: (self.listing.stamp.0 + 1, self.me), backends };
-        self.take_listing(listing);
+        self.take_listing(now, listing);
         let listing = self.listing.clone();
         for host in self.others() {
             self.out.push(Out::Send(host, Word::Listing(listing.clone())));
         }
     }
 
-    fn take_listing(&mut self, listing: Listing) {
+    fn take_listing(&mut self, now: Millis, listing: Listing) {
         if listing.stamp <= self.listing.stamp {
             return;
         }
@@ -318,6 +378,7 @@
             "listing",
             format!("stamp={} backends={}", listing.stamp.0, listing.backends.len()),
         ));
+        self.note_listing(now, &listing);
         self.listing = listing;
         let word = Rc::new(Down::Listing(self.listing.clone()));
         for host in self.members.sessions() {
@@ -353,7 +414,7 @@
                 let roll = self.members.own_roll();
                 self.out.push(Out::Send(from, Word::Roll(roll)));
             }
-            Word::Listing(listing) => self.take_listing(listing),
+            Word::Listing(listing) => self.take_listing(now, listing),
             Word::WantListing => {
                 let listing = self.listing.clone();
                 self.out.push(Out::Send(from, Word::Listing(listing)));
@@ -413,6 +474,13 @@
             },
             Up::Bye => {
                 self.members.bye(from, now);
+                self.feed.note(
+                    now,
+                    Kind::MemberLeft,
+                    &from.to_string(),
+                    self.life ^ now.to_bits(),
+                    "it said so".into(),
+                );
                 self.beat_at = now;
             }
         }
@@ -490,6 +558,13 @@
     /// A proxy's line is down.
     pub fn closed(&mut self, now: Millis, proxy: Host) {
         if self.members.closed(proxy, now) {
+            self.feed.note(
+                now,
+                Kind::MemberLeft,
+                &proxy.to_string(),
+                self.life ^ now.to_bits(),
+                "its line is down".into(),
+            );
             self.out.push(Out::Log("session-closed", format!("proxy={proxy}")));
             self.beat_at = now;
         }
--- a/post/rounds/src/members.rs
+++ b/post/rounds/src/members.rs
@@ -106,6 +106,11 @@
         over
     }
 
+    /// Sessions here whose proxies held other items at their last beat.
+    pub(crate) fn lagging(&self) -> usize {
+        self.sessions.values().filter(|session| session.differs).count()
+    }
+
     /// Proxies with a session here.
     pub(crate) fn sessions(&self) -> Vec<Host> {
         self.sessions.keys().copied().collect()
--- a/post/rounds/src/news.rs
+++ b/post/rounds/src/news.rs
@@ -1,10 +1,12 @@
 //! What proxies are told: items, the list, members, and how gaps are mended.
 
+use crate::feed::Kind;
 use crate::{Millis, Out, Round};
 use post_items::entry_hash;
 use post_words::Host;
-use post_words::depot::Named;
-use post_words::news::{Backend, Down, Member};
+use post_words::depot::{Entry, Named};
+use post_words::news::{Backend, Down, Listing, Member};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 /// Whether two readings of the list say the same. How long a backend stays cold runs down by itself: that it is says enough,
@@ -20,7 +22,7 @@
 
 impl Round {
     /// Chosen entries from the store: all of them, or those that are new.
-    pub fn items(&mut self, whole: bool, entries: Vec<Named>) {
+    pub fn items(&mut self, now: Millis, whole: bool, entries: Vec<Named>) {
         let mut fresh = Vec::new();
         for (name, entry) in entries {
             if name.strip_prefix("m:") == Some(crate::FLEET) {
@@ -38,6 +40,7 @@
                 self.items_sum ^= entry_hash((&name, known));
             }
             self.items_sum ^= entry_hash((&name, &entry));
+            self.note_item(now, &name, &entry);
             self.items.insert(name.clone(), entry.clone());
             fresh.push((name, entry));
         }
@@ -55,8 +58,53 @@
         }
     }
 
+    fn note_item(&mut self, now: Millis, name: &str, entry: &Entry) {
+        let (kind, what) = match (name.strip_prefix("e:"), entry.body.is_some()) {
+            (Some(zone), true) => (Kind::ZoneEvacuated, zone),
+            (Some(zone), false) => (Kind::ZoneBack, zone),
+            (None, true) => (Kind::ItemChosen, name),
+            (None, false) => (Kind::ItemDropped, name),
+        };
+        let stamp = entry.stamp;
+        let cause = format!(
+            "version {:08x}, written by {} in turn {}",
+            entry.revision, stamp.epoch.seat, stamp.epoch.round
+        );
+        self.feed.note(now, kind, what, entry.revision, cause);
+    }
+
+    pub(crate) fn note_listing(&mut self, now: Millis, listing: &Listing) {
+        let before: BTreeMap<&str, bool> =
+            self.listing.backends.iter().map(|b| (b.id.as_str(), b.draining)).collect();
+        let cause = format!("list {} read by {}", listing.stamp.0, listing.stamp.1);
+        let mut events = Vec::new();
+        for backend in &listing.backends {
+            match before.get(backend.id.as_str()) {
+                None => events.push((Kind::BackendListed, backend.id.clone())),
+                Some(false) if backend.draining => events.push((Kind::BackendDraining, backend.id.clone())),
+                Some(_) => {}
+            }
+        }
+        let stands = |id: &&str| listing.backends.iter().any(|b| b.id == **id);
+        events
+            .extend(before.into_keys().filter(|id| !stands(id)).map(|id| (Kind::BackendGone, id.to_owned())));
+        for (kind, id) in events {
+            self.feed.note(now, kind, &id, 0, cause.clone());
+        }
+    }
+
     /// Whether the store's copy is as new as a quorum's.
-    pub fn fresh(&mut self, fresh: bool) {
+    pub fn fresh(&mut self, now: Millis, fresh: bool) {
+        if fresh != self.fresh {
+            let kind = if fresh { Kind::CopyFresh } else { Kind::CopyDoubtful };
+            self.feed.note(
+                now,
+                kind,
+                &self.me.to_string(),
+                self.life ^ now.to_bits(),
+                "by the store's beats".into(),
+            );
+        }
         if fresh && !self.fresh {
             // Proxies that wait to be ready may be: what they hold is vouched for from now on.
             self.fresh = true;
@@ -74,6 +122,13 @@
         let host = member.host;
         self.out
             .push(Out::Log("session", format!("proxy={host} zone={} life={:x}", member.zone, member.life)));
+        self.feed.note(
+            now,
+            Kind::MemberJoined,
+            &host.to_string(),
+            member.life,
+            format!("zone {}", member.zone),
+        );
         self.members.hello(member, now);
         let words =
             [self.registries(), self.whole(), Down::Listing(self.listing.clone()), self.members_word(now)];
--- a/post/walk/src/main.rs
+++ b/post/walk/src/main.rs
@@ -17,6 +17,12 @@
     help: bool,
     #[options(no_short, help = "show what the programs write")]
     logs: bool,
+    #[options(
+        no_short,
+        help = "after the changes keep everything running for so many seconds, to try telegraph on",
+        meta = "SECONDS"
+    )]
+    stay: u64,
     #[options(free, help = "a program to be: courier, postmaster or depot (used by walk itself)")]
     program: Option<String>,
 }
@@ -40,7 +46,7 @@
             return ExitCode::from(2);
         }
     };
-    let walked = tokio::task::LocalSet::new().block_on(&runtime, steps::walk(arguments.logs));
+    let walked = tokio::task::LocalSet::new().block_on(&runtime, steps::walk(arguments.logs, arguments.stay));
     match walked {
         Ok(()) => {
             println!("every step held");
--- a/post/walk/src/steps.rs
+++ b/post/walk/src/steps.rs
@@ -138,7 +138,7 @@
 }
 
 /// All steps.
-pub async fn walk(logs: bool) -> Result<()> {
+pub async fn walk(logs: bool, stay: u64) -> Result<()> {
     let folder = tempfile::tempdir().map_err(|error| miette!("no folder for disks: {error}"))?;
     let outside = Rc::new(Outside::default());
     let mut walk = Walk { machines: Machines::new(folder.path(), logs), outside, next: 0 };
@@ -161,7 +161,14 @@
     configuration(&mut walk).await?;
     requests(&mut walk).await?;
     changes(&mut walk).await?;
+    if stay > 0 {
+        let at: Vec<String> =
+            (0..ZONES.len()).map(|zone| format!("--at {}", walk.machines.control(zone))).collect();
+        println!("for {stay} s: telegraph {} status", at.join(" "));
+        sleep(Duration::from_secs(stay)).await;
+    }
     losses(&mut walk).await?;
+    feed(&mut walk).await?;
     leaving(&mut walk).await
 }
 
@@ -346,6 +353,21 @@
     )
 }
 
+/// The feed of a registry tells what was done, once each, and goes on at its cursor.
+async fn feed(walk: &mut Walk) -> Result<()> {
+    let read = walk.until_clear(1, Method::GET, "/fennelscale/events?after=", "").await?;
+    let text = read.text();
+    let tells =
+        ["zone-evacuated", "zone-back", "item-chosen", "item-dropped", "backend-draining", "member-joined"];
+    let missing: Vec<&str> =
+        tells.into_iter().filter(|kind| !text.contains(&format!("\"kind\":\"{kind}\""))).collect();
+    check(missing.is_empty(), format!("the feed tells of all that was done {missing:?}"))?;
+    let only = walk.until_clear(1, Method::GET, "/fennelscale/events?kind=zone-back&what=alder", "").await?;
+    check(only.text().matches("\"id\"").count() == 1, "and by kind and place of one")?;
+    let wrong = walk.until_clear(1, Method::GET, "/fennelscale/events?kind=nothing", "").await?;
+    check(wrong.status == 400, "a kind that there is not is refused with what there is")
+}
+
 async fn leaving(walk: &mut Walk) -> Result<()> {
     println!("a proxy is told to end while it has a request");
     let (at, id) = (walk.machines.clients(1), walk.id());
--- a/post/words/src/news.rs
+++ b/post/words/src/news.rs
@@ -129,3 +129,24 @@
     /// Still here.
     Beat,
 }
+
+/// From proxy to proxy: one whose session is down asks a few others for what it lacks.
+#[derive(Clone, Debug, Decode, Encode, PartialEq)]
+pub enum Beside {
+    /// What the sender holds: its items by parts, and its list.
+    Have {
+        /// Hashes of the items, by part of their names.
+        items: Vec<u64>,
+        /// The list.
+        listing: (u64, Host),
+    },
+    /// Items of the parts that differ, the list if it is newer, and the members.
+    News {
+        /// Chosen entries.
+        entries: Vec<Named>,
+        /// A newer list.
+        listing: Option<Listing>,
+        /// All proxies, and how many there are for shares.
+        members: (Vec<Member>, u32),
+    },
+}
