--- /dev/null
+++ b/post/rounds/benches/bytes.rs
@@ -0,0 +1,42 @@
+//! Bytes between processes a second while nothing fails, in virtual time, for small and large deployments: among registries, and from
+//! registries to proxies. `cargo bench -p post-rounds`.
+
+#[allow(dead_code, reason = "each user of the world uses its part")]
+#[path = "../tests/world/mod.rs"]
+mod world;
+
+use post_words::Host;
+use post_words::news::{Member, Up};
+use world::World;
+
+fn main() {
+    println!(
+        "{:>7} {:>10} {:>22} {:>20}",
+        "proxies", "registries", "B/s to each registry", "B/s to each proxy"
+    );
+    for (proxies, registries) in [(10, 6), (50, 6), (290, 9)] {
+        let mut world = World::new(1, registries);
+        let of = |n: usize| n % registries;
+        for n in 0..proxies {
+            let (zone, region) = (format!("z{}", of(n)), format!("r{}", of(n) % 3));
+            let member = Member { host: Host(1000 + n as u32), life: 1, zone, region, port: 80, ready: true };
+            world.with(of(n), move |round, now| round.up(now, member.host, Up::Hello(member)));
+        }
+        world.run(4000.0);
+        world.bytes = [0; 2];
+        for _ in 0..25 {
+            for n in 0..proxies {
+                let listing = world.nodes[of(n)].as_ref().map(|r| r.listing().stamp).unwrap_or_default();
+                let beat = Up::Beat { ready: true, items: 0, listing };
+                world.with(of(n), move |round, now| round.up(now, Host(1000 + n as u32), beat));
+            }
+            world.run(400.0);
+        }
+        let [among, down] = world.bytes.map(|bytes| bytes as f64 / 10.0);
+        println!(
+            "{proxies:>7} {registries:>10} {:>22.0} {:>20.0}",
+            among / registries as f64,
+            down / proxies as f64
+        );
+    }
+}
--- a/post/rounds/src/lib.rs
+++ b/post/rounds/src/lib.rs
@@ -584,6 +584,3 @@
     let (tenant, ends) = (tenant.to_owned(), terms.window());
     Grant { tenant, units: 0.0, window: 0, begins: 0.0, ends, next, closed: true }
 }
-
-#[cfg(test)]
-mod tests;
--- /dev/null
+++ b/post/rounds/tests/registries.rs
@@ -0,0 +1,119 @@
+//! Registries under drawn faults. Who holds a duty is looked at after every step, at all of them at once.
+
+#[allow(dead_code, reason = "each user of the world uses its part")]
+mod world;
+
+use post_rounds::{BEAT, SILENT, duties};
+use post_words::Host;
+use post_words::news::{Listing, Member, Up};
+use post_words::round::Word;
+use std::collections::BTreeSet;
+use world::{World, host};
+
+const ALL: u64 = (1 << (duties::SHARDS + 1)) - 1;
+
+#[test]
+fn drawn_faults_never_give_a_duty_to_two() {
+    for seed in 0..60 {
+        let mut world = World::new(seed, 6);
+        assert_eq!(world.held(), ALL, "every duty is held soon after the start");
+        for _ in 0..30 {
+            let (n, m) = (world.below(6), world.below(6));
+            match world.below(5) {
+                0 => world.kill(n),
+                1 => world.start(n, false),
+                2 => drop(world.cut.insert((n, m))),
+                3 => {
+                    let side = world.below(64);
+                    for a in 0..6 {
+                        for b in (0..6).filter(|b| (side >> a & 1) != (side >> b & 1)) {
+                            world.cut.insert((a, b));
+                        }
+                    }
+                }
+                _ => world.cut.clear(),
+            }
+            let span = world.chance() * 1500.0;
+            world.run(span);
+        }
+        world.cut.clear();
+        (0..6).for_each(|n| world.start(n, false));
+        world.run(6000.0);
+        assert_eq!(world.held(), ALL, "seed {seed}: every duty is held again");
+    }
+}
+
+#[test]
+fn a_minority_holds_nothing_and_the_rest_takes_over_in_time() {
+    let mut world = World::new(3, 6);
+    let mine = world.nodes[0].as_ref().unwrap().held(world.now);
+    assert_ne!(mine, 0);
+    (1..6).for_each(|n| world.cut.extend([(0, n), (n, 0)]));
+    world.run(duties::LEASE + 100.0);
+    assert_eq!(world.nodes[0].as_ref().unwrap().held(world.now), 0);
+    world.run(SILENT + BEAT + 300.0);
+    assert_eq!(world.held(), ALL);
+}
+
+fn member(n: u32, ready: bool) -> Member {
+    let (zone, region) = (format!("z{}", n % 6), format!("r{}", n % 3));
+    Member { host: Host(100 + n), life: 1, zone, region, port: 80, ready }
+}
+
+#[test]
+fn a_session_makes_a_member_everywhere_and_a_cut_core_still_answers() {
+    let mut world = World::new(1, 6);
+    for n in 0..6_u32 {
+        world.with(n as usize, |round, now| round.up(now, Host(100 + n), Up::Hello(member(n, true))));
+    }
+    let beat = |world: &mut World| {
+        for n in 0..6_u32 {
+            let up = Up::Beat { ready: true, items: 0, listing: (0, Host(0)) };
+            world.with(n as usize, |round, now| round.up(now, Host(100 + n), up));
+        }
+    };
+    for _ in 0..5 {
+        world.run(400.0);
+        beat(&mut world);
+    }
+    let round = world.nodes[4].as_ref().unwrap();
+    assert_eq!(round.members(world.now).len(), 6);
+    assert_eq!(round.resolve(world.now, "r2").len(), 2, "those of the region");
+    // Cut off from all others it still names all for a while, and its own for ever.
+    (0..6).for_each(|n| world.cut.extend([(4, n), (n, 4)]));
+    for _ in 0..6 {
+        world.run(400.0);
+        beat(&mut world);
+    }
+    assert_eq!(world.nodes[4].as_ref().unwrap().members(world.now).len(), 6);
+    for _ in 0..20 {
+        world.run(400.0);
+        beat(&mut world);
+    }
+    assert_eq!(world.nodes[4].as_ref().unwrap().resolve(world.now, "r1").len(), 1);
+    // A proxy that says goodbye is gone at once; one that is silent counts for shares for a while.
+    world.cut.clear();
+    world.run(1000.0);
+    world.with(0, |round, now| round.up(now, Host(100), Up::Bye));
+    world.run(2500.0);
+    let round = world.nodes[1].as_ref().unwrap();
+    assert!(round.members(world.now).iter().all(|m| m.host != Host(100)));
+}
+
+#[test]
+fn a_newer_list_reaches_all_and_an_older_one_changes_nothing() {
+    let mut world = World::new(2, 6);
+    world.run(18_500.0);
+    let stamps: BTreeSet<_> = world.nodes.iter().flatten().map(|r| r.listing().clone().stamp).collect();
+    assert_eq!(stamps.len(), 1);
+    let reads = world.reads;
+    world.run(7000.0);
+    assert!(world.reads - reads <= 11, "one reads for all: {} times in 7 s", world.reads - reads);
+    for round in world.nodes.iter().flatten() {
+        assert!(round.listing().backends[0].draining, "the news has reached all");
+    }
+    let newest = world.nodes[0].as_ref().unwrap().listing().clone();
+    let old = Listing { stamp: (newest.stamp.0 - 1, Host(99)), backends: Vec::new() };
+    world.with(0, |round, now| round.word(now, host(1), Word::Listing(old)));
+    assert_eq!(*world.nodes[0].as_ref().unwrap().listing(), newest);
+}
