--- a/post/courier/src/proxy.rs
+++ b/post/courier/src/proxy.rs
@@ -167,20 +167,31 @@
         }
     }
 
+    fn far(&self, zone: &str, region: &str) -> u8 {
+        if zone == self.settings.zone {
+            0
+        } else if region == self.settings.region {
+            1
+        } else {
+            2
+        }
+    }
+
+    /// Whether a registry nearer than this one is known, besides those that are not thought of now.
+    pub fn nearer(&self, than: Host, besides: impl Fn(Host) -> bool) -> bool {
+        let known = self.registries.borrow();
+        // One that is not on the list may be anywhere.
+        let own = known.iter().find(|(host, ..)| *host == than).map_or(3, |(_, z, r)| self.far(z, r));
+        known.iter().any(|(host, z, r)| self.far(z, r) < own && !besides(*host))
+    }
+
     /// Registries to have a session with, the nearest first.
     pub fn registries(&self) -> Vec<Host> {
-        let (zone, region) = (&self.settings.zone, &self.settings.region);
         let known = self.registries.borrow();
         let mut all: Vec<(u8, u64, Host)> = known
             .iter()
             .map(|(host, z, r)| {
-                let far = if z == zone {
-                    0
-                } else if r == region {
-                    1
-                } else {
-                    2
-                };
+                let far = self.far(z, r);
                 // Proxies of a region do not all go to the same one.
                 (far, post_words::mix(u64::from(host.0) ^ self.life), *host)
             })
--- a/post/courier/src/session.rs
+++ b/post/courier/src/session.rs
@@ -5,6 +5,7 @@
 use post_settings::Port;
 use post_words::Host;
 use post_words::news::{Down, Up};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout_at};
@@ -16,18 +17,28 @@
 /// After a registry failed the next is tried after this.
 const PAUSE: Duration = Duration::from_millis(60);
 
+/// A registry that failed is not thought of as a nearer one for so long.
+const FAILED: Duration = Duration::from_secs(6);
+
 /// Keeps a session for as long as the program runs.
 pub async fn keep(proxy: Rc<Proxy>) {
     let mut at = 0;
+    let mut failed: HashMap<Host, Instant> = HashMap::new();
     loop {
         let registries = proxy.registries();
         if registries.is_empty() {
             sleep(PAUSE).await;
             continue;
         }
+        failed.retain(|_, when| when.elapsed() < FAILED);
         let host = registries[at % registries.len()];
         let begun = Instant::now();
-        if let Err(why) = hold(&proxy, host).await {
+        if let Err(why) = hold(&proxy, host, &failed).await {
+            if why == NEARER {
+                at = 0;
+                continue;
+            }
+            failed.insert(host, Instant::now());
             tracing::info!(event = "session-ended", registry = %host, why, held_ms = begun.elapsed().as_millis() as u64);
         }
         // One that held for a while is the nearest: from the front again.
@@ -39,7 +50,10 @@
     }
 }
 
-async fn hold(proxy: &Rc<Proxy>, host: Host) -> Result<(), &'static str> {
+/// Why a session ends that could be with a nearer registry.
+const NEARER: &str = "a nearer registry is there";
+
+async fn hold(proxy: &Rc<Proxy>, host: Host, failed: &HashMap<Host, Instant>) -> Result<(), &'static str> {
     let to = proxy.settings.at(host.ip(), Port::Sessions);
     let stream = link::dial(to).await.map_err(|_| "no connection")?;
     let (mut reader, writer) = split(stream);
@@ -60,14 +74,24 @@
                         break Err(std::io::ErrorKind::TimedOut.into());
                     }
                     writer.send(&proxy.beat());
+                    if proxy.nearer(host, |other| failed.get(&other).is_some_and(|at| at.elapsed() < FAILED))
+                    {
+                        break Err(std::io::ErrorKind::Interrupted.into());
+                    }
                 }
             }
         };
         match word {
             Ok(word) => {
                 heard = Instant::now();
+                // At the first start only seeds are known; the nearest is heard of with the first news.
+                let told = matches!(word, Down::Registries(_));
                 proxy.news(word);
+                if told && proxy.nearer(host, |other| failed.contains_key(&other)) {
+                    break NEARER;
+                }
             }
+            Err(error) if error.kind() == std::io::ErrorKind::Interrupted => break NEARER,
             Err(error) if error.kind() == std::io::ErrorKind::TimedOut => break "silent",
             Err(_) => break "closed",
         }
