--- a/post/courier/src/front.rs
+++ b/post/courier/src/front.rs
@@ -295,13 +295,11 @@
         let Ticket { route, tenant, message, patience } = ticket;
         let begun = Instant::now();
         let until = begun + patience.saturating_sub(MARGIN.min(patience / 4));
-        let mut window = 0;
         if let Some(tenant) = &tenant {
             let wait = Duration::from_secs_f64(route.aim * UNIT_WAIT / 1000.0).min(patience / 4);
             if let Err(wait) = self.proxy.admit(tenant, wait).await {
                 return Err(Refusal::later(Kind::OverQuota, "the quota is spent", wait));
             }
-            window = self.proxy.window(&tenant.name);
         }
         let bound = match self.bound(&route, tenant.as_deref(), message.body.len()) {
             Ok(bound) => bound,
@@ -346,12 +344,7 @@
                 *response.headers_mut() = kept(answer.headers);
                 Ok(response)
             }
-            Ok(Ok(Reply::Refused(wait))) => {
-                if let Some(tenant) = &tenant {
-                    self.proxy.unspent(&tenant.name, window);
-                }
-                Err(Refusal::later(Kind::NoRoom, "no backend has room", wait))
-            }
+            Ok(Ok(Reply::Refused(wait))) => Err(Refusal::later(Kind::NoRoom, "no backend has room", wait)),
             Ok(Ok(Reply::Failed(false)) | Err(_)) => Err(Refusal::new(Kind::BadAnswer, "no usable answer")),
             Ok(Ok(Reply::Failed(true))) | Err(_) => Err(Refusal::new(Kind::NoAnswer, "no answer in time")),
         }
--- a/post/courier/src/proxy.rs
+++ b/post/courier/src/proxy.rs
@@ -74,7 +74,7 @@
         life,
         held: RefCell::new(Held::new(place)),
         services,
-        cache: RefCell::default(),
+        cache: RefCell::new(Cache::new(0.0)),
         waiting: RefCell::default(),
         next: Cell::new(0),
         session: RefCell::default(),
@@ -358,16 +358,6 @@
         }
     }
 
-    /// A request of a tenant has surely not run.
-    pub fn unspent(&self, tenant: &str, window: u64) {
-        self.cache.borrow_mut().unspent(self.now(), tenant, window);
-    }
-
-    /// The window that a tenant's units are of.
-    pub fn window(&self, tenant: &str) -> u64 {
-        self.cache.borrow().window(tenant)
-    }
-
     fn hand_back(&self) {
         let mut out = Vec::new();
         self.cache.borrow_mut().hand_back(self.now(), &mut out);
--- a/post/rounds/src/lib.rs
+++ b/post/rounds/src/lib.rs
@@ -94,6 +94,9 @@
     items_sum: u64,
     fresh: bool,
     listing: Listing,
+    /// The highest number of a list that was heard of. Guards against lists that begin to count anew when all registries have
+    /// started again: a proxy that lived on would take none of them.
+    highest: u64,
     read_at: Millis,
     beat_at: Millis,
     number: u64,
@@ -124,6 +127,7 @@
             items_sum: 0,
             fresh: false,
             listing: Listing::default(),
+            highest: 0,
             read_at: now,
             beat_at: now,
             number: 0,
@@ -296,7 +300,8 @@
         let claims = self.duties.claims();
         self.duties.sent(self.number, now);
         let (roll, listing) = (self.members.roll_hash(), self.listing.stamp);
-        let beat = Word::Beat { life: self.life, number: self.number, claims, roll, listing };
+        let highest = self.highest.max(listing.0);
+        let beat = Word::Beat { life: self.life, number: self.number, claims, roll, listing, highest };
         for host in self.others() {
             self.out.push(Out::Send(host, beat.clone()));
         }
@@ -359,10 +364,11 @@
             self.read_at = now + READ / 2.0;
             return;
         };
-        if news::alike(&self.listing.backends, &backends) {
+        if news::alike(&self.listing.backends, &backends) && self.highest <= self.listing.stamp.0 {
             return;
         }
-        let listing = Listing { stamp: (self.listing.stamp.0 + 1, self.me), backends };
+        let stamp = (self.listing.stamp.0.max(self.highest) + 1, self.me);
+        let listing = Listing { stamp, backends };
         self.take_listing(now, listing);
         let listing = self.listing.clone();
         for host in self.others() {
@@ -389,7 +395,8 @@
     /// A word from another registry.
     pub fn word(&mut self, now: Millis, from: Host, word: Word) {
         match word {
-            Word::Beat { life, number, claims, roll, listing } => {
+            Word::Beat { life, number, claims, roll, listing, highest } => {
+                self.highest = self.highest.max(highest);
                 let known = self.peers.get(&from);
                 let wants_roll =
                     known.is_none_or(|p| p.life != life) || self.members.knows(from) != Some(roll);
--- a/post/rounds/src/news.rs
+++ b/post/rounds/src/news.rs
@@ -149,6 +149,7 @@
             let word = Rc::new(self.whole());
             self.out.push(Out::Down(from, word));
         }
+        self.highest = self.highest.max(listing.0);
         if listing < self.listing.stamp {
             let word = Rc::new(Down::Listing(self.listing.clone()));
             self.out.push(Out::Down(from, word));
--- a/post/rounds/tests/registries.rs
+++ b/post/rounds/tests/registries.rs
@@ -117,3 +117,25 @@
     world.with(0, |round, now| round.word(now, host(1), Word::Listing(old)));
     assert_eq!(*world.nodes[0].as_ref().unwrap().listing(), newest);
 }
+
+#[test]
+fn a_proxy_that_outlived_all_registries_still_takes_their_lists() {
+    let mut world = World::new(4, 6);
+    // Its list is of before the start of all: of a higher number than any that is read now.
+    let old = (40, Host(3));
+    world.with(2, |round, now| round.up(now, Host(102), Up::Hello(member(2, true))));
+    for _ in 0..8 {
+        world
+            .with(2, |round, now| round.up(now, Host(102), Up::Beat { ready: true, items: 0, listing: old }));
+        world.run(400.0);
+    }
+    let newer = world.downs.iter().any(|(_, to, word)| {
+        *to == Host(102) && matches!(&**word, post_words::news::Down::Listing(listing) if listing.stamp > old)
+    });
+    assert!(newer, "it hears of a list that it takes");
+    let stamps: BTreeSet<_> = world.nodes.iter().flatten().map(|r| r.listing().stamp).collect();
+    assert!(stamps.len() == 1 && stamps.first() > Some(&old));
+    let calls = world.reads;
+    world.run(2000.0);
+    assert!(world.reads - calls <= 4);
+}
--- a/post/units/src/cache.rs
+++ b/post/units/src/cache.rs
@@ -16,6 +16,8 @@
 /// A block is asked for ahead only if so many requests are likely to want it: the relay is near, and what is asked for in vain
 /// is stranded here.
 const AHEAD_LEAST: f64 = 1.5;
+/// A proxy spends nothing alone for so many windows after its start: the life before it may just have spent its part.
+const ALONE_AFTER: f64 = 1.5;
 /// An ask without answer is sent again after this: two ways between regions, and some.
 const AGAIN: Millis = 300.0;
 /// A tenant is forgotten after so many windows without a request.
@@ -69,6 +71,8 @@
     /// The slice at hand: what is left of it, and until when.
     slice: f64,
     slice_ends: Millis,
+    /// No slice is spent before.
+    alone_from: Millis,
 }
 
 /// The lease cache.
@@ -76,12 +80,14 @@
 pub struct Cache {
     tenants: BTreeMap<String, Tenant>,
     gateways: f64,
+    /// When this life began. What the one before it spent is not known: nothing is spent alone at first.
+    born: Millis,
 }
 
 impl Cache {
     /// An empty cache; how many proxies there are is told by [`Self::gateways`].
-    pub fn new() -> Self {
-        Self { tenants: BTreeMap::new(), gateways: 1.0 }
+    pub fn new(now: Millis) -> Self {
+        Self { tenants: BTreeMap::new(), gateways: 1.0, born: now }
     }
 
     /// There are so many proxies.
@@ -103,7 +109,7 @@
         }
         let gateways = self.gateways;
         if !self.tenants.contains_key(name) {
-            self.tenants.insert(name.to_owned(), Tenant::new(now, terms));
+            self.tenants.insert(name.to_owned(), Tenant::new(now, terms, self.born));
         }
         let Some(tenant) = self.tenants.get_mut(name) else { return Admission::Taken };
         tenant.terms = terms;
@@ -129,21 +135,6 @@
         admission
     }
 
-    /// A request that had its unit has surely not run: the unit is there for another.
-    pub fn unspent(&mut self, now: Millis, name: &str, window: u64) {
-        if let Some(tenant) = self.tenants.get_mut(name) {
-            tenant.roll(now);
-            if tenant.block.window == window && now < tenant.block.ends {
-                tenant.block.units += 1.0;
-            }
-        }
-    }
-
-    /// The window whose block a tenant's requests are taken from now.
-    pub fn window(&self, name: &str) -> u64 {
-        self.tenants.get(name).map_or(0, |tenant| tenant.block.window)
-    }
-
     /// An answer of the count. Requests that waited and have their unit or are refused now are told.
     pub fn grant(
         &mut self, now: Millis, grant: Grant, out: &mut Vec<Up>, told: &mut Vec<(Request, Admission)>,
@@ -238,15 +229,11 @@
     }
 }
 
-impl Default for Cache {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 impl Tenant {
-    fn new(now: Millis, terms: Terms) -> Self {
+    fn new(now: Millis, terms: Terms, born: Millis) -> Self {
+        let alone_from = born + ALONE_AFTER * terms.window();
         Self {
+            alone_from,
             terms,
             block: Block::default(),
             next: None,
@@ -297,7 +284,7 @@
 
     /// The slice of a proxy on its own; none in a window of which it had a block.
     fn spend_slice(&mut self, now: Millis, gateways: f64) -> Admission {
-        if now >= self.slice_ends {
+        if now >= self.slice_ends && now >= self.alone_from {
             let window = self.terms.window();
             self.slice = self.slice.fract() + self.terms.grant() * SLICE / gateways;
             self.slice_ends = now + window;
@@ -306,7 +293,7 @@
             self.slice -= 1.0;
             Admission::Taken
         } else {
-            Admission::Refused((self.slice_ends - now).clamp(20.0, 2000.0))
+            Admission::Refused((self.slice_ends.max(self.alone_from) - now).clamp(20.0, 2000.0))
         }
     }
 
@@ -330,13 +317,17 @@
         let wanted = |span: Millis| self.demand * span;
         let target = wanted(window * BLOCK).min(self.terms.grant());
         let left = (self.block.ends - now).max(0.0);
-        // No more than what comes until the window ends.
-        let now_target = if first { self.terms.grant() / gateways } else { target.min(wanted(left) + 1.0) };
+        // No more than what comes until the window ends; where none is at hand, for the one that will be.
+        let span = if left > 0.0 { wanted(left) + 1.0 } else { f64::INFINITY };
+        let now_target = if first { self.terms.grant() / gateways } else { target.min(span) };
         let waiting = self.waiting.len() as f64;
         let dry = self.block.units < now_target * RENEW || waiting > 0.0;
         let used = now - self.last < window;
-        if dry && used && now >= self.spent && (now_target >= AHEAD_LEAST || waiting > 0.0) {
-            let now_target = if now_target < AHEAD_LEAST { 0.0 } else { now_target };
+        let now_target = if now_target < AHEAD_LEAST { 0.0 } else { now_target };
+        // One on its own has nobody who waits: it asks on, or would never hear that it is not.
+        let wants = now_target > 0.0 || waiting > 0.0 || self.unheard.is_some();
+        if dry && used && now >= self.spent && wants {
+            // No more than is likely to be used: what is asked in vain is stranded here.
             let units = ((now_target - self.block.units).max(0.0).round() + waiting).max(1.0);
             self.ask(now, name, units, false, out);
         }
--- a/post/units/src/tests.rs
+++ b/post/units/src/tests.rs
@@ -47,7 +47,7 @@
 impl World {
     fn new(seed: u64, proxies: usize) -> Self {
         let proxy = |_| {
-            let mut cache = Cache::new();
+            let mut cache = Cache::new(0.0);
             cache.gateways(proxies as f64);
             Proxy { cache, cut: false }
         };
@@ -200,6 +200,17 @@
                 first += 1;
             }
             let taken = (last - first + 1) as f64;
+            if std::env::var("UNITS_SHOW").is_ok() && taken > most * 0.97 {
+                println!("{taken} of {most}");
+            }
+            if taken > most {
+                let from = at - 6000.0;
+                let bars: Vec<usize> = (0..28)
+                    .map(|n| from + f64::from(n) * 250.0)
+                    .map(|t| self.taken.iter().filter(|a| **a >= t && **a < t + 250.0).count())
+                    .collect();
+                println!("since {} from {from}: {bars:?}", self.since);
+            }
             assert!(taken <= most, "{taken} in the five seconds to {at}, at most {most}");
         }
     }
@@ -259,6 +270,27 @@
     }
 }
 
+#[test]
+fn proxies_and_the_holder_that_die_together_stay_within_the_rule() {
+    for seed in 0..30 {
+        let mut world = World::new(seed, 10);
+        world.run(6000.0 + seed as f64 * 61.0, 600.0);
+        // Six proxies lose what they knew, and the holder dies a moment before or after.
+        world.run(seed as f64 % 3.0 * 100.0, 600.0);
+        world.holder_up = false;
+        world.run(seed as f64 % 5.0 * 120.0, 600.0);
+        let now = world.now;
+        for proxy in &mut world.proxies[..6] {
+            proxy.cache = Cache::new(now);
+            proxy.cache.gateways(10.0);
+        }
+        world.run(1500.0, 600.0);
+        (world.counts, world.since, world.holder_up) = (Counts::default(), world.now, true);
+        world.run(8000.0, 600.0);
+        world.check();
+    }
+}
+
 #[test]
 fn proxies_that_are_cut_off_spend_a_slice_that_the_holder_keeps_back() {
     for seed in 0..20 {
--- a/post/words/src/round.rs
+++ b/post/words/src/round.rs
@@ -19,6 +19,8 @@
         roll: u64,
         /// The newest list that it has.
         listing: (u64, Host),
+        /// The highest number of a list that it ever heard of: proxies remember lists of before a start of all registries.
+        highest: u64,
     },
     /// To a beat: the claims that the sender lets stand.
     Heard {
