A registry that is cut off has its proxies look elsewhere

Cause by one item's id: the registry of the proxies' zone was cut off from the core for 6 s; the proxies, which reach all others, kept their sessions with it and heard of no change.

--- a/post/courier/src/proxy.rs
+++ b/post/courier/src/proxy.rs
@@ -286,7 +286,7 @@
                 self.cache.borrow_mut().grant(self.now(), grant, &mut out, &mut told);
                 self.carry_out(out, told);
             }
-            Down::Beat => {}
+            Down::Beat(_) => {}
         }
     }
 
--- a/post/courier/src/session.rs
+++ b/post/courier/src/session.rs
@@ -22,34 +22,38 @@
 
 /// Keeps a session for as long as the program runs.
 pub async fn keep(proxy: Rc<Proxy>) {
-    let mut at = 0;
     let mut failed: HashMap<Host, Instant> = HashMap::new();
     loop {
+        failed.retain(|_, when| when.elapsed() < FAILED);
+        // The nearest that has not failed lately; if all have, the one that did so first.
         let registries = proxy.registries();
-        if registries.is_empty() {
+        let next = registries.iter().find(|host| !failed.contains_key(host));
+        let next = next.or_else(|| registries.iter().min_by_key(|host| failed.get(host)));
+        let Some(host) = next.copied() else {
             sleep(PAUSE).await;
             continue;
-        }
-        failed.retain(|_, when| when.elapsed() < FAILED);
-        let host = registries[at % registries.len()];
+        };
         let begun = Instant::now();
-        if let Err(why) = hold(&proxy, host, &failed).await {
-            if why == NEARER {
-                at = 0;
-                continue;
-            }
+        if let Err(why) = hold(&proxy, host, &failed).await
+            && why != NEARER
+        {
             failed.insert(host, Instant::now());
-            tracing::info!(event = "session-ended", registry = %host, why, held_ms = begun.elapsed().as_millis() as u64);
+            let held_ms = begun.elapsed().as_millis() as u64;
+            tracing::info!(event = "session-ended", registry = %host, why, held_ms);
         }
-        // One that held for a while is the nearest: from the front again.
-        at = if begun.elapsed() > 2 * SILENT { 0 } else { at + 1 };
         if proxy.ended() {
             return;
         }
-        sleep(PAUSE).await;
+        if begun.elapsed() < PAUSE {
+            sleep(PAUSE).await;
+        }
     }
 }
 
+/// A registry that is cut off is left as soon as one of so many others can be reached; they are looked for this often.
+const FEW: usize = 2;
+const AGAIN: Duration = Duration::from_millis(900);
+
 /// Why a session ends that could be with a nearer registry.
 const NEARER: &str = "a nearer registry is there";
 
@@ -60,7 +64,7 @@
     writer.send(&Up::Hello(proxy.member()));
     proxy.session(Some(writer.clone()));
     let mut beat = Instant::now() + BEAT;
-    let mut heard = Instant::now();
+    let (mut heard, mut looked) = (Instant::now(), None::<Instant>);
     let end = loop {
         // Reading a word takes several steps, and a beat between two of them must not lose the first: it goes on.
         let next = reader.next::<Down>();
@@ -84,6 +88,23 @@
         match word {
             Ok(word) => {
                 heard = Instant::now();
+                if word == Down::Beat(true) && looked.is_none_or(|at| at.elapsed() > AGAIN) {
+                    looked = Some(Instant::now());
+                    // It serves until another takes this session: cut off on both sides, an old word is better than none.
+                    let others = proxy.registries().into_iter().filter(|other| *other != host);
+                    let others: Vec<Host> =
+                        others.filter(|other| !failed.contains_key(other)).take(FEW).collect();
+                    let mut there = false;
+                    for other in others {
+                        there |= link::dial(proxy.settings.at(other.ip(), Port::Sessions)).await.is_ok();
+                        if there {
+                            break;
+                        }
+                    }
+                    if there {
+                        break "its registry is cut off";
+                    }
+                }
                 // At the first start only seeds are known; the nearest is heard of with the first news.
                 let told = matches!(word, Down::Registries(_));
                 proxy.news(word);
--- a/post/rounds/src/lib.rs
+++ b/post/rounds/src/lib.rs
@@ -93,6 +93,8 @@
     items: BTreeMap<String, Entry>,
     items_sum: u64,
     fresh: bool,
+    /// When the copy was last found not to be fresh.
+    doubtful: Millis,
     listing: Listing,
     /// The highest number of a list that was heard of. Guards against lists that begin to count anew when all registries have
     /// started again: a proxy that lived on would take none of them.
@@ -126,6 +128,7 @@
             items: BTreeMap::new(),
             items_sum: 0,
             fresh: false,
+            doubtful: now,
             listing: Listing::default(),
             highest: 0,
             read_at: now,
@@ -170,6 +173,7 @@
             ("seats_version", self.seats.version.to_string()),
             ("registries_heard", alive.to_string()),
             ("copy_fresh", self.fresh.to_string()),
+            ("cut_off", self.is_cut(now).to_string()),
             ("items", self.items.len().to_string()),
             ("listing", self.listing.stamp.0.to_string()),
             ("backends", self.listing.backends.len().to_string()),
--- a/post/rounds/src/news.rs
+++ b/post/rounds/src/news.rs
@@ -9,6 +9,9 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+/// A copy that was behind for so long is not only about to hear the newest.
+const DOUBT: Millis = 1500.0;
+
 /// Whether two readings of the list say the same. How long a backend stays cold runs down by itself: that it is says enough,
 /// as long as it does not grow.
 pub(crate) fn alike(one: &[Backend], other: &[Backend]) -> bool {
@@ -110,9 +113,21 @@
             self.fresh = true;
             self.tell(&Rc::new(Down::Items { whole: false, fresh: true, entries: Vec::new() }));
         }
+        if !fresh && self.fresh {
+            self.doubtful = now;
+        }
         self.fresh = fresh;
     }
 
+    /// Whether this registry hears fewer than most, or its store has not been as new as a quorum for longer than a change
+    /// takes to be chosen everywhere.
+    pub(crate) fn is_cut(&self, now: Millis) -> bool {
+        let heard = self.others().into_iter().filter(|host| self.alive(*host, now)).count();
+        let seats = self.seats.seats.len();
+        let young = now - self.born < DOUBT;
+        seats > 0 && !young && (heard + 1 < self.majority() || !self.fresh && now - self.doubtful > DOUBT)
+    }
+
     pub(crate) fn whole(&self) -> Down {
         let entries = self.items.iter().map(|(name, entry)| (name.clone(), entry.clone())).collect();
         Down::Items { whole: true, fresh: self.fresh, entries }
@@ -143,7 +158,8 @@
         if self.members.beat(from, ready, now) {
             self.beat_at = now;
         }
-        self.out.push(Out::Down(from, Rc::new(Down::Beat)));
+        let cut = self.is_cut(now);
+        self.out.push(Out::Down(from, Rc::new(Down::Beat(cut))));
         // News may be on its way: only what differs twice is sent again.
         if self.members.differs(from, items != self.items_sum) {
             let word = Rc::new(self.whole());
--- a/post/rounds/tests/registries.rs
+++ b/post/rounds/tests/registries.rs
@@ -139,3 +139,26 @@
     world.run(2000.0);
     assert!(world.reads - calls <= 4);
 }
+
+#[test]
+fn a_registry_that_is_cut_off_tells_its_proxies_to_look_elsewhere() {
+    let mut world = World::new(6, 6);
+    world.with(0, |round, now| round.up(now, Host(100), Up::Hello(member(0, true))));
+    let told = |world: &mut World| {
+        world.downs.clear();
+        world.with(0, |round, now| {
+            round.fresh(now, true);
+            round.up(now, Host(100), Up::Beat { ready: true, items: 0, listing: (0, Host(0)) });
+        });
+        world.downs.iter().any(|(.., word)| **word == post_words::news::Down::Beat(true))
+    };
+    assert!(!told(&mut world));
+    (1..6).for_each(|n| world.cut.extend([(0, n), (n, 0)]));
+    world.run(1300.0);
+    assert!(!told(&mut world), "not for a moment's silence");
+    world.run(400.0);
+    assert!(told(&mut world));
+    world.cut.clear();
+    world.run(700.0);
+    assert!(!told(&mut world));
+}
--- a/post/words/src/news.rs
+++ b/post/words/src/news.rs
@@ -126,8 +126,8 @@
     Registries(Vec<(Host, String, String)>),
     /// Units.
     Grant(Grant),
-    /// Still here.
-    Beat,
+    /// Still here. `true`: cut off from most registries or from a quorum's copy; a session elsewhere would be better.
+    Beat(bool),
 }
 
 /// From proxy to proxy: one whose session is down asks a few others for what it lacks.
