--- a/post/courier/src/proxy.rs
+++ b/post/courier/src/proxy.rs
@@ -16,6 +16,7 @@
 use post_words::news::{Beside, Down, Member, Up};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
@@ -40,6 +41,8 @@
     next: Cell<u64>,
     session: RefCell<Option<Writer>>,
     registries: RefCell<Vec<(Host, String, String)>>,
+    /// Control addresses by the settings as they were read last.
+    seeds: RefCell<Vec<SocketAddr>>,
     leaving: Cell<bool>,
     ended: Cell<bool>,
     born: Instant,
@@ -69,12 +72,13 @@
     let services = Services::new(&settings.zone, budget.backends, retry, life);
     let grace = settings.bounds.grace;
     let proxy = Rc::new(Proxy {
+        seeds: RefCell::new(settings.seeds.clone()),
         settings,
         host,
         life,
         held: RefCell::new(Held::new(place)),
         services,
-        cache: RefCell::new(Cache::new(0.0)),
+        cache: RefCell::new(Cache::new(0.0, life)),
         waiting: RefCell::default(),
         next: Cell::new(0),
         session: RefCell::default(),
@@ -102,9 +106,13 @@
             }
         }
     });
+    let of = proxy.clone();
     spawn(async move {
         while signals.hangup.recv().await.is_some() {
-            drop(start::again());
+            if let Some(settings) = start::again() {
+                tracing::info!(event = "settings-read", seeds = settings.seeds.len());
+                *of.seeds.borrow_mut() = settings.seeds;
+            }
         }
     });
     let front = Front::new(proxy.clone(), budget);
@@ -198,7 +206,7 @@
             .collect();
         all.sort_unstable();
         let mut hosts: Vec<Host> = all.into_iter().map(|(.., host)| host).collect();
-        for seed in self.settings.seeds.iter().filter_map(|seed| Host::of(seed.ip())) {
+        for seed in self.seeds.borrow().iter().filter_map(|seed| Host::of(seed.ip())) {
             if !hosts.contains(&seed) {
                 hosts.push(seed);
             }
--- a/post/postmaster/src/calls.rs
+++ b/post/postmaster/src/calls.rs
@@ -162,7 +162,7 @@
 
 impl Serves<Evacuate> for Rc<Registry> {
     async fn serve(&self, Evacuate(zone, on): Evacuate) -> Result<Done, Failure> {
-        if !self.settings.zones.contains_key(&zone) {
+        if !self.settings.borrow().zones.contains_key(&zone) {
             return Err(Failure::new(Kind::NotFound, format!("there is no zone {zone}")));
         }
         told(self.ask(Ask::Evacuate(zone.clone(), on, None)).await)?;
@@ -210,7 +210,8 @@
 
 impl Serves<Resolve> for Rc<Registry> {
     async fn serve(&self, call: Resolve) -> Result<Json, Failure> {
-        let region = match self.settings.zones.get(&call.zone) {
+        let settings = self.settings.borrow().clone();
+        let region = match settings.zones.get(&call.zone) {
             Some(region) if call.region.is_empty() => region,
             _ => &call.region,
         };
@@ -220,7 +221,7 @@
         }
         let address = |m: &post_words::news::Member| format!("\"{}:{}\"", m.host, m.port);
         let addresses: Vec<String> = members.iter().take(MOST).map(address).collect();
-        let ttl = TTL.min(self.settings.bounds.ttl_most).as_millis();
+        let ttl = TTL.min(self.settings.borrow().bounds.ttl_most).as_millis();
         Ok(Json(format!("{{\"addresses\":[{}],\"ttl\":\"{ttl}ms\"}}", addresses.join(","))))
     }
 }
--- a/post/postmaster/src/registry.rs
+++ b/post/postmaster/src/registry.rs
@@ -26,9 +26,14 @@
 /// A call is answered by the store within this, or nothing is clear.
 const PATIENCE: Duration = Duration::from_millis(3500);
 
+/// After so many readings of the list that failed in a row the settings are read again.
+const UNREAD: u32 = 5;
+
 /// The registry.
 pub struct Registry {
-    pub settings: Settings,
+    pub settings: RefCell<Rc<Settings>>,
+    /// Times in a row that the list could not be read.
+    unread: Cell<u32>,
     pub round: RefCell<Round>,
     peers: Peers,
     sessions: RefCell<HashMap<Host, (u64, Writer)>>,
@@ -57,7 +62,8 @@
     let shelf = start::listen(settings.own(Port::Shelf)).await?;
     let (control, directory) = (start::listen(control).await?, start::listen(directory).await?);
     let registry = Rc::new(Registry {
-        settings,
+        settings: RefCell::new(Rc::new(settings)),
+        unread: Cell::new(0),
         round: RefCell::new(round),
         peers,
         sessions: RefCell::default(),
@@ -92,7 +98,7 @@
     loop {
         tokio::select! {
             _ = signals.terminate.recv() => break,
-            _ = signals.hangup.recv() => drop(start::again()),
+            _ = signals.hangup.recv() => registry.settings_again(),
         }
     }
     // Sessions end here by their lines; proxies go to another registry at once.
@@ -121,6 +127,24 @@
         self.born.elapsed().as_secs_f64() * 1000.0
     }
 
+    /// The settings file may have changed: where the platform is follows it. One that cannot be used changes nothing.
+    fn settings_again(&self) {
+        if let Some(settings) = start::again() {
+            let moved = settings.cloud != self.settings.borrow().cloud;
+            tracing::info!(event = "settings-read", platform_moved = moved);
+            *self.settings.borrow_mut() = Rc::new(settings);
+        }
+    }
+
+    /// The file may change without a word: it is read again when the platform is not where it was said to be.
+    fn note_read(&self, read: bool) {
+        let unread = if read { 0 } else { self.unread.get() + 1 };
+        self.unread.set(unread);
+        if unread > 0 && unread % UNREAD == 0 {
+            self.settings_again();
+        }
+    }
+
     /// Gives the machine an input and carries out what follows.
     pub fn with(self: &Rc<Self>, input: impl FnOnce(&mut Round, f64)) {
         let outs = {
@@ -153,7 +177,9 @@
                 Out::ReadList => {
                     let registry = self.clone();
                     spawn(async move {
-                        let backends = list::read(&registry.settings).await;
+                        let settings = registry.settings.borrow().clone();
+                        let backends = list::read(&settings).await;
+                        registry.note_read(backends.is_some());
                         registry.with(|round, now| round.list_read(now, backends));
                     });
                 }
--- a/post/units/src/cache.rs
+++ b/post/units/src/cache.rs
@@ -17,7 +17,7 @@
 /// is stranded here.
 const AHEAD_LEAST: f64 = 1.5;
 /// A proxy spends nothing alone for so many windows after its start: the life before it may just have spent its part.
-const ALONE_AFTER: f64 = 1.5;
+const ALONE_AFTER: f64 = 1.0;
 /// An ask without answer is sent again after this: two ways between regions, and some.
 const AGAIN: Millis = 300.0;
 /// A tenant is forgotten after so many windows without a request.
@@ -82,12 +82,14 @@
     gateways: f64,
     /// When this life began. What the one before it spent is not known: nothing is spent alone at first.
     born: Millis,
+    /// Tells proxies apart: their slices of a small quota come to whole units at different times.
+    seed: u64,
 }
 
 impl Cache {
     /// An empty cache; how many proxies there are is told by [`Self::gateways`].
-    pub fn new(now: Millis) -> Self {
-        Self { tenants: BTreeMap::new(), gateways: 1.0, born: now }
+    pub fn new(now: Millis, seed: u64) -> Self {
+        Self { tenants: BTreeMap::new(), gateways: 1.0, born: now, seed }
     }
 
     /// There are so many proxies.
@@ -109,7 +111,9 @@
         }
         let gateways = self.gateways;
         if !self.tenants.contains_key(name) {
-            self.tenants.insert(name.to_owned(), Tenant::new(now, terms, self.born));
+            let part = post_words::mix(self.seed ^ post_words::hash(name.as_bytes()));
+            let part = (part >> 11) as f64 / (1_u64 << 53) as f64;
+            self.tenants.insert(name.to_owned(), Tenant::new(now, terms, self.born, part));
         }
         let Some(tenant) = self.tenants.get_mut(name) else { return Admission::Taken };
         tenant.terms = terms;
@@ -171,7 +175,7 @@
             if tenant.block.window != grant.window || now >= tenant.block.ends {
                 tenant.block = Block { units: 0.0, window: grant.window, begins: now, ends };
                 // What was let in alone in this window has been spent of it; the slice ends here.
-                (tenant.slice, tenant.slice_ends) = (0.0, ends);
+                (tenant.slice, tenant.slice_ends) = (tenant.slice.fract(), ends);
             }
             tenant.block.units += grant.units;
             if grant.units < 1.0 {
@@ -230,7 +234,7 @@
 }
 
 impl Tenant {
-    fn new(now: Millis, terms: Terms, born: Millis) -> Self {
+    fn new(now: Millis, terms: Terms, born: Millis, part: f64) -> Self {
         let alone_from = born + ALONE_AFTER * terms.window();
         Self {
             alone_from,
@@ -247,7 +251,8 @@
             spent: 0.0,
             next_spent: 0.0,
             waiting: VecDeque::new(),
-            slice: 0.0,
+            // Below one: over many proxies as much as an even part of each window is, from the first on.
+            slice: part,
             slice_ends: 0.0,
         }
     }
@@ -257,7 +262,7 @@
         if let Some(next) = self.next.take_if(|next| now >= next.begins) {
             if now < next.ends {
                 self.block = next;
-                (self.slice, self.slice_ends) = (0.0, self.block.ends);
+                (self.slice, self.slice_ends) = (self.slice.fract(), self.block.ends);
                 self.spent = 0.0;
             }
             self.asked[0] = None;
--- a/post/units/src/tests.rs
+++ b/post/units/src/tests.rs
@@ -46,8 +46,8 @@
 
 impl World {
     fn new(seed: u64, proxies: usize) -> Self {
-        let proxy = |_| {
-            let mut cache = Cache::new(0.0);
+        let proxy = |n: usize| {
+            let mut cache = Cache::new(0.0, n as u64);
             cache.gateways(proxies as f64);
             Proxy { cache, cut: false }
         };
@@ -281,7 +281,7 @@
         world.run(seed as f64 % 5.0 * 120.0, 600.0);
         let now = world.now;
         for proxy in &mut world.proxies[..6] {
-            proxy.cache = Cache::new(now);
+            proxy.cache = Cache::new(now, seed);
             proxy.cache.gateways(10.0);
         }
         world.run(1500.0, 600.0);
--- a/post/walk/src/machines.rs
+++ b/post/walk/src/machines.rs
@@ -116,6 +116,17 @@
         )
     }
 
+    /// The platform is elsewhere from now on: the settings of a machine's program say so.
+    pub fn move_platform(&mut self, to: SocketAddr) -> miette::Result<()> {
+        self.platform = to;
+        for (zone, program, _) in &self.running {
+            let file = self.folder.join(format!("{program}-{zone}.toml"));
+            let failed = |error: std::io::Error| miette::miette!("{}: {error}", file.display());
+            std::fs::write(&file, self.settings(*zone, program, false)).map_err(failed)?;
+        }
+        Ok(())
+    }
+
     /// Starts a program of a machine.
     pub fn start(&mut self, zone: usize, program: &'static str, bootstrap: bool) -> miette::Result<()> {
         let file = self.folder.join(format!("{program}-{zone}.toml"));
--- a/post/walk/src/standins.rs
+++ b/post/walk/src/standins.rs
@@ -42,7 +42,8 @@
 pub struct Outside {
     pub listed: RefCell<Vec<Listed>>,
     pub runs: RefCell<Vec<Run>>,
-    pub list_calls: RefCell<usize>,
+    /// Calls for the list, at each place where it is to be had.
+    pub list_calls: RefCell<BTreeMap<SocketAddr, usize>>,
 }
 
 impl Outside {
@@ -80,7 +81,7 @@
     accept(listener, move |request| {
         let outside = outside.clone();
         async move {
-            *outside.list_calls.borrow_mut() += 1;
+            *outside.list_calls.borrow_mut().entry(at).or_default() += 1;
             let query = request.uri().query().unwrap_or_default().to_owned();
             let from: usize = query.strip_prefix("pageToken=p-").and_then(|p| p.parse().ok()).unwrap_or(0);
             let listed = outside.listed.borrow();
--- a/post/walk/src/steps.rs
+++ b/post/walk/src/steps.rs
@@ -169,6 +169,7 @@
     }
     losses(&mut walk).await?;
     feed(&mut walk).await?;
+    moves(&mut walk).await?;
     leaving(&mut walk).await
 }
 
@@ -353,6 +354,23 @@
     )
 }
 
+/// The platform moves: who is told so by SIGHUP asks there at once.
+async fn moves(walk: &mut Walk) -> Result<()> {
+    println!("the platform's list is elsewhere");
+    let to = SocketAddr::new(walk.machines.platform().ip(), walk.machines.platform().port() + 1);
+    platform(&walk.outside, to).await.map_err(|error| miette!("stand-ins: {error}"))?;
+    walk.machines.move_platform(to)?;
+    (0..ZONES.len()).for_each(|zone| walk.machines.signal(zone, "postmaster", Signal::HUP));
+    let begun = Instant::now();
+    while walk.outside.list_calls.borrow().get(&to).is_none_or(|calls| *calls < 2) {
+        if begun.elapsed() > PATIENCE {
+            return Err(miette!("nobody asks where the list is now"));
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    check(true, format!("it is asked for there {:.1} s after SIGHUP", begun.elapsed().as_secs_f64()))
+}
+
 /// The feed of a registry tells what was done, once each, and goes on at its cursor.
 async fn feed(walk: &mut Walk) -> Result<()> {
     let read = walk.until_clear(1, Method::GET, "/fennelscale/events?after=", "").await?;
