--- a/post/units/src/cache.rs
+++ b/post/units/src/cache.rs
@@ -16,8 +16,9 @@
 /// A block is asked for ahead only if so many requests are likely to want it: the relay is near, and what is asked for in vain
 /// is stranded here.
 const AHEAD_LEAST: f64 = 1.5;
-/// A proxy spends nothing alone for so many windows after its start: the life before it may just have spent its part.
-const ALONE_AFTER: f64 = 1.0;
+/// A proxy spends nothing alone for this part of a window after its start: the life before it may just have spent its part, and
+/// it takes a while to start.
+const ALONE_AFTER: f64 = 0.3;
 /// An ask without answer is sent again after this: two ways between regions, and some.
 const AGAIN: Millis = 300.0;
 /// A tenant is forgotten after so many windows without a request.
--- a/post/units/src/lib.rs
+++ b/post/units/src/lib.rs
@@ -33,7 +33,7 @@
 /// A proxy that heard nothing for this long, though it asked, is on its own.
 pub const SILENT: Millis = 700.0;
 /// Of an even part a proxy on its own spends so much: how many there are may just have changed.
-pub const SLICE: f64 = 0.75;
+pub const SLICE: f64 = 0.9;
 
 /// What a tenant may use.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/post/units/src/tests.rs
+++ b/post/units/src/tests.rs
@@ -200,7 +200,7 @@
                 first += 1;
             }
             let taken = (last - first + 1) as f64;
-            if std::env::var("UNITS_SHOW").is_ok() && taken > most * 0.97 {
+            if std::env::var("UNITS_SHOW").is_ok() && taken > most * 0.9 {
                 println!("{taken} of {most}");
             }
             if taken > most {
