--- a/post/book/tests/schedules.rs
+++ b/post/book/tests/schedules.rs
@@ -4,7 +4,7 @@
 #[allow(dead_code, reason = "each test uses its part of the world")]
 mod world;
 
-use post_words::depot::{Ask, Change, Seat, Seats, Told};
+use post_words::depot::{Ask, Change, Epoch, Seat, Seats, Stamp, Told, Word};
 use proptest::prelude::*;
 use world::{Mutant, World, change, service};
 
@@ -185,6 +185,61 @@
     }
 }
 
+#[test]
+fn what_was_acknowledged_in_its_writers_last_moment_is_taken_over() {
+    for seed in 0..10 {
+        let mut world = World::new(seed, 6, Mutant::None);
+        ready(&mut world);
+        let writer = world.writer().unwrap();
+        let id = world.call(writer, Ask::Change(vec![change(1, 5, 1, 1)]));
+        while world.told(id).is_none() {
+            world.run(1.0);
+        }
+        // Nobody else has heard that it is chosen.
+        world.vanish(writer);
+        world.run(3000.0);
+        let reader = (writer + 1) % 6;
+        let read = world.call(reader, Ask::Read);
+        world.run(3000.0);
+        assert!(
+            matches!(world.told(read), Some(Told::Items(items)) if items.iter().any(|(name, _)| name == "r:1")),
+            "seed {seed}"
+        );
+    }
+}
+
+#[test]
+fn an_order_that_was_held_up_does_not_undo_the_one_after_it() {
+    let mut world = World::new(2, 6, Mutant::None);
+    ready(&mut world);
+    let evacuate = |on| Ask::Evacuate("z1".into(), on, None);
+    let first = world.call(1, evacuate(true));
+    world.run(1000.0);
+    (0..5).for_each(|n| world.cut(5, n, false));
+    // Taken by a store that reaches nobody for now; its operator goes on to another.
+    world.call(5, evacuate(false));
+    world.run(900.0);
+    let again = world.call(1, evacuate(true));
+    world.run(600.0);
+    assert_eq!([world.told(first), world.told(again)], [Some(Told::Done), Some(Told::Done)]);
+    world.heal();
+    world.run(3000.0);
+    world.settle();
+    assert_eq!(world.broken, Vec::<String>::new());
+}
+
+#[test]
+fn a_seat_that_missed_the_first_write_of_a_turn_takes_no_other_of_it() {
+    let mut world = World::new(2, 6, Mutant::None);
+    ready(&mut world);
+    let vows = world.vows(2).unwrap();
+    let epoch = Epoch { round: vows.promised.round + 5, seat: post_words::Host(5) };
+    let accept = |turn| Word::Accept { stamp: Stamp { epoch, turn }, entries: Vec::new(), chosen: 0 };
+    assert_eq!(world.hand(2, 4, accept(1)), [Word::Behind(epoch)]);
+    assert_eq!(world.hand(2, 4, accept(0)), [Word::Accepted(Stamp { epoch, turn: 0 })]);
+    assert_eq!(world.hand(2, 4, accept(1)), [Word::Accepted(Stamp { epoch, turn: 1 })]);
+}
+
 #[test]
 fn a_lost_region_stops_no_write_and_a_minority_takes_none() {
     let mut world = World::new(7, 6, Mutant::None);
--- a/post/book/tests/world/mod.rs
+++ b/post/book/tests/world/mod.rs
@@ -274,6 +274,32 @@
         call.told = Some(told);
     }
 
+    /// The one who writes, if one does.
+    pub fn writer(&self) -> Option<usize> {
+        (0..self.len()).find(|n| self.nodes[*n].book.as_ref().is_some_and(Book::is_writer))
+    }
+
+    /// A process dies, and what it had sent is lost with it.
+    pub fn vanish(&mut self, n: usize) {
+        self.kill(n);
+        self.nodes[n].lives += 1;
+    }
+
+    /// Hands a store a word; what it answers its sender.
+    pub fn hand(&mut self, to: usize, from: usize, word: Word) -> Vec<Word> {
+        let (now, host) = (self.now, self.nodes[from].seat.host);
+        let Some(book) = self.nodes[to].book.as_mut() else { return Vec::new() };
+        book.word(now, host, word);
+        let answers = book.outs().into_iter();
+        answers
+            .filter_map(|out| if let Out::Send(to, word) = out { (to == host).then_some(word) } else { None })
+            .collect()
+    }
+
+    pub fn vows(&self, n: usize) -> Option<Vows> {
+        self.nodes[n].book.as_ref().map(Book::vows)
+    }
+
     pub fn call(&mut self, n: usize, ask: Ask) -> u64 {
         let id = self.calls.len() as u64 + 1;
         self.calls.insert(id, Call { ask: ask.clone(), told: None, began: self.now });
--- a/post/rounds/tests/registries.rs
+++ b/post/rounds/tests/registries.rs
@@ -162,3 +162,12 @@
     world.run(700.0);
     assert!(!told(&mut world));
 }
+
+#[test]
+fn a_seat_that_starts_anew_lets_no_claim_stand_that_may_stand_elsewhere() {
+    let mut duties = duties::Duties::new(Host(1), 1000.0);
+    assert_eq!(duties.vote(1010.0, Host(2), 1), 0);
+    assert_eq!(duties.vote(1000.0 + duties::LEASE, Host(2), 1), 1);
+    assert_eq!(duties.vote(1010.0 + duties::LEASE, Host(3), 1), 0, "another's stands");
+    assert_eq!(duties.vote(1020.0 + 2.0 * duties::LEASE, Host(3), 1), 1, "and is over in its time");
+}
--- a/post/units/src/tests.rs
+++ b/post/units/src/tests.rs
@@ -314,3 +314,41 @@
     assert_eq!((world.counts.tenants(), world.proxies[0].cache.tenants(), world.waiting), (0, 0, 0));
     assert_eq!(world.relays.iter().map(Relay::tenants).sum::<usize>(), 0);
 }
+
+fn ask(counts: &mut Counts, now: f64, proxy: u32, since: f64, silent: f64) -> Grant {
+    let ask = Ask { tenant: "t", proxy: Host(proxy), units: 50.0, next: false, demand: 0.05 };
+    counts.ask(now, ask, World::terms(), since, 10.0, silent)
+}
+
+#[test]
+fn a_new_holder_lets_two_windows_go_by() {
+    let (mut counts, since) = (Counts::default(), 5000.0);
+    for after in [10.0, 900.0, 1100.0, 1990.0] {
+        let grant = ask(&mut counts, since + after, 1, since, 0.0);
+        assert!(grant.closed && grant.units == 0.0, "after {after} ms");
+    }
+    let grant = ask(&mut counts, since + 2010.0, 1, since, 0.0);
+    assert!(!grant.closed && grant.units > 0.0);
+}
+
+#[test]
+fn what_silent_proxies_may_spend_is_kept_back() {
+    let mut counts = Counts::default();
+    let granted: f64 = (0..200).map(|n| ask(&mut counts, 9000.0, n % 7, 0.0, 3.0).units).sum();
+    assert!(granted <= RATE * (1.0 - 0.3 * SLICE) + 1e-6, "{granted} of {RATE} with three of ten silent");
+}
+
+#[test]
+fn a_proxy_on_its_own_asks_on_however_little_comes() {
+    let mut cache = Cache::new(0.0, 1);
+    cache.gateways(10.0);
+    let (mut now, mut asked) = (2000.0, Vec::new());
+    for request in 0..40 {
+        now += 250.0;
+        let mut out = Vec::new();
+        cache.admit(now, "t", World::terms(), request, now + 100.0, &mut out);
+        cache.tick(now + 120.0, &mut out, &mut Vec::new());
+        asked.extend(out.iter().filter(|up| matches!(up, Up::Ask { next: false, .. })).map(|_| now));
+    }
+    assert!(asked.iter().any(|at| *at > now - 600.0), "the last ask was at {:?}, it is {now}", asked.last());
+}
