--- a/post/book/tests/schedules.rs
+++ b/post/book/tests/schedules.rs
@@ -191,10 +191,13 @@
         let mut world = World::new(seed, 6, Mutant::None);
         ready(&mut world);
         let writer = world.writer().unwrap();
+        // Its neighbour would hear in a moment; the others are a way between regions off.
+        world.kill((writer + 3) % 6);
         let id = world.call(writer, Ask::Change(vec![change(1, 5, 1, 1)]));
         while world.told(id).is_none() {
             world.run(1.0);
         }
+        assert_eq!(world.told(id), Some(Told::Done));
         // Nobody else has heard that it is chosen.
         world.vanish(writer);
         world.run(3000.0);
