--- a/post/units/src/tests.rs
+++ b/post/units/src/tests.rs
@@ -343,6 +343,11 @@
     let mut cache = Cache::new(0.0, 1);
     cache.gateways(10.0);
     let (mut now, mut asked) = (2000.0, Vec::new());
+    // It had a block once; then nobody answers any more.
+    cache.admit(now, "t", World::terms(), 99, now + 100.0, &mut Vec::new());
+    let (tenant, units) = ("t".to_owned(), 1.0);
+    let grant = Grant { tenant, units, window: 1, begins: 0.0, ends: 300.0, next: false, closed: false };
+    cache.grant(now + 5.0, grant, &mut Vec::new(), &mut Vec::new());
     for request in 0..40 {
         now += 700.0;
         let mut out = Vec::new();
