--- a/post/courier/src/front.rs
+++ b/post/courier/src/front.rs
@@ -26,7 +26,7 @@
 use life::inbound::Event;
 use post_host::call::{Asked, failed};
 use post_host::error::{Failure, Kind};
-use post_items::{Match, Route, RouteKind, Tenant};
+use post_items::{Route, RouteKind, Tenant};
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::pin::pin;
@@ -249,14 +249,13 @@
         let bytes = if body.is_end_stream() { Bytes::new() } else { self.read(body, most).await? };
         // By the table as it is now that the request is here whole.
         let held = self.proxy.held.borrow();
-        let route = match held.table.route(&host, target.path()) {
-            Match::Route(route) => route,
-            Match::None => return refuse(Kind::NotFound, "no route"),
+        let Some(route) = held.table.route(&host, target.path()).cloned() else {
+            return refuse(Kind::NotFound, "no route");
         };
         let key = head.headers.get_all(&KEY).iter().count();
         let tenant =
             single(&head.headers, &KEY).and_then(|k| k.to_str().ok()).and_then(|k| held.table.tenant(k));
-        if held.table.tenants && !route.public && (key != 1 || tenant.is_none()) {
+        if held.table.has_tenants() && !route.public && (key != 1 || tenant.is_none()) {
             return refuse(Kind::NoKey, "X-Api-Key");
         }
         let tenant = tenant.cloned();
--- a/post/courier/src/proxy.rs
+++ b/post/courier/src/proxy.rs
@@ -67,7 +67,7 @@
         zones: settings.zones.clone(),
         lag: settings.cloud.lag.as_secs_f64() * 1000.0,
     };
-    let life = random();
+    let life = start::life();
     let retry = (settings.bounds.retry_ratio, settings.bounds.retry_slack);
     let services = Services::new(&settings.zone, budget.backends, retry, life);
     let grace = settings.bounds.grace;
@@ -126,11 +126,6 @@
     Ok(())
 }
 
-fn random() -> u64 {
-    use std::hash::{BuildHasher, Hasher};
-    std::collections::hash_map::RandomState::new().build_hasher().finish()
-}
-
 impl Proxy {
     fn now(&self) -> f64 {
         self.born.elapsed().as_secs_f64() * 1000.0
--- a/post/depot/src/lib.rs
+++ b/post/depot/src/lib.rs
@@ -4,7 +4,6 @@
 mod disk;
 
 use disk::Disk;
-use gumdrop::Options;
 use post_book::{Book, Origin, Out, Place};
 use post_host::link::{Peers, Writer, hear, split};
 use post_host::{link, spawn, start};
@@ -12,45 +11,18 @@
 use post_words::Host;
 use post_words::depot::{Order, Report, Seat, Word};
 use std::cell::RefCell;
-use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
-/// The store of configuration. FENNELSCALE_CONFIG names the settings file.
-#[derive(Debug, Options)]
-struct Arguments {
-    #[options(help = "show this and end")]
-    help: bool,
-    #[options(no_short, help = "only check the settings file")]
-    check: bool,
-    #[options(no_short, help = "log single steps too")]
-    verbose: bool,
-}
+post_host::program!("depot", " The store of configuration. FENNELSCALE_CONFIG names the settings file.", run);
 
 /// Time passes for the machine this often.
 const TICK: Duration = Duration::from_millis(100);
 /// After SIGTERM the others are told and may take over what this one does.
 const FAREWELL: Duration = Duration::from_millis(700);
 
-/// Runs the program by its arguments.
-pub fn main() -> ExitCode {
-    run_with(&Arguments::parse_args_default_or_exit())
-}
-
-/// Runs the program with a settings file and usual arguments, for programs that are several in one.
-pub fn run_plain() -> ExitCode {
-    run_with(&Arguments { help: false, check: false, verbose: false })
-}
-
-fn run_with(arguments: &Arguments) -> ExitCode {
-    if arguments.check {
-        return start::check("depot");
-    }
-    start::run("depot", arguments.verbose, run)
-}
-
 struct Depot {
     book: RefCell<Book>,
     disk: Disk,
@@ -67,7 +39,7 @@
     let folder = settings.data.as_ref().ok_or_else(|| unusable("dataDirectory"))?;
     let host = Host::of(settings.ip).ok_or_else(|| unusable("ipAddress (IPv4)"))?;
     let (disk, memory) = Disk::open(folder, settings.limits.disk)?;
-    let life = post_words::mix(u64::from(std::process::id()) ^ random());
+    let life = post_words::mix(u64::from(std::process::id()) ^ start::life());
     let place = Place {
         me: Seat { host, zone: settings.zone.clone(), region: settings.region.clone() },
         seeds: settings.seeds.iter().filter_map(|seed| Host::of(seed.ip())).collect(),
@@ -118,12 +90,6 @@
     Ok(())
 }
 
-/// A number that differs from start to start.
-fn random() -> u64 {
-    use std::hash::{BuildHasher, Hasher};
-    std::collections::hash_map::RandomState::new().build_hasher().finish()
-}
-
 impl Depot {
     /// Gives the machine an input; what it writes is safe before anything of it is sent.
     fn with(&self, input: impl FnOnce(&mut Book, f64)) {
--- a/post/host/src/start.rs
+++ b/post/host/src/start.rs
@@ -86,3 +86,40 @@
         }
     }
 }
+
+/// A number that differs from start to start.
+pub fn life() -> u64 {
+    use std::hash::{BuildHasher, Hasher};
+    std::collections::hash_map::RandomState::new().build_hasher().finish()
+}
+
+/// The command line of a program of the system: its name, a line that says what it is, and what it runs.
+#[macro_export]
+macro_rules! program {
+    ($name:literal, $what:literal, $run:path) => {
+        #[doc = $what]
+        #[derive(Debug, gumdrop::Options)]
+        struct Arguments {
+            #[options(help = "show this and end")]
+            help: bool,
+            #[options(no_short, help = "only check the settings file")]
+            check: bool,
+            #[options(no_short, help = "log single steps too")]
+            verbose: bool,
+        }
+
+        /// Runs the program by its arguments.
+        pub fn main() -> std::process::ExitCode {
+            let arguments = <Arguments as gumdrop::Options>::parse_args_default_or_exit();
+            if arguments.check {
+                return $crate::start::check($name);
+            }
+            $crate::start::run($name, arguments.verbose, $run)
+        }
+
+        /// Runs the program with a settings file and usual arguments, for programs that are several in one.
+        pub fn run_plain() -> std::process::ExitCode {
+            $crate::start::run($name, false, $run)
+        }
+    };
+}
--- a/post/items/src/lib.rs
+++ b/post/items/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub use call::{lay_out, read_call};
 pub use fact::{Fact, Limits, Route, RouteKind, Service, Tenant, fact};
-pub use table::{Match, Table};
+pub use table::Table;
 
 use post_words::depot::{Entry, Named, PARTS};
 use std::collections::{HashMap, HashSet};
--- a/post/items/src/table.rs
+++ b/post/items/src/table.rs
@@ -16,8 +16,6 @@
     pub limits: Limits,
     /// Zones that get nothing.
     pub evacuated: BTreeSet<String>,
-    /// Whether there are tenants: without them no request needs a key.
-    pub tenants: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -29,15 +27,6 @@
     Evacuation,
 }
 
-/// What the table says of a request's place.
-#[derive(Debug)]
-pub enum Match {
-    /// Its route.
-    Route(Rc<Route>),
-    /// There is none.
-    None,
-}
-
 impl Table {
     /// An item says this now; none if it was dropped.
     pub fn set(&mut self, name: &str, fact: Option<Fact>) {
@@ -71,7 +60,6 @@
             }
         };
         self.facts.insert(name.to_owned(), kept);
-        self.tenants = self.facts.values().any(|kept| matches!(kept, Kept::Tenant(_)));
     }
 
     fn drop_item(&mut self, name: &str) {
@@ -89,27 +77,22 @@
             Kept::Limits => self.limits = Limits::default(),
             Kept::Evacuation => drop(self.evacuated.remove(&name[2..])),
         }
-        self.tenants = self.facts.values().any(|kept| matches!(kept, Kept::Tenant(_)));
     }
 
     /// The route of a request: that with the longest prefix which begins the path, among those of its host.
-    pub fn route(&self, host: &str, path: &str) -> Match {
+    pub fn route(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
         let host = host
             .rsplit_once(':')
             .filter(|(_, p)| p.bytes().all(|b| b.is_ascii_digit()))
             .map_or(host, |(h, _)| h);
-        let routes = match self.hosts.get(host) {
-            Some(routes) => Some(routes),
-            None => self.hosts.get(&host.to_ascii_lowercase()),
-        };
-        let Some(routes) = routes else { return Match::None };
-        let ends = path.bytes().enumerate().rev().filter(|(_, b)| *b == b'/').map(|(at, _)| at + 1);
-        for end in ends {
-            if let Some(route) = routes.get(&path[..end]) {
-                return Match::Route(route.clone());
-            }
-        }
-        Match::None
+        let routes = self.hosts.get(host).or_else(|| self.hosts.get(&host.to_ascii_lowercase()))?;
+        let mut ends = path.bytes().enumerate().rev().filter(|(_, b)| *b == b'/').map(|(at, _)| at + 1);
+        ends.find_map(|end| routes.get(&path[..end]))
+    }
+
+    /// Whether there are tenants: without them no request needs a key.
+    pub fn has_tenants(&self) -> bool {
+        self.facts.range("t:".to_owned()..).next().is_some_and(|(name, _)| name.starts_with("t:"))
     }
 
     /// The tenant that holds a key.
@@ -124,9 +107,4 @@
             _ => None,
         }
     }
-
-    /// All routes.
-    pub fn routes(&self) -> impl Iterator<Item = &Rc<Route>> {
-        self.hosts.values().flat_map(HashMap::values)
-    }
 }
--- a/post/items/src/tests.rs
+++ b/post/items/src/tests.rs
@@ -73,10 +73,7 @@
     set("r:a", "/");
     set("r:b", "/x/y/");
     set("r:c", "/x/");
-    let name = |table: &Table, host, path| match table.route(host, path) {
-        Match::Route(route) => route.name.clone(),
-        Match::None => String::new(),
-    };
+    let name = |table: &Table, host, path| table.route(host, path).map_or(String::new(), |r| r.name.clone());
     assert_eq!(name(&table, "h", "/x/y/z"), "b");
     assert_eq!(name(&table, "H:80", "/x/yz"), "c");
     assert_eq!(name(&table, "h", "/xy"), "a");
--- a/post/postmaster/src/registry.rs
+++ b/post/postmaster/src/registry.rs
@@ -54,7 +54,7 @@
     let host = Host::of(settings.ip).ok_or_else(|| missing("ipAddress (IPv4)"))?;
     let control = settings.listen.control.ok_or_else(|| missing("listenAddresses.controlPlane"))?;
     let directory = settings.listen.directory.ok_or_else(|| missing("listenAddresses.directory"))?;
-    let life = random();
+    let life = start::life() >> 1;
     let round = Round::new(host, life, &settings.zone, &settings.region, settings.bootstrap, 0.0);
     let peers = Peers::new(host, settings.own(Port::Postmaster).port());
     let others = start::listen(settings.own(Port::Postmaster)).await?;
@@ -105,12 +105,6 @@
     Ok(())
 }
 
-/// A number that differs from start to start.
-fn random() -> u64 {
-    use std::hash::{BuildHasher, Hasher};
-    std::collections::hash_map::RandomState::new().build_hasher().finish() >> 1
-}
-
 /// For a method that takes the machine first.
 trait TickNow {
     fn tick_now(&mut self, now: f64);
--- a/post/rounds/src/lib.rs
+++ b/post/rounds/src/lib.rs
@@ -230,10 +230,7 @@
     }
 
     fn tell_registries(&mut self) {
-        let word = Rc::new(self.registries());
-        for host in self.members.sessions() {
-            self.out.push(Out::Down(host, word.clone()));
-        }
+        self.tell(&Rc::new(self.registries()));
     }
 
     fn registries(&self) -> Down {
@@ -390,10 +387,7 @@
         ));
         self.note_listing(now, &listing);
         self.listing = listing;
-        let word = Rc::new(Down::Listing(self.listing.clone()));
-        for host in self.members.sessions() {
-            self.out.push(Out::Down(host, word.clone()));
-        }
+        self.tell(&Rc::new(Down::Listing(self.listing.clone())));
     }
 
     /// A word from another registry.
--- a/post/rounds/src/news.rs
+++ b/post/rounds/src/news.rs
@@ -55,7 +55,7 @@
         }
     }
 
-    fn tell(&mut self, word: &Rc<Down>) {
+    pub(crate) fn tell(&mut self, word: &Rc<Down>) {
         for host in self.members.sessions() {
             self.out.push(Out::Down(host, word.clone()));
         }
--- a/post/units/src/cache.rs
+++ b/post/units/src/cache.rs
@@ -210,11 +210,6 @@
         });
     }
 
-    /// Whether anybody waits for a block.
-    pub fn waits(&self) -> bool {
-        self.tenants.values().any(|tenant| !tenant.waiting.is_empty())
-    }
-
     /// A limit is no more, or a tenant: nothing of it is kept.
     pub fn forget(&mut self, name: &str, told: &mut Vec<(Request, Admission)>) {
         if let Some(tenant) = self.tenants.remove(name) {
