Read again: one copy of items for registry and proxy

Taking an entry that is newer and keeping the sum of all stood in the registry, in the proxy, and a third time in a merge that only its own test called: Copied serves all. Duties knew its own machine for nobody.

--- a/post/courier/src/held.rs
+++ b/post/courier/src/held.rs
@@ -1,9 +1,9 @@
 //! What this proxy holds of the system's news: items and the table made of them, the list of backends, the members.
 //! No I/O and no clock of its own: it is told the time.
 
-use post_items::{Table, entry_hash, fact};
+use post_items::{Copied, Table, fact};
 use post_words::Host;
-use post_words::depot::{Entry, Named};
+use post_words::depot::Named;
 use post_words::news::{Backend, Listing, Member};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -55,8 +55,7 @@
 #[derive(Debug)]
 pub struct Held {
     place: Place,
-    items: BTreeMap<String, Entry>,
-    sum: u64,
+    items: Copied,
     /// What follows from the items.
     pub table: Table,
     /// The newest list.
@@ -79,8 +78,7 @@
     pub fn new(place: Place) -> Self {
         Self {
             place,
-            items: BTreeMap::new(),
-            sum: 0,
+            items: Copied::default(),
             table: Table::default(),
             listing: Listing::default(),
             listed: 0.0,
@@ -94,19 +92,19 @@
 
     /// All items in one number.
     pub fn sum(&self) -> u64 {
-        self.sum
+        self.items.sum()
     }
 
     /// All items by parts of their names.
     pub fn digest(&self) -> Vec<u64> {
-        post_items::digest(&self.items)
+        post_items::digest(self.items.entries())
     }
 
     /// Items of the parts in which another copy holds something else.
     pub fn differing(&self, theirs: &[u64]) -> Vec<Named> {
         let own = self.digest();
         let differs = |name: &str| theirs.get(post_items::part(name)) != own.get(post_items::part(name));
-        let items = self.items.iter().filter(|(name, _)| differs(name));
+        let items = self.items.entries().iter().filter(|(name, _)| differs(name));
         items.map(|(name, entry)| (name.clone(), entry.clone())).collect()
     }
 
@@ -119,14 +117,9 @@
     pub fn merge(&mut self, now: f64, entries: Vec<Named>) -> Vec<String> {
         let mut news = Vec::new();
         for (name, entry) in entries {
-            let known = self.items.get(&name);
-            if known.is_some_and(|known| known.stamp >= entry.stamp) {
+            if !self.items.take(&name, &entry) {
                 continue;
             }
-            if let Some(known) = known {
-                self.sum ^= entry_hash((&name, known));
-            }
-            self.sum ^= entry_hash((&name, &entry));
             let fact = entry.body.as_deref().and_then(|body| fact(&name, &entry.host, body).ok());
             if let Some(zone) = name.strip_prefix("e:")
                 && fact.is_none()
@@ -135,7 +128,6 @@
                 self.back.insert(zone.to_owned(), now + BACK_COLD + self.place.lag);
             }
             self.table.set(&name, fact);
-            self.items.insert(name.clone(), entry);
             news.push(name);
         }
         news
--- a/post/items/src/lib.rs
+++ b/post/items/src/lib.rs
@@ -12,8 +12,8 @@
 pub use fact::{Fact, Limits, Route, RouteKind, Service, Tenant, fact};
 pub use table::Table;
 
-use post_words::depot::{Entry, Named, PARTS};
-use std::collections::{HashMap, HashSet};
+use post_words::depot::{Entry, PARTS};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// The name of the item that is there once.
 pub const LIMITS: &str = "l:limits";
@@ -103,18 +103,36 @@
     Ok(())
 }
 
-/// Merges an entry into a copy: the newer one stays. Whether the copy has changed.
-pub fn merge(copy: &mut std::collections::BTreeMap<String, Entry>, (name, entry): Named) -> bool {
-    match copy.get_mut(&name) {
-        Some(known) if known.stamp >= entry.stamp => false,
-        Some(known) => {
-            *known = entry;
-            true
+/// A copy of items: of each name the newest entry, and all of them in one number.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Copied {
+    entries: BTreeMap<String, Entry>,
+    sum: u64,
+}
+
+impl Copied {
+    /// Takes an entry if it is newer than what is there. Whether it is.
+    pub fn take(&mut self, name: &str, entry: &Entry) -> bool {
+        let known = self.entries.get(name);
+        if known.is_some_and(|known| known.stamp >= entry.stamp) {
+            return false;
         }
-        None => {
-            copy.insert(name, entry);
-            true
+        if let Some(known) = known {
+            self.sum ^= entry_hash((name, known));
         }
+        self.sum ^= entry_hash((name, entry));
+        self.entries.insert(name.to_owned(), entry.clone());
+        true
+    }
+
+    /// All entries by their names.
+    pub fn entries(&self) -> &BTreeMap<String, Entry> {
+        &self.entries
+    }
+
+    /// All entries in one number: copies that hold the same have the same.
+    pub fn sum(&self) -> u64 {
+        self.sum
     }
 }
 
--- a/post/items/src/tests.rs
+++ b/post/items/src/tests.rs
@@ -101,12 +101,15 @@
             (format!("r:{}", n % 3), Entry { stamp, revision: n, ..Entry::default() })
         };
         let copy = |order: &[u64]| {
-            let mut copy = std::collections::BTreeMap::new();
-            order.iter().for_each(|n| { merge(&mut copy, entry(*n)); });
+            let mut copy = Copied::default();
+            order.iter().for_each(|n| {
+                let (name, entry) = entry(*n);
+                copy.take(&name, &entry);
+            });
             copy
         };
         let (one, other) = (copy(&order), copy(&(0..12).collect::<Vec<_>>()));
-        prop_assert_eq!(digest(&one), digest(&other));
+        prop_assert_eq!(digest(one.entries()), digest(other.entries()));
         prop_assert_eq!(one, other);
     }
 }
--- a/post/rounds/src/duties.rs
+++ b/post/rounds/src/duties.rs
@@ -36,7 +36,6 @@
 /// The keys as one registry sees them, as claimant and as seat.
 #[derive(Clone, Debug)]
 pub struct Duties {
-    me: Host,
     claims: u64,
     /// When beats were sent.
     sent: BTreeMap<u64, Millis>,
@@ -50,12 +49,9 @@
 
 impl Duties {
     /// Nothing claimed; as a seat it may have let claims stand until now.
-    pub fn new(me: Host, now: Millis) -> Self {
-        let n = SHARDS as usize + 1;
+    pub fn new(now: Millis) -> Self {
         let voted = [(Host::default(), now + LEASE); SHARDS as usize + 1];
-        debug_assert_eq!(voted.len(), n);
         Self {
-            me,
             claims: 0,
             sent: BTreeMap::new(),
             stand: BTreeMap::new(),
@@ -128,9 +124,4 @@
     pub(crate) fn since(&self, bit: u64) -> Millis {
         if self.held & bit == 0 { f64::MAX } else { self.since[bit.trailing_zeros() as usize] }
     }
-
-    /// Whose this view is.
-    pub fn me(&self) -> Host {
-        self.me
-    }
 }
--- a/post/rounds/src/lib.rs
+++ b/post/rounds/src/lib.rs
@@ -20,9 +20,10 @@
 use duties::Duties;
 use feed::{Feed, Kind};
 use members::Members;
+use post_items::Copied;
 use post_units::{Ask, Counts, Relay, Sent, Terms};
 use post_words::Host;
-use post_words::depot::{Entry, Seats};
+use post_words::depot::Seats;
 use post_words::news::{Backend, Down, Grant, Listing, Member, Up};
 use post_words::round::Word;
 use std::collections::{BTreeMap, BTreeSet};
@@ -90,8 +91,7 @@
     /// The registries that proxies of other registries ask this relay by.
     ways: BTreeMap<Host, Host>,
     terms: BTreeMap<String, Terms>,
-    items: BTreeMap<String, Entry>,
-    items_sum: u64,
+    items: Copied,
     fresh: bool,
     /// When the copy was last found not to be fresh.
     doubtful: Millis,
@@ -120,13 +120,12 @@
             seats: Seats::default(),
             peers: BTreeMap::new(),
             members: Members::default(),
-            duties: Duties::new(me, if bootstrap { f64::MIN } else { now }),
+            duties: Duties::new(if bootstrap { f64::MIN } else { now }),
             counts: Counts::default(),
             relay: Relay::default(),
             ways: BTreeMap::new(),
             terms: BTreeMap::new(),
-            items: BTreeMap::new(),
-            items_sum: 0,
+            items: Copied::default(),
             fresh: false,
             doubtful: now,
             listing: Listing::default(),
@@ -174,7 +173,7 @@
             ("registries_heard", alive.to_string()),
             ("copy_fresh", self.fresh.to_string()),
             ("cut_off", self.is_cut(now).to_string()),
-            ("items", self.items.len().to_string()),
+            ("items", self.items.entries().len().to_string()),
             ("listing", self.listing.stamp.0.to_string()),
             ("backends", self.listing.backends.len().to_string()),
             ("proxies", self.members.all(now).len().to_string()),
--- a/post/rounds/src/news.rs
+++ b/post/rounds/src/news.rs
@@ -2,7 +2,6 @@
 
 use crate::feed::Kind;
 use crate::{Millis, Out, Round};
-use post_items::entry_hash;
 use post_words::Host;
 use post_words::depot::{Entry, Named};
 use post_words::news::{Backend, Down, Listing, Member};
@@ -35,20 +34,14 @@
                 // The system's own: no proxy needs it.
                 continue;
             }
-            let known = self.items.get(&name);
-            if known.is_some_and(|known| known.stamp >= entry.stamp) {
+            if !self.items.take(&name, &entry) {
                 continue;
             }
-            if let Some(known) = known {
-                self.items_sum ^= entry_hash((&name, known));
-            }
-            self.items_sum ^= entry_hash((&name, &entry));
             self.note_item(now, &name, &entry);
-            self.items.insert(name.clone(), entry.clone());
             fresh.push((name, entry));
         }
         if whole {
-            self.out.push(Out::Log("items", format!("count={}", self.items.len())));
+            self.out.push(Out::Log("items", format!("count={}", self.items.entries().len())));
         }
         if !fresh.is_empty() {
             self.tell(&Rc::new(Down::Items { whole: false, fresh: self.fresh, entries: fresh }));
@@ -129,7 +122,8 @@
     }
 
     pub(crate) fn whole(&self) -> Down {
-        let entries = self.items.iter().map(|(name, entry)| (name.clone(), entry.clone())).collect();
+        let entries =
+            self.items.entries().iter().map(|(name, entry)| (name.clone(), entry.clone())).collect();
         Down::Items { whole: true, fresh: self.fresh, entries }
     }
 
@@ -161,7 +155,7 @@
         let cut = self.is_cut(now);
         self.out.push(Out::Down(from, Rc::new(Down::Beat(cut))));
         // News may be on its way: only what differs twice is sent again.
-        if self.members.differs(from, items != self.items_sum) {
+        if self.members.differs(from, items != self.items.sum()) {
             let word = Rc::new(self.whole());
             self.out.push(Out::Down(from, word));
         }
--- a/post/rounds/tests/registries.rs
+++ b/post/rounds/tests/registries.rs
@@ -165,7 +165,7 @@
 
 #[test]
 fn a_seat_that_starts_anew_lets_no_claim_stand_that_may_stand_elsewhere() {
-    let mut duties = duties::Duties::new(Host(1), 1000.0);
+    let mut duties = duties::Duties::new(1000.0);
     assert_eq!(duties.vote(1010.0, Host(2), 1), 0);
     assert_eq!(duties.vote(1000.0 + duties::LEASE, Host(2), 1), 1);
     assert_eq!(duties.vote(1010.0 + duties::LEASE, Host(3), 1), 0, "another's stands");
