--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -661,6 +661,11 @@
         if let Some(site) = self.networks.site(client) {
             self.sites.leave(site, now);
         }
+        self.holds_less(client);
+    }
+
+    /// Its rank among those who would make room follows what it holds.
+    fn holds_less(&mut self, client: Client) {
         if let Some(person) = self.people.get(&client) {
             self.order.update(client, person.class, self.load(client));
         }
@@ -726,6 +731,7 @@
         }
         if let Some((carrier, _)) = carrier {
             self.carriers.leave(carrier, now);
+            self.holds_less(carrier);
         }
         if let Some(client) = client.filter(|_| counted) {
             self.left(now, client);
--- a/crates/dataplane/src/back/backends.rs
+++ b/crates/dataplane/src/back/backends.rs
@@ -218,6 +218,43 @@
     }
 }
 
+/// What may be at work at a backend.
+#[derive(Default)]
+struct Working {
+    open: usize,
+    /// Until when a request that ended without an answer may still run.
+    unclear: Option<Instant>,
+}
+
+/// A request at a backend, counted for as long as this lives.
+struct AtWork<'a> {
+    working: &'a RefCell<HashMap<Name, Working>>,
+    name: Name,
+    until: Instant,
+    over: bool,
+}
+
+impl<'a> AtWork<'a> {
+    fn new(working: &'a RefCell<HashMap<Name, Working>>, name: &Name, until: Instant) -> Self {
+        working.borrow_mut().entry(name.clone()).or_default().open += 1;
+        Self { working, name: name.clone(), until, over: false }
+    }
+}
+
+impl Drop for AtWork<'_> {
+    fn drop(&mut self) {
+        let mut working = self.working.borrow_mut();
+        let Some(at) = working.get_mut(&self.name) else { return };
+        at.open -= 1;
+        if !self.over {
+            at.unclear = at.unclear.max(Some(self.until));
+        }
+        if at.open == 0 && at.unclear.is_none_or(|until| until <= Instant::now()) {
+            working.remove(&self.name);
+        }
+    }
+}
+
 /// All backends that this gateway knows.
 pub struct Backends {
     known: RefCell<HashMap<Name, Backend>>,
@@ -229,6 +266,7 @@
     bounds: Bounds,
     busy: Rc<Cell<usize>>,
     breaks: RefCell<Breaks>,
+    working: RefCell<HashMap<Name, Working>>,
     /// Told when there is no descriptor for a connection.
     shortage: RefCell<Option<Rc<dyn Fn()>>>,
 }
@@ -249,6 +287,7 @@
             bounds,
             busy: Rc::default(),
             breaks: RefCell::default(),
+            working: RefCell::default(),
             shortage: RefCell::default(),
         })
     }
@@ -280,6 +319,15 @@
         }
     }
 
+    /// Backends that may have a request of this gateway's at work: one that is out, or one that ended without an answer and
+    /// whose time is not over.
+    pub fn working(&self) -> Vec<Name> {
+        let now = Instant::now();
+        let mut working = self.working.borrow_mut();
+        working.retain(|_, at| at.open > 0 || at.unclear.is_some_and(|until| now < until));
+        working.keys().cloned().collect()
+    }
+
     /// Takes in a list. Free connections to what drains, is gone or listens elsewhere now are dropped.
     pub fn update(&self, list: &List) {
         let mut known = self.known.borrow_mut();
@@ -340,6 +388,7 @@
         let own = self.reuse.needs_own(repeatable, message.target.path());
         let wants = Wants { repeatable, own, id: Some(&message.id), write_by };
         let begun = Instant::now();
+        let mut at_work = AtWork::new(&self.working, name, until);
         // Each arm ends the exchange, which closes its connection, before the end is told.
         let life = Life::new(Attempt::Decided);
         let answer = tokio::select! {
@@ -358,6 +407,11 @@
         if end.outcome == Outcome::TimedOut {
             self.doubt(name, begun);
         }
+        // These say for certain that nothing is at work there any more.
+        at_work.over = matches!(
+            end.outcome,
+            Outcome::Served | Outcome::Error | Outcome::Full | Outcome::ConnectFailed | Outcome::NeverSent
+        );
         end
     }
 
--- a/post/book/src/calls.rs
+++ b/post/book/src/calls.rs
@@ -191,6 +191,12 @@
         let mut facts: BTreeMap<String, Option<Fact>> = BTreeMap::new();
         for change in changes {
             let Change { name, revision, host, body } = change;
+            // Who shares a failure order is said with its first version: with others later, its parts would add up to more.
+            let stands = self.view(&name).filter(|known| known.body.is_some() && body.is_some());
+            let host = match stands.filter(|_| name.starts_with(post_mislay::FAILURE)) {
+                Some(known) => known.host.clone(),
+                None => host,
+            };
             let sent = content(&host, body.as_deref());
             let mut past = Vec::new();
             if let Some(known) = self.view(&name) {
@@ -235,9 +241,8 @@
     }
 
     fn answer_items(&mut self, ticket: Ticket) {
-        let items = self.items.iter().filter(|(name, _)| *name != SEATS);
-        let chosen = items.filter_map(|(name, item)| Some((name.clone(), item.chosen.clone()?)));
-        let standing = chosen.filter(|(_, entry)| entry.body.is_some()).collect();
+        let standing = self.chosen().filter(|(name, entry)| *name != SEATS && entry.body.is_some());
+        let standing = standing.map(|(name, entry)| (name.clone(), entry.clone())).collect();
         self.answer(ticket, Told::Items(standing));
     }
 
--- a/post/book/src/chair.rs
+++ b/post/book/src/chair.rs
@@ -66,9 +66,7 @@
             self.strangers.insert(from, (seat, now));
             return;
         }
-        if let Some(entry) = self.items.get(SEATS).and_then(|item| item.chosen.clone()) {
-            self.send(from, Word::Parts(vec![(SEATS.to_owned(), entry)]));
-        }
+        self.tell_seats(from);
         if !self.is_seat(seat.host) {
             // It may have come by way of another seat: who writes has to hear of it.
             let direct = seat.host == from;
@@ -79,6 +77,13 @@
         }
     }
 
+    /// Tells another store the list of seats.
+    pub(crate) fn tell_seats(&mut self, to: Host) {
+        if let Some(entry) = self.items.get(SEATS).and_then(|item| item.chosen.clone()) {
+            self.send(to, Word::Parts(vec![(SEATS.to_owned(), entry)]));
+        }
+    }
+
     pub(crate) fn chair(&mut self, now: Millis) {
         self.told = now;
         let me = self.place.me.clone();
--- a/post/book/src/lib.rs
+++ b/post/book/src/lib.rs
@@ -212,8 +212,7 @@
             place,
         };
         book.round = book.vows.promised.round;
-        let chosen = book.items.iter().filter_map(|(name, item)| Some((name, item.chosen.as_ref()?)));
-        book.digest = post_items::digest(chosen);
+        book.digest = post_items::digest(book.chosen());
         let names: Vec<String> = book.items.keys().cloned().collect();
         names.iter().for_each(|name| book.refact(name));
         book.take_seats();
@@ -243,8 +242,13 @@
 
     /// All that is chosen, for a registry that begins to listen.
     pub fn all(&self) -> Vec<Named> {
-        let chosen = self.items.iter().filter(|(name, _)| *name != SEATS);
-        chosen.filter_map(|(name, item)| Some((name.clone(), item.chosen.clone()?))).collect()
+        let chosen = self.chosen().filter(|(name, _)| *name != SEATS);
+        chosen.map(|(name, entry)| (name.clone(), entry.clone())).collect()
+    }
+
+    /// The entries that are chosen, the list of seats among them.
+    pub fn chosen(&self) -> impl Iterator<Item = (&String, &Entry)> {
+        self.items.iter().filter_map(|(name, item)| Some((name, item.chosen.as_ref()?)))
     }
 
     /// The list of seats.
@@ -373,21 +377,25 @@
                 self.round = self.round.max(promised.round);
                 let peer = self.peers.entry(from).or_default();
                 (peer.heard, peer.votes, peer.leaving, peer.digest) = (now, votes, leaving, digest);
-                if seats > self.seats.version || promised < self.vows.promised && self.is_writer() {
+                if seats > self.seats.version {
                     let me = self.place.me.clone();
-                    if seats > self.seats.version {
-                        self.send(from, Word::Announce(me));
-                    }
+                    self.send(from, Word::Announce(me));
+                } else if seats < self.seats.version {
+                    // Its place may have been taken while it was away: then nobody else says a word to it.
+                    self.tell_seats(from);
                 }
             }
             Word::Prepare(epoch, digest) => self.on_prepare(from, epoch, &digest),
             Word::Promise { epoch, joined, chosen, pending } => {
                 self.on_promise(now, from, epoch, joined, chosen, pending);
             }
+            Word::Begin { epoch, entries, digest, lacked } => {
+                self.on_begin(from, epoch, entries, &digest, lacked);
+            }
             Word::Accept { stamp, entries, chosen } => self.on_accept(from, stamp, entries, chosen),
             Word::Accepted(stamp) => self.on_accepted(now, from, stamp),
             Word::Refused(epoch) => self.on_refused(epoch),
-            Word::Behind(epoch) => self.on_behind(from, epoch),
+            Word::Behind(epoch, theirs) => self.on_behind(from, epoch, &theirs),
             Word::Chosen(stamp) => self.on_chosen(stamp),
             Word::Parts(entries) => {
                 self.merge(entries);
--- a/post/book/src/seat.rs
+++ b/post/book/src/seat.rs
@@ -24,13 +24,13 @@
     }
 
     /// Chosen entries of the parts where another copy holds something else.
-    fn differing(&self, theirs: &[u64]) -> Vec<Named> {
+    pub(crate) fn differing(&self, theirs: &[u64]) -> Vec<Named> {
         let differs = |name: &str| {
             let part = post_items::part(name);
             theirs.get(part) != self.digest.get(part)
         };
-        let items = self.items.iter().filter(|(name, _)| differs(name));
-        items.filter_map(|(name, item)| Some((name.clone(), item.chosen.clone()?))).collect()
+        let chosen = self.chosen().filter(|(name, _)| differs(name));
+        chosen.map(|(name, entry)| (name.clone(), entry.clone())).collect()
     }
 
     pub(crate) fn on_prepare(&mut self, from: Host, epoch: Epoch, digest: &[u64]) {
@@ -47,21 +47,60 @@
         self.send(from, Word::Promise { epoch, joined, chosen, pending });
     }
 
-    pub(crate) fn on_accept(&mut self, from: Host, stamp: Stamp, entries: Vec<Named>, chosen: u64) {
-        if !self.votes || !self.is_seat(from) || stamp.epoch.seat != from {
-            return;
+    /// Whether a write of a turn may be taken here; who writes is told where a later turn was promised.
+    fn may_take(&mut self, from: Host, epoch: Epoch) -> bool {
+        if !self.votes || !self.is_seat(from) || epoch.seat != from {
+            return false;
         }
-        if stamp.epoch < self.vows.promised {
+        if epoch < self.vows.promised {
             let promised = self.vows.promised;
-            return self.send(from, Word::Refused(promised));
+            self.send(from, Word::Refused(promised));
+            return false;
         }
-        self.step_down(stamp.epoch);
-        if stamp.turn > 0 && self.vows.joined != stamp.epoch {
-            return self.send(from, Word::Behind(stamp.epoch));
+        self.step_down(epoch);
+        true
+    }
+
+    fn send_behind(&mut self, to: Host, epoch: Epoch) {
+        let digest = self.digest.clone();
+        self.send(to, Word::Behind(epoch, digest));
+    }
+
+    /// A turn begins. What its writer holds as chosen is not written again, so a seat joins only once it holds that too: what
+    /// whoever joined does not hold was never chosen, and that is what later turns go by ([`Book::base`]).
+    pub(crate) fn on_begin(
+        &mut self, from: Host, epoch: Epoch, entries: Vec<Named>, digest: &[u64], lacked: Option<Vec<Named>>,
+    ) {
+        if !self.may_take(from, epoch) {
+            return;
         }
+        if self.vows.joined != epoch {
+            match lacked {
+                Some(lacked) => self.merge(lacked),
+                None if digest != self.digest => return self.send_behind(from, epoch),
+                None => {}
+            }
+        }
+        // The list of seats may have been among what was lacking.
+        if !self.votes {
+            return;
+        }
+        let stamp = Stamp { epoch, turn: 0 };
         self.take(stamp, entries);
         self.send(from, Word::Accepted(stamp));
+    }
+
+    pub(crate) fn on_accept(&mut self, from: Host, stamp: Stamp, entries: Vec<Named>, chosen: u64) {
+        if !self.may_take(from, stamp.epoch) {
+            return;
+        }
+        if self.vows.joined != stamp.epoch {
+            return self.send_behind(from, stamp.epoch);
+        }
+        // First what is chosen of this turn: this write may be the next one of a name that waits to be.
         self.choose(stamp.epoch, chosen);
+        self.take(stamp, entries);
+        self.send(from, Word::Accepted(stamp));
     }
 
     /// Takes a write. The first of a turn holds all of earlier turns that may have been chosen: the rest is void.
@@ -161,7 +200,7 @@
         if !self.votes || !self.is_seat(from) {
             return;
         }
-        let chosen = self.items.iter().filter_map(|(name, item)| Some((name.clone(), item.chosen.clone()?)));
+        let chosen = self.chosen().map(|(name, entry)| (name.clone(), entry.clone()));
         let (chosen, pending) = (chosen.collect(), self.pending());
         let (promised, joined) = (self.vows.promised, self.vows.joined);
         self.send(from, Word::Learned { promised, joined, chosen, pending });
--- a/post/book/src/writer.rs
+++ b/post/book/src/writer.rs
@@ -6,7 +6,7 @@
 use crate::calls::{Origin, Ticket};
 use crate::{BEAT, Book, Millis, Out};
 use post_words::Host;
-use post_words::depot::{Ask, Entry, Epoch, Named, Stamp, Word};
+use post_words::depot::{Ask, Entry, Epoch, Named, Stamp, Told, Word};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Asking for the turn is given up after this; guards against quorums that are not there.
@@ -114,7 +114,8 @@
     }
 
     /// What a new turn takes over. A value that was chosen is pending or chosen at one of the quorum that promised. What is
-    /// older than the newest turn that any of these joined, and was not in that one's first write, cannot have been.
+    /// older than the newest turn that any of these joined, and is neither chosen there nor in that turn's first write, cannot
+    /// have been: who joins a turn holds all that was chosen before it ([`Book::on_begin`]), by the quorum that its writer asked.
     fn base(&self, asking: &Asking) -> Vec<Named> {
         let stamp = Stamp { epoch: asking.epoch, turn: 0 };
         let newer = |name: &str, entry: &Entry| {
@@ -141,12 +142,21 @@
         holding.flights.insert(stamp.turn, flight);
         let chosen = holding.chosen;
         self.take(stamp, entries.clone());
+        let word = self.word_of(stamp, entries, chosen);
         for host in self.others() {
-            self.send(host, Word::Accept { stamp, entries: entries.clone(), chosen });
+            self.send(host, word.clone());
         }
         self.look_taken(now);
     }
 
+    /// A write as it is sent to seats.
+    fn word_of(&self, stamp: Stamp, entries: Vec<Named>, chosen: u64) -> Word {
+        match stamp.turn {
+            0 => Word::Begin { epoch: stamp.epoch, entries, digest: self.digest.clone(), lacked: None },
+            _ => Word::Accept { stamp, entries, chosen },
+        }
+    }
+
     /// A ticket that needs nothing written is answered with the newest write that is out, or at once.
     pub(crate) fn ride(&mut self, now: Millis, ticket: Ticket) {
         let Turn::Holding(holding) = &mut self.turn else { return };
@@ -200,8 +210,8 @@
                     self.step_down(Epoch { round: u64::MAX, seat: Host(0) });
                     return;
                 }
-                self.work_off(now);
             }
+            self.work_off(now);
         }
     }
 
@@ -228,19 +238,19 @@
         }
     }
 
-    pub(crate) fn on_behind(&mut self, from: Host, epoch: Epoch) {
+    /// A seat lacks the first write of the turn, or what is chosen since before it: it gets both, and all that is out.
+    pub(crate) fn on_behind(&mut self, from: Host, epoch: Epoch, theirs: &[u64]) {
         let Turn::Holding(holding) = &self.turn else { return };
         if holding.epoch != epoch {
             return;
         }
-        let chosen = holding.chosen;
-        let base = Word::Accept { stamp: Stamp { epoch, turn: 0 }, entries: holding.base.clone(), chosen: 0 };
+        let (entries, chosen) = (holding.base.clone(), holding.chosen);
+        let lacked = Some(self.differing(theirs));
+        let begin = Word::Begin { epoch, entries, digest: self.digest.clone(), lacked };
         let rest = holding.flights.iter().filter(|(turn, _)| **turn > 0);
-        let rest = rest.map(|(turn, flight)| {
-            let stamp = Stamp { epoch, turn: *turn };
-            Word::Accept { stamp, entries: flight.entries.clone(), chosen }
-        });
-        let words: Vec<Word> = std::iter::once(base).chain(rest).collect();
+        let rest = rest
+            .map(|(turn, flight)| self.word_of(Stamp { epoch, turn: *turn }, flight.entries.clone(), chosen));
+        let words: Vec<Word> = std::iter::once(begin).chain(rest).collect();
         self.out.extend(words.into_iter().map(|word| Out::Send(from, word)));
     }
 
@@ -258,12 +268,13 @@
                 let mut again = Vec::new();
                 for (turn, flight) in holding.flights.iter_mut().filter(|(_, f)| now - f.sent > AGAIN) {
                     flight.sent = now;
-                    for host in others.iter().filter(|host| !flight.taken.contains(host)) {
-                        let stamp = Stamp { epoch, turn: *turn };
-                        again.push((*host, Word::Accept { stamp, entries: flight.entries.clone(), chosen }));
-                    }
+                    let missing = others.iter().filter(|host| !flight.taken.contains(host)).copied();
+                    again.push((Stamp { epoch, turn: *turn }, flight.entries.clone(), missing.collect()));
+                }
+                for (stamp, entries, missing) in again {
+                    let (word, missing): (Word, Vec<Host>) = (self.word_of(stamp, entries, chosen), missing);
+                    missing.into_iter().for_each(|host| self.send(host, word.clone()));
                 }
-                self.out.extend(again.into_iter().map(|(host, word)| Out::Send(host, word)));
             }
         }
     }
@@ -278,7 +289,8 @@
 
     /// Decides what a call writes, by the view of who writes.
     pub(crate) fn decide(&mut self, now: Millis, ticket: Ticket, ask: Ask) {
-        if matches!(&self.turn, Turn::Holding(h) if h.reseating.is_some()) {
+        let reseating = matches!(&self.turn, Turn::Holding(h) if h.reseating.is_some());
+        if reseating || self.is_under_way(&ask) {
             return self.wait(now, ticket, ask);
         }
         match ask {
@@ -289,6 +301,19 @@
                 let entry = Entry { revision, body: Some(text), ..Entry::default() };
                 self.write(now, vec![(name, entry)], vec![(ticket, false)]);
             }
+            Ask::Step(seen, records) => {
+                let all = self.items.keys().filter_map(|name| Some((name.as_str(), self.view(name)?)));
+                if post_shutter::seen(all) != seen {
+                    // Something that had a say in it has changed since it was decided: this is the fence.
+                    return self.answer(ticket, Told::Conflict("decided from an older view".into()));
+                }
+                let entry = |(name, body): (String, Option<String>)| {
+                    let revision = self.view(&name).map_or(0, |entry| entry.revision) + 1;
+                    (name, Entry { revision, body, ..Entry::default() })
+                };
+                let entries = records.into_iter().map(entry).collect();
+                self.write(now, entries, vec![(ticket, false)]);
+            }
             Ask::Evacuate(zone, on, seen) => {
                 let name = format!("e:{zone}");
                 let known = self.view(&name);
@@ -310,6 +335,19 @@
         }
     }
 
+    /// Whether a call writes a name whose last write is out and not chosen. Each name has one place for what is taken: a second
+    /// write in it would hide the first, which may have been acknowledged in an earlier turn, from whoever reads in between.
+    fn is_under_way(&self, ask: &Ask) -> bool {
+        let out = |name: &str| self.items.get(name).is_some_and(|item| item.pending.is_some());
+        match ask {
+            Ask::Read => false,
+            Ask::Note(name, _) => out(&format!("m:{name}")),
+            Ask::Step(_, records) => records.iter().any(|(name, _)| out(name)),
+            Ask::Evacuate(zone, ..) => out(&format!("e:{zone}")),
+            Ask::Change(changes) => changes.iter().any(|change| out(&change.name)),
+        }
+    }
+
     /// Whether the origin of a call is this machine's registry.
     pub(crate) fn is_local(origin: &Origin) -> bool {
         matches!(origin, Origin::Registry(_))
--- a/post/book/tests/world/mod.rs
+++ b/post/book/tests/world/mod.rs
@@ -300,6 +300,24 @@
         self.nodes[n].book.as_ref().map(Book::vows)
     }
 
+    /// A machine whose place was taken starts again.
+    pub fn comes_back(&mut self, n: usize) {
+        self.nodes[n].gone = false;
+        self.start(n, false);
+    }
+
+    pub fn is_voting(&self, n: usize) -> Option<bool> {
+        self.nodes[n].book.as_ref().map(Book::is_voting)
+    }
+
+    pub fn item(&self, n: usize, name: &str) -> Option<Item> {
+        self.nodes[n].book.as_ref().and_then(|book| book.item(name)).cloned()
+    }
+
+    pub fn digest(&self, n: usize) -> Vec<u64> {
+        self.nodes[n].book.as_ref().map(|book| post_items::digest(book.chosen())).unwrap_or_default()
+    }
+
     pub fn call(&mut self, n: usize, ask: Ask) -> u64 {
         let id = self.calls.len() as u64 + 1;
         self.calls.insert(id, Call { ask: ask.clone(), told: None, began: self.now });
--- a/post/courier/src/front.rs
+++ b/post/courier/src/front.rs
@@ -1,6 +1,7 @@
 //! The clients' side: connections, their requests, and their answers.
 
 use crate::heads::{KEY, passed, patience, single};
+use crate::mislaid::{self, Cut, Fate, Told};
 use crate::proxy::Proxy;
 use crate::services::PLAN;
 use crate::speech::{REQUEST_ID, TENANT};
@@ -27,8 +28,8 @@
 use post_host::call::{Asked, failed};
 use post_host::error::{Failure, Kind};
 use post_items::{Route, RouteKind, Tenant};
+use post_mislay::{Caller, Verdict, What};
 use std::cell::Cell;
-use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -107,6 +108,8 @@
     tenant: Option<Rc<Tenant>>,
     message: Message,
     patience: Duration,
+    /// Its client was refused before, and no answer can have its full worth any more.
+    late: bool,
 }
 
 impl Front {
@@ -117,6 +120,7 @@
         admission.pace.request = Quantity::of(idle);
         admission.pace.head = Quantity::of(idle);
         let door = Door::new(admission, budget);
+        proxy.has_door(door.clone());
         Rc::new(Self { proxy, door, refusing: Cell::new(false), bodies: Cell::new(0) })
     }
 
@@ -167,8 +171,9 @@
                 let (front, guest) = (self.clone(), guest.clone());
                 async move {
                     let response = front.answer(request, &guest).await;
-                    guest.done(response.status().is_success().then_some(1.0));
-                    Ok::<_, Infallible>(response)
+                    let served = response.as_ref().is_ok_and(|response| response.status().is_success());
+                    guest.done(served.then_some(1.0));
+                    response
                 }
             });
             let connection = http1::Builder::new()
@@ -195,22 +200,100 @@
         });
     }
 
-    async fn answer(&self, request: Request<Incoming>, guest: &Guest) -> Response<Full<Bytes>> {
+    async fn answer(&self, request: Request<Incoming>, guest: &Guest) -> Result<Response<Told>, Cut> {
+        let fate = match self.verdict(&request) {
+            Verdict::Met(met) => Fate::new(&self.proxy, &met),
+            verdict => {
+                let response = self.true_answer(request, guest).await;
+                if verdict == Verdict::Unnamed {
+                    self.proxy.unnamed(response.status().as_u16());
+                }
+                return Ok(response.map(Told::Whole));
+            }
+        };
+        let has_body = !request.body().is_end_stream();
+        match fate.what {
+            What::CutRequest(share) => {
+                mislaid::read_part(request.into_body(), share).await;
+                return Err(Cut);
+            }
+            What::Refuse => {
+                let refusal = Refusal::later(Kind::NoRoom, "this proxy takes no requests now", NOT_READY);
+                let mut response = refusal.answer();
+                if has_body {
+                    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                }
+                return Ok(response.map(Told::Whole));
+            }
+            What::Delay(ms) => tokio::time::sleep(Duration::from_secs_f64(ms / 1000.0)).await,
+            What::LoseAnswer | What::CutAnswer(_) | What::SlowAnswer(_) => {}
+        }
+        let response = self.true_answer(request, guest).await;
+        mislaid::fail(fate, response).await
+    }
+
+    /// What failure orders do to a request, by what its head says.
+    fn verdict(&self, request: &Request<Incoming>) -> Verdict {
+        if self.proxy.desk.borrow().is_empty() {
+            return Verdict::Unnamed;
+        }
+        let headers = request.headers();
+        let text =
+            |value: Option<&HeaderValue>| value.and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned();
+        let (id, key) = (text(single(headers, &REQUEST_ID)), text(single(headers, &KEY)));
+        let host = text(single(headers, &HOST));
+        let authority = request.uri().authority().map(|authority| authority.as_str());
+        let host = authority.unwrap_or(&host).to_ascii_lowercase();
+        let held = self.proxy.held.borrow();
+        let Some(route) = held.table.route(&host, request.uri().path()).cloned() else {
+            return Verdict::Unnamed;
+        };
+        let tenant = held.table.tenant(&key).cloned();
+        drop(held);
+        self.proxy.meet(&Caller {
+            id: &id,
+            tenant: tenant.as_ref().map_or("", |t| t.name.as_str()),
+            key: &key,
+            route: &route.name,
+            host: &route.host,
+            kind: match route.kind {
+                RouteKind::Idempotent => "idempotent",
+                RouteKind::NonIdempotent => "non_idempotent",
+                RouteKind::Upload => "upload",
+            },
+            region: &self.proxy.settings.region,
+        })
+    }
+
+    async fn true_answer(&self, request: Request<Incoming>, guest: &Guest) -> Response<Full<Bytes>> {
         let mut last = request.headers().contains_key(TRANSFER_ENCODING) && !request.body().is_end_stream();
         let has_body = !request.body().is_end_stream();
+        let id = single(request.headers(), &REQUEST_ID).map(|id| post_words::hash(id.as_bytes()));
         let mut response = match self.take(request, guest).await {
             Ok(ticket) => {
                 guest.taken();
                 last = false;
-                self.decide(ticket).await.unwrap_or_else(|refusal| refusal.answer())
+                // One without an id has been refused.
+                let open = Open::new(&self.proxy, id.unwrap_or_default(), &ticket);
+                match self.decide(ticket).await {
+                    Ok(response) => open.end(response.status(), "served", response),
+                    Err(refusal) => {
+                        let response = refusal.answer();
+                        open.end(response.status(), &refusal.failure.text, response)
+                    }
+                }
             }
             Err(refusal) => {
+                if let Some(id) = id {
+                    let (now, status) = (self.proxy.now(), refusal.failure.kind.status().as_u16());
+                    self.proxy.trail.borrow_mut().refused(now, id, status, &refusal.failure.text);
+                }
                 // What follows on the connection may have been meant as something else.
                 last |= has_body || refusal.failure.kind == Kind::Malformed;
                 refusal.answer()
             }
         };
-        if last || self.proxy.leaving() {
+        if last || self.proxy.sends_away() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
@@ -264,11 +347,16 @@
             headers.insert(TENANT, name);
         }
         let timeout = Duration::from_secs_f64(route.timeout / 1000.0);
-        let patience = patience(&head.headers).map_or(timeout, |p| p.min(timeout));
+        let told = patience(&head.headers);
+        let late = tenant.as_ref().filter(|tenant| tenant.rate > 0.0).and(told).is_some_and(|told| {
+            let (now, told) = (self.proxy.now(), told.as_secs_f64() * 1000.0);
+            self.proxy.timely.borrow_mut().is_late(now, &route.name, told, route.aim)
+        });
+        let patience = told.map_or(timeout, |told| told.min(timeout));
         let repeatable = route.kind == RouteKind::Idempotent;
         let message = Message { method: head.method, target, id, repeatable, headers, body: bytes };
         drop(held);
-        Ok(Ticket { route, tenant, message, patience })
+        Ok(Ticket { route, tenant, message, patience, late })
     }
 
     async fn read(&self, body: Incoming, most: usize) -> Result<Bytes, Refusal> {
@@ -291,12 +379,12 @@
 
     /// The final answer.
     async fn decide(&self, ticket: Ticket) -> Result<Response<Full<Bytes>>, Refusal> {
-        let Ticket { route, tenant, message, patience } = ticket;
+        let Ticket { route, tenant, message, patience, late } = ticket;
         let begun = Instant::now();
         let until = begun + patience.saturating_sub(MARGIN.min(patience / 4));
         if let Some(tenant) = &tenant {
             let wait = Duration::from_secs_f64(route.aim * UNIT_WAIT / 1000.0).min(patience / 4);
-            if let Err(wait) = self.proxy.admit(tenant, wait).await {
+            if let Err(wait) = self.proxy.admit(tenant, wait, late).await {
                 return Err(Refusal::later(Kind::OverQuota, "the quota is spent", wait));
             }
         }
@@ -394,6 +482,35 @@
     headers
 }
 
+/// A request on its way, as the trail has it. Dropped before its answer, as when its connection closes, it tells that the client
+/// has left.
+struct Open<'a> {
+    proxy: &'a Proxy,
+    id: u64,
+    ended: bool,
+}
+
+impl<'a> Open<'a> {
+    fn new(proxy: &'a Proxy, id: u64, ticket: &Ticket) -> Self {
+        proxy.trail.borrow_mut().begin(proxy.now(), id, ticket.route.clone(), ticket.tenant.clone());
+        Self { proxy, id, ended: false }
+    }
+
+    fn end<T>(mut self, status: StatusCode, why: &str, answer: T) -> T {
+        self.ended = true;
+        self.proxy.trail.borrow_mut().end(self.proxy.now(), self.id, status.as_u16(), why);
+        answer
+    }
+}
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.proxy.trail.borrow_mut().end(self.proxy.now(), self.id, 0, "its client left");
+        }
+    }
+}
+
 /// A request whose client waits. Dropped without an answer, as when its connection closes, it tells that the client has
 /// left; after an answer that finds nothing.
 struct Waiting<'a> {
--- a/post/courier/src/held.rs
+++ b/post/courier/src/held.rs
@@ -2,6 +2,9 @@
 //! No I/O and no clock of its own: it is told the time.
 
 use post_items::{Copied, Table, fact};
+use post_shutter::clock::Span;
+use post_shutter::night::Drain;
+use post_shutter::order::Node;
 use post_words::Host;
 use post_words::depot::Named;
 use post_words::news::{Backend, Listing, Member};
@@ -63,8 +66,12 @@
     listed: f64,
     /// Backends that were seen to drain: they never take anything again.
     drained: BTreeSet<String>,
-    /// Zones taken back, and until when their backends count as cold.
-    back: BTreeMap<String, f64>,
+    /// Nodes that went back, and until when their backends count as cold.
+    back: BTreeMap<Node, f64>,
+    /// Nodes that work orders have drained and that are heeded now, ...
+    out: BTreeSet<Node>,
+    /// ... until the hours end by this: true time, and the own time when it was heard.
+    time: Option<(f64, Span)>,
     /// All proxies, and how many there are for shares.
     pub members: Vec<Member>,
     /// How many proxies there are for shares.
@@ -84,8 +91,11 @@
             listed: 0.0,
             drained: BTreeSet::new(),
             back: BTreeMap::new(),
+            out: BTreeSet::new(),
+            time: None,
             members: Vec::new(),
-            gateways: 1.0,
+            // Until somebody knows: no part of anything.
+            gateways: f64::INFINITY,
             fresh: false,
         }
     }
@@ -108,6 +118,19 @@
         items.map(|(name, entry)| (name.clone(), entry.clone())).collect()
     }
 
+    /// All proxies, and how many there are for shares; 0 where nobody knows: what was known before holds.
+    pub fn tell_members(&mut self, members: Vec<Member>, gateways: u32) {
+        self.members = members;
+        if gateways > 0 {
+            self.gateways = f64::from(gateways);
+        }
+    }
+
+    /// How many proxies there are for shares; 0 where that is not known.
+    pub fn known_gateways(&self) -> u32 {
+        if self.gateways.is_finite() { self.gateways as u32 } else { 0 }
+    }
+
     /// Whether enough is known to serve clients.
     pub fn is_ready(&self) -> bool {
         self.fresh && self.listing.stamp.0 > 0 && !self.table.services.is_empty()
@@ -125,11 +148,12 @@
                 && fact.is_none()
                 && self.table.evacuated.contains(zone)
             {
-                self.back.insert(zone.to_owned(), now + BACK_COLD + self.place.lag);
+                self.back.insert(Node::Zone(zone.to_owned()), now + BACK_COLD + self.place.lag);
             }
             self.table.set(&name, fact);
             news.push(name);
         }
+        self.settle(now);
         news
     }
 
@@ -148,6 +172,61 @@
         true
     }
 
+    /// True time, as a registry vouches for it now.
+    pub fn tell_time(&mut self, now: f64, time: Span) {
+        self.time = Some((now, time));
+    }
+
+    /// True time now, carried on from when it was told.
+    pub fn true_time(&self, now: f64) -> Option<Span> {
+        self.time.map(|(at, span)| span.later(now - at))
+    }
+
+    /// Which drains are heeded now: those of the work orders, until their hours have ended by whatever time there is. Whoever is cut
+    /// off carries on the last time that it was told. Nodes that go back count as cold for a moment, until the list says how
+    /// they are. Whether anything has changed.
+    pub fn settle(&mut self, now: f64) -> bool {
+        let over = |ends: f64| self.time.is_some_and(|(at, span)| span.later(now - at).latest >= ends);
+        let drains = self.table.drains.values().filter(|drain| !over(drain.ends));
+        let out: BTreeSet<Node> = drains.flat_map(Drain::nodes).collect();
+        if out == self.out {
+            return false;
+        }
+        for node in self.out.difference(&out) {
+            self.back.insert(node.clone(), now + BACK_COLD + self.place.lag);
+        }
+        self.out = out;
+        true
+    }
+
+    /// Nodes that are drained.
+    pub fn out(&self) -> &BTreeSet<Node> {
+        &self.out
+    }
+
+    /// Whether this proxy is to be left by its clients.
+    pub fn is_out(&self) -> bool {
+        self.out.contains(&Node::Proxy(self.place.me))
+            || self.out.contains(&Node::Zone(self.place.zone.clone()))
+    }
+
+    /// Drained nodes where nothing of this proxy's is at work. `working`: backends that may have something of it; `clients`:
+    /// whether any are connected here.
+    pub fn quiet(&self, working: &BTreeSet<String>, clients: bool) -> Vec<String> {
+        let zone_of =
+            |id: &String| self.listing.backends.iter().find(|b| b.id == *id).map(|b| b.zone.as_str());
+        let busy = |node: &&Node| match node {
+            Node::Backend(id) => working.contains(id),
+            Node::Proxy(host) => *host == self.place.me && clients,
+            // Of one that is no longer listed nobody knows where it is.
+            Node::Zone(zone) => {
+                working.iter().any(|id| zone_of(id).is_none_or(|z| z == zone))
+                    || *zone == self.place.zone && clients
+            }
+        };
+        self.out.iter().filter(|node| !busy(node)).map(Node::to_string).collect()
+    }
+
     /// The number of a region among all, in the order of their names.
     pub fn cell(&self, region: &str) -> u64 {
         let regions: BTreeSet<&str> = self.place.zones.values().map(String::as_str).collect();
@@ -158,9 +237,9 @@
         self.place.zones.get(zone).map_or("", String::as_str)
     }
 
-    /// When the next zone that was taken back is no longer taken for cold.
-    pub fn next_change(&self) -> Option<f64> {
-        self.back.values().copied().reduce(f64::min)
+    /// Whether anything runs out by itself: nodes that went back are taken for cold only for a while.
+    pub fn changes(&self) -> bool {
+        !self.back.is_empty()
     }
 
     /// The backends of a service, with the terms of the choice as of now.
@@ -217,6 +296,17 @@
         !backend.draining
             && !self.drained.contains(&backend.id)
             && !self.table.evacuated.contains(&backend.zone)
+            && (self.out.is_empty()
+                || !self.out.contains(&Node::Backend(backend.id.clone()))
+                    && !self.out.contains(&Node::Zone(backend.zone.clone())))
+    }
+
+    fn back_until(&self, backend: &Backend) -> f64 {
+        if self.back.is_empty() {
+            return 0.0;
+        }
+        let nodes = [Node::Backend(backend.id.clone()), Node::Zone(backend.zone.clone())];
+        nodes.iter().filter_map(|node| self.back.get(node)).copied().fold(0.0, f64::max)
     }
 
     fn known(&self, now: f64, service: &str, backend: &Backend, own: Option<f64>) -> Known {
@@ -232,7 +322,7 @@
         let sharers = self.members.iter().filter(|m| m.ready && m.region == region).count().max(1) as f64;
         let (own, sharers) = (own.is_some(), own.unwrap_or(sharers));
         let listed = if backend.cold_ms > 0 { self.listed + f64::from(backend.cold_ms) } else { 0.0 };
-        let cold_until = listed.max(self.back.get(&backend.zone).copied().unwrap_or(0.0));
+        let cold_until = listed.max(self.back_until(backend));
         let cold = self.table.services.get(service).map_or(0.0, |s| s.cold_per_s);
         let cold_per_s = if cold_until > now && self.owns(backend) { cold * COLD_SHARE } else { 0.0 };
         let slots = f64::from(backend.slots.max(1));
@@ -266,3 +356,90 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use post_words::depot::{Entry, Stamp};
+
+    const ENDS: f64 = 1_800_000_000_000.0;
+
+    fn held() -> Held {
+        let zones = [("a", "r"), ("b", "r")].map(|(z, r)| (z.to_owned(), r.to_owned())).into();
+        let mut held =
+            Held::new(Place { me: Host(1), zone: "a".into(), region: "r".into(), zones, lag: 500.0 });
+        let backend = |id: &str, zone: &str| Backend {
+            id: id.into(),
+            service: "s".into(),
+            address: "10.0.0.1:1".into(),
+            zone: zone.into(),
+            slots: 2,
+            draining: false,
+            cold_ms: 0,
+        };
+        let backends = vec![backend("x", "a"), backend("y", "a"), backend("z", "b")];
+        held.list(0.0, Listing { stamp: (1, Host(2)), backends });
+        held
+    }
+
+    fn drain(held: &mut Held, now: f64, turn: u64, nodes: &str) {
+        let body = (!nodes.is_empty()).then(|| format!(r#"{{"nodes":[{nodes}],"ends":{ENDS}}}"#));
+        let stamp = Stamp { turn, ..Stamp::default() };
+        held.merge(now, vec![("d:o".into(), Entry { stamp, body, ..Entry::default() })]);
+    }
+
+    fn ready(held: &mut Held, now: f64) -> Vec<String> {
+        held.backends(now, "s").into_iter().filter(|k| k.ready).map(|k| k.backend.id).collect()
+    }
+
+    #[test]
+    fn what_is_drained_gets_nothing_until_it_is_taken_back_and_is_spared_then() {
+        let mut held = held();
+        drain(&mut held, 0.0, 1, r#""backend:x""#);
+        assert_eq!(ready(&mut held, 1.0), ["y", "z"]);
+        drain(&mut held, 2.0, 2, r#""backend:x","zone:b","proxy:0.0.0.1""#);
+        assert_eq!(ready(&mut held, 3.0), ["y"]);
+        assert!(held.is_out());
+        drain(&mut held, 10.0, 3, "");
+        assert_eq!(ready(&mut held, 11.0), ["x", "y", "z"]);
+        assert!(!held.is_out());
+        let cold = |held: &mut Held, now| -> Vec<bool> {
+            held.backends(now, "s").iter().map(|known| known.terms.cold_until > now).collect()
+        };
+        assert_eq!(cold(&mut held, 12.0), [true, false, true]);
+        assert_eq!(cold(&mut held, 10.0 + BACK_COLD + 501.0), [false, false, false]);
+    }
+
+    #[test]
+    fn a_proxy_that_hears_nothing_more_heeds_no_drain_beyond_the_hours() {
+        let mut held = held();
+        drain(&mut held, 0.0, 1, r#""backend:x""#);
+        held.tell_time(1000.0, Span { earliest: ENDS - 30_500.0, latest: ENDS - 30_000.0 });
+        assert!(!held.settle(30_000.0), "a second before the end by the latest that it may be");
+        assert_eq!(ready(&mut held, 30_000.0), ["y", "z"]);
+        assert!(held.settle(31_000.0));
+        assert_eq!(ready(&mut held, 31_000.0), ["x", "y", "z"]);
+    }
+
+    #[test]
+    fn a_node_is_quiet_where_nothing_of_this_proxy_is_at_work() {
+        let mut held = held();
+        drain(&mut held, 0.0, 1, r#""backend:x","zone:b","proxy:0.0.0.9""#);
+        let quiet = |working: &[&str]| held.quiet(&working.iter().map(|w| (*w).to_owned()).collect(), true);
+        assert_eq!(
+            quiet(&[]),
+            ["backend:x", "proxy:0.0.0.9", "zone:b"],
+            "other proxies' clients are not its own"
+        );
+        assert_eq!(quiet(&["x", "y"]), ["proxy:0.0.0.9", "zone:b"]);
+        assert_eq!(quiet(&["z"]), ["backend:x", "proxy:0.0.0.9"]);
+        assert_eq!(quiet(&["gone"]), ["backend:x", "proxy:0.0.0.9"], "it may have been in any zone");
+        drain(&mut held, 1.0, 2, r#""zone:a","proxy:0.0.0.1""#);
+        assert_eq!(
+            held.quiet(&BTreeSet::new(), true),
+            Vec::<String>::new(),
+            "its own clients are still there"
+        );
+        assert_eq!(held.quiet(&BTreeSet::new(), false).len(), 2);
+    }
+}
--- a/post/courier/src/lib.rs
+++ b/post/courier/src/lib.rs
@@ -4,10 +4,12 @@
 mod beside;
 mod front;
 mod heads;
-mod held;
+pub mod held;
+mod mislaid;
 mod proxy;
 mod services;
 mod session;
 mod speech;
+mod trail;
 
 post_host::program!("courier", " The proxy. FENNELSCALE_CONFIG names the settings file.", proxy::run);
--- a/post/courier/src/proxy.rs
+++ b/post/courier/src/proxy.rs
@@ -5,13 +5,17 @@
 use crate::held::{Held, Place};
 use crate::services::Services;
 use crate::session;
+use crate::trail::Trail;
 use fennelscale_admission::budget::Budget;
+use fennelscale_dataplane::front::door::Door;
 use post_host::link::Writer;
 use post_host::start::{self, Signals};
 use post_host::{call, spawn};
 use post_items::Tenant;
+use post_mislay::{Caller, Desk, FAILURE, Sums, Verdict};
 use post_settings::{Port, Settings};
-use post_units::{Admission, Cache, Terms};
+use post_shutter::clock::Span;
+use post_units::{Admission, Cache, Comer, Terms, Timely};
 use post_words::Host;
 use post_words::news::{Beside, Down, Member, Up};
 use std::cell::{Cell, RefCell};
@@ -26,9 +30,14 @@
 const TICK: Duration = Duration::from_millis(40);
 /// What the decisions know is brought up to date at least this often while anything runs out by itself.
 const UPDATE: Duration = Duration::from_millis(250);
+/// What was counted of failure orders is told this often, in ms.
+const TELL: f64 = 1000.0;
 /// Descriptors for all but clients and backends: sessions, readiness, logs.
 const OTHERS: usize = 280;
 
+/// What was counted of one failure order, as it is told.
+type Count = (String, [u64; 3], [[u64; 3]; 2]);
+
 /// The proxy.
 pub struct Proxy {
     pub settings: Settings,
@@ -37,14 +46,24 @@
     pub held: RefCell<Held>,
     pub services: Services,
     cache: RefCell<Cache>,
+    /// Which tries come too late for their aim.
+    pub timely: RefCell<Timely>,
     waiting: RefCell<HashMap<u64, oneshot::Sender<Admission>>>,
     next: Cell<u64>,
     session: RefCell<Option<Writer>>,
     registries: RefCell<Vec<(Host, String, String)>>,
     /// Control addresses by the settings as they were read last.
     seeds: RefCell<Vec<SocketAddr>>,
+    /// Drained nodes where nothing is at work, as the registry was told.
+    quiet: RefCell<Vec<String>>,
+    door: RefCell<Option<Rc<Door>>>,
+    /// Failure orders, and what was told of them.
+    pub desk: RefCell<Desk>,
+    tell_at: Cell<f64>,
     leaving: Cell<bool>,
     ended: Cell<bool>,
+    /// What became of the last requests.
+    pub trail: Rc<RefCell<Trail>>,
     born: Instant,
 }
 
@@ -69,8 +88,10 @@
     };
     let life = start::life();
     let retry = (settings.bounds.retry_ratio, settings.bounds.retry_slack);
-    let services = Services::new(&settings.zone, budget.backends, retry, life);
+    let (trail, born) = (Rc::<RefCell<Trail>>::default(), Instant::now());
+    let services = Services::new(&settings.zone, budget.backends, retry, life, trail.clone(), born);
     let grace = settings.bounds.grace;
+    let desk = Desk::new(settings.failures.clone(), post_mislay::proxy(host, life));
     let proxy = Rc::new(Proxy {
         seeds: RefCell::new(settings.seeds.clone()),
         settings,
@@ -79,13 +100,19 @@
         held: RefCell::new(Held::new(place)),
         services,
         cache: RefCell::new(Cache::new(0.0, life)),
+        timely: RefCell::default(),
         waiting: RefCell::default(),
         next: Cell::new(0),
         session: RefCell::default(),
         registries: RefCell::default(),
+        quiet: RefCell::default(),
+        door: RefCell::default(),
+        desk: RefCell::new(desk),
+        tell_at: Cell::new(0.0),
         leaving: Cell::new(false),
         ended: Cell::new(false),
-        born: Instant::now(),
+        trail,
+        born,
     });
     spawn(session::keep(proxy.clone()));
     beside::keep(proxy.clone(), besides);
@@ -100,7 +127,9 @@
         loop {
             sleep(TICK).await;
             ticking.tick();
-            if updated.elapsed() >= UPDATE && ticking.held.borrow().next_change().is_some() {
+            ticking.keep_hours();
+            ticking.tell_met();
+            if updated.elapsed() >= UPDATE && ticking.held.borrow().changes() {
                 updated = Instant::now();
                 ticking.update();
             }
@@ -127,12 +156,88 @@
 }
 
 impl Proxy {
-    fn now(&self) -> f64 {
+    pub fn now(&self) -> f64 {
         self.born.elapsed().as_secs_f64() * 1000.0
     }
 
     pub fn is_ready(&self) -> bool {
-        !self.leaving.get() && self.held.borrow().is_ready()
+        let held = self.held.borrow();
+        !self.leaving.get() && held.is_ready() && !held.is_out()
+    }
+
+    /// Whether clients are to go elsewhere: it ends, or a work order has drained it.
+    pub fn sends_away(&self) -> bool {
+        self.leaving.get() || self.held.borrow().is_out()
+    }
+
+    /// The front side's door, to see whether clients are connected.
+    pub fn has_door(&self, door: Rc<Door>) {
+        *self.door.borrow_mut() = Some(door);
+    }
+
+    /// What becomes of a request by failure orders: nearly all are not named.
+    pub fn meet(&self, caller: &Caller<'_>) -> Verdict {
+        let (now, held) = (self.now(), self.held.borrow());
+        let verdict = self.desk.borrow_mut().meet(now, held.true_time(now), caller);
+        if let Verdict::Met(met) = &verdict {
+            let what = met.what.name();
+            tracing::info!(event = "failure-injected", order = met.order, what, request = caller.id);
+        }
+        verdict
+    }
+
+    /// A request that no failure order names has ended.
+    pub fn unnamed(&self, status: u16) {
+        if !self.desk.borrow().is_empty() {
+            self.desk.borrow_mut().ended(self.held.borrow().true_time(self.now()), status);
+        }
+    }
+
+    /// Registries hear what was counted of failure orders, now and then.
+    fn tell_met(&self) {
+        if self.desk.borrow().is_empty() || self.now() < self.tell_at.get() {
+            return;
+        }
+        self.tell_at.set(self.now() + TELL);
+        let sums = |s: Sums| [s.served, s.refused, s.failed];
+        let counts = self.desk.borrow().counts().into_iter();
+        let counts: Vec<Count> =
+            counts.map(|(order, c, o)| (order, [c.named, c.failed, c.over], o.map(sums))).collect();
+        // Also unchanged: another registry may have the session by now.
+        self.send(&Up::Met(counts));
+    }
+
+    /// Drained nodes where this proxy has nothing at work.
+    fn quiet(&self) -> Vec<String> {
+        let held = self.held.borrow();
+        if held.out().is_empty() {
+            return Vec::new();
+        }
+        let clients = self.door.borrow().as_ref().is_some_and(|door| !door.is_empty());
+        held.quiet(&self.services.working(), clients)
+    }
+
+    /// Drains begin and end; registries hear where nothing is at work any more.
+    fn keep_hours(&self) {
+        let (was, settled) = {
+            let mut held = self.held.borrow_mut();
+            if held.table.drains.is_empty() && held.out().is_empty() && self.quiet.borrow().is_empty() {
+                return;
+            }
+            (held.is_out(), held.settle(self.now()))
+        };
+        if settled {
+            tracing::info!(event = "drains", out = ?self.held.borrow().out());
+            self.update();
+        }
+        let quiet = self.quiet();
+        if *self.quiet.borrow() != quiet {
+            self.quiet.borrow_mut().clone_from(&quiet);
+            self.send(&Up::Quiet(quiet));
+        }
+        if was != self.held.borrow().is_out() {
+            self.send(&self.beat());
+        }
     }
 
     /// Clients are to go elsewhere from now on.
@@ -141,10 +246,6 @@
         self.send(&self.beat());
     }
 
-    pub fn leaving(&self) -> bool {
-        self.leaving.get()
-    }
-
     pub fn ended(&self) -> bool {
         self.ended.get()
     }
@@ -158,16 +259,13 @@
             region: self.settings.region.clone(),
             port: self.settings.listen.frontend.map_or(0, |at| at.port()),
             ready: self.is_ready(),
+            quiet: self.quiet.borrow().clone(),
         }
     }
 
     pub fn beat(&self) -> Up {
         let held = self.held.borrow();
-        Up::Beat {
-            ready: !self.leaving.get() && held.is_ready(),
-            items: held.sum(),
-            listing: held.listing.stamp,
-        }
+        Up::Beat { ready: self.is_ready(), items: held.sum(), listing: held.listing.stamp }
     }
 
     fn far(&self, zone: &str, region: &str) -> u8 {
@@ -234,7 +332,7 @@
     pub fn news_for(&self, items: &[u64], listing: (u64, Host)) -> Beside {
         let held = self.held.borrow();
         let newer = (held.listing.stamp > listing).then(|| held.listing.clone());
-        let members = (held.members.clone(), held.gateways as u32);
+        let members = (held.members.clone(), held.known_gateways());
         Beside::News { entries: held.differing(items), listing: newer, members }
     }
 
@@ -260,6 +358,9 @@
                     held.fresh |= fresh;
                     (news, was)
                 };
+                if news.iter().any(|name| name.starts_with(FAILURE)) {
+                    self.desk.borrow_mut().set(self.held.borrow().table.failures.values());
+                }
                 self.drop_limits(&news);
                 if !news.is_empty() {
                     tracing::debug!(event = "items", whole, news = news.len());
@@ -278,7 +379,7 @@
             Down::Members(members, gateways) => {
                 {
                     let mut held = self.held.borrow_mut();
-                    (held.members, held.gateways) = (members, f64::from(gateways.max(1)));
+                    held.tell_members(members, gateways);
                     self.cache.borrow_mut().gateways(held.gateways);
                 }
                 self.update();
@@ -289,6 +390,13 @@
                 self.cache.borrow_mut().grant(self.now(), grant, &mut out, &mut told);
                 self.carry_out(out, told);
             }
+            Down::Time(earliest, latest) => {
+                self.held.borrow_mut().tell_time(self.now(), Span { earliest, latest });
+            }
+            Down::Recall(question, id) => {
+                let known = self.trail.borrow().recall(self.now(), id);
+                self.send(&Up::Recalled(question, known));
+            }
             Down::Beat(_) => {}
         }
     }
@@ -332,8 +440,8 @@
     }
 
     /// Takes a unit of a tenant's lease, waiting for a block no longer than `wait`. How long the client should stay away
-    /// where there is none.
-    pub async fn admit(&self, tenant: &Tenant, wait: Duration) -> Result<(), f64> {
+    /// where there is none. One that is `late` for its aim goes last while units are scarce.
+    pub async fn admit(&self, tenant: &Tenant, wait: Duration, late: bool) -> Result<(), f64> {
         let terms = Terms { rate: tenant.rate, burst: tenant.burst };
         if terms.rate <= 0.0 {
             return Ok(());
@@ -342,7 +450,8 @@
         self.next.set(request + 1);
         let mut out = Vec::new();
         let until = now + wait.as_secs_f64() * 1000.0;
-        let admission = self.cache.borrow_mut().admit(now, &tenant.name, terms, request, until, &mut out);
+        let comer = Comer { request, until, late };
+        let admission = self.cache.borrow_mut().admit(now, &tenant.name, terms, comer, &mut out);
         let receiver = (admission == Admission::Waits).then(|| {
             let (sender, receiver) = oneshot::channel();
             self.waiting.borrow_mut().insert(request, sender);
--- a/post/courier/src/services.rs
+++ b/post/courier/src/services.rs
@@ -2,6 +2,7 @@
 
 use crate::held::{Held, Known};
 use crate::speech::{Mesh, REQUEST_ID};
+use crate::trail::Trail;
 use doorcourse::{BackendEntry, BackendState, Class, Effect, Event, Group, Name, Plan, Reports, Settings};
 use fennelscale_dataplane::back::backends::{Backends, Bounds};
 use fennelscale_dataplane::engine::{Counting, Engine, Report};
@@ -11,9 +12,9 @@
 use fennelscale_wire::reuse::Reuse;
 use post_items::{Route, RouteKind};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The plan that all requests are under: quotas are the lease cache's.
 pub const PLAN: &str = "mesh";
@@ -48,6 +49,8 @@
     connections: usize,
     retry: (f64, f64),
     seed: Cell<u64>,
+    trail: Rc<RefCell<Trail>>,
+    born: Instant,
 }
 
 fn settings(zone: &Name) -> Settings {
@@ -89,8 +92,13 @@
 
 impl Services {
     /// None yet; `connections` to backends may be open at once, over all services.
-    pub fn new(zone: &str, connections: usize, retry: (f64, f64), seed: u64) -> Self {
-        Self { all: RefCell::default(), zone: zone.into(), connections, retry, seed: Cell::new(seed) }
+    /// What becomes of requests is noted in `trail`, whose clock began at `born`.
+    pub fn new(
+        zone: &str, connections: usize, retry: (f64, f64), seed: u64, trail: Rc<RefCell<Trail>>,
+        born: Instant,
+    ) -> Self {
+        let seed = Cell::new(seed);
+        Self { all: RefCell::default(), zone: zone.into(), connections, retry, seed, trail, born }
     }
 
     /// A service, if it is known.
@@ -103,6 +111,12 @@
         self.all.borrow().values().map(|service| service.engine.waiting()).sum()
     }
 
+    /// Backends that may have something of this proxy's at work.
+    pub fn working(&self) -> BTreeSet<String> {
+        let all = self.all.borrow();
+        all.values().flat_map(|service| service.backends.working()).map(|name| name.to_string()).collect()
+    }
+
     /// Tells all decisions what is known now, by the proxy's clock.
     pub fn tell(&self, now: f64, held: &mut Held) {
         let names: Vec<String> = held.table.services.keys().cloned().collect();
@@ -131,8 +145,9 @@
         let identity = IdentityRule { header: REQUEST_ID.as_str().to_owned(), required: true };
         let reuse = Reuse::new(&Upstream { identity: Some(identity), ..Upstream::default() });
         let most_open = (self.connections / parts).max(16);
+        let mesh = Mesh { health, trail: self.trail.clone(), born: self.born };
         let bounds = Bounds { most_open, largest_body: LARGEST, answer: ANSWER };
-        let backends = Backends::new(CONNECT, IDLE, Reports::None, reuse, Rc::new(Mesh { health }), bounds);
+        let backends = Backends::new(CONNECT, IDLE, Reports::None, reuse, Rc::new(mesh), bounds);
         let seed = self.seed.get();
         self.seed.set(post_words::mix(seed.wrapping_add(1)));
         let counters = None::<fn(Duration, Rc<Report>) -> Rc<dyn Counting>>;
--- a/post/depot/src/lib.rs
+++ b/post/depot/src/lib.rs
@@ -1,8 +1,10 @@
 //! `depot`: the store of configuration (the field's term: a replicated configuration store). Every core machine runs one. It
 //! holds a copy of every item on its disk, takes calls from its machine's registry, and tells that what is chosen.
 
+mod diary;
 mod disk;
 
+use diary::Diary;
 use disk::Disk;
 use post_book::{Book, Origin, Out, Place};
 use post_host::link::{Peers, Writer, hear, split};
@@ -26,6 +28,8 @@
 struct Depot {
     book: RefCell<Book>,
     disk: Disk,
+    /// What the registry of this machine saw happen.
+    diary: RefCell<Diary>,
     peers: Peers,
     /// The registry of this machine.
     registry: RefCell<Option<Writer>>,
@@ -52,6 +56,7 @@
     let depot = Rc::new(Depot {
         book: RefCell::new(Book::new(place, memory, 0.0)),
         disk,
+        diary: RefCell::new(Diary::new(folder.join("events"))),
         peers: Peers::new(host, settings.own(Port::Depot).port()),
         registry: RefCell::default(),
         born: Instant::now(),
@@ -131,8 +136,22 @@
         self.report(&Report::Items { whole: true, entries: whole });
         self.report(&Report::Fresh(fresh));
         while let Ok(order) = reader.next::<Order>().await {
-            let Order::Call(id, ask) = order;
-            self.with(|book, now| book.call(now, Origin::Registry(id), ask));
+            match order {
+                Order::Call(id, ask) => self.with(|book, now| book.call(now, Origin::Registry(id), ask)),
+                // Nothing is promised of events: without them the store goes on.
+                Order::Keep(events) => {
+                    if let Err(error) = self.diary.borrow_mut().keep(&events) {
+                        tracing::warn!(event = "events-not-kept", count = events.len(), error = %error);
+                    }
+                }
+                Order::Kept(id, wanted) => {
+                    let told = self.diary.borrow().read(&wanted).unwrap_or_else(|error| {
+                        tracing::warn!(event = "events-unreadable", error = %error);
+                        None
+                    });
+                    self.report(&Report::Kept(id, told));
+                }
+            }
         }
         *self.registry.borrow_mut() = None;
     }
--- /dev/null
+++ b/post/diorama/src/core.rs
@@ -0,0 +1,130 @@
+//! A core machine: a store and a registry that share a disk and an address.
+
+use crate::Millis;
+use post_book::{Book, Item, Memory, Origin, Out, Place, Vows, Writes};
+use post_rounds::Round;
+use post_words::Host;
+use post_words::depot::{Ask, Seat, Told, Word};
+use std::collections::BTreeMap;
+
+/// A store reads its disk and has dialled its registry after this, in ms.
+const JOINS: Millis = 250.0;
+
+/// What a store sends, and what its registry's callers hear.
+pub(crate) enum Does {
+    Send(Host, Word),
+    Answer(u64, Told),
+}
+
+/// One core machine.
+pub(crate) struct Core {
+    pub(crate) seat: Seat,
+    vows: Option<Vows>,
+    items: BTreeMap<String, Item>,
+    pub(crate) book: Option<Book>,
+    pub(crate) round: Option<Round>,
+    /// Counts starts of either process: lines of an earlier life are closed.
+    pub(crate) lives: u64,
+    next: u64,
+    /// When the store has dialled its registry: until then that knows nothing of what the store holds.
+    joins: Option<Millis>,
+}
+
+impl Core {
+    pub(crate) fn new(n: usize, zones: usize, regions: usize) -> Self {
+        let zone = n % zones;
+        let seat = Seat {
+            host: Host(n as u32 + 1),
+            zone: format!("z{zone}"),
+            region: format!("r{}", zone % regions),
+        };
+        Self::empty(seat)
+    }
+
+    /// An empty machine at another address in the zone of one that is gone.
+    pub(crate) fn in_place_of(gone: &Self, n: usize) -> Self {
+        Self::empty(Seat { host: Host(n as u32 + 1), ..gone.seat.clone() })
+    }
+
+    fn empty(seat: Seat) -> Self {
+        Self {
+            seat,
+            vows: None,
+            items: BTreeMap::new(),
+            book: None,
+            round: None,
+            lives: 0,
+            next: 0,
+            joins: None,
+        }
+    }
+
+    pub(crate) fn start(&mut self, now: Millis, seeds: &[Host], bootstrap: bool) {
+        if self.book.is_some() {
+            return;
+        }
+        self.lives += 1;
+        let life = post_words::mix(u64::from(self.seat.host.0) << 32 ^ self.lives) >> 24;
+        let place =
+            Place { me: self.seat.clone(), seeds: seeds.to_vec(), bootstrap, tolerance: (1, 1, 1), life };
+        let book = Book::new(place, Memory { vows: self.vows, items: self.items.clone() }, now);
+        let round = Round::new(self.seat.host, life, &self.seat.zone, &self.seat.region, bootstrap, now);
+        self.joins = Some(now + JOINS);
+        (self.book, self.round) = (Some(book), Some(round));
+    }
+
+    pub(crate) fn kill(&mut self) {
+        (self.book, self.round) = (None, None);
+        self.lives += 1;
+    }
+
+    pub(crate) fn wipe(&mut self) {
+        self.kill();
+        (self.vows, self.items) = (None, BTreeMap::new());
+    }
+
+    /// The store has dialled its registry and tells all that it holds.
+    fn join(&mut self, now: Millis) {
+        if self.joins.is_none_or(|at| now < at) {
+            return;
+        }
+        let (Some(book), Some(round)) = (&self.book, self.round.as_mut()) else { return };
+        self.joins = None;
+        round.seats(now, book.seats().clone());
+        round.items(now, true, book.all());
+        round.fresh(now, book.is_fresh());
+    }
+
+    /// Gives the store an input; what it writes is on the disk before anything of it is sent.
+    pub(crate) fn store(&mut self, now: Millis, input: impl FnOnce(&mut Book, Millis)) -> Vec<Does> {
+        self.join(now);
+        let joined = self.joins.is_none();
+        let Some(book) = self.book.as_mut() else { return Vec::new() };
+        input(book, now);
+        let Writes { vows, items } = book.writes();
+        self.vows = vows.or(self.vows);
+        self.items.extend(items);
+        let outs = book.outs();
+        let mut does = Vec::new();
+        for out in outs {
+            let Some(round) = self.round.as_mut() else { break };
+            match out {
+                Out::Send(to, word) => does.push(Does::Send(to, word)),
+                Out::Answer(id, told) => does.push(Does::Answer(id, told)),
+                Out::News(_) | Out::Seats(_) | Out::Fresh(_) if !joined => {}
+                Out::News(entries) => round.items(now, false, entries),
+                Out::Seats(seats) => round.seats(now, seats),
+                Out::Fresh(fresh) => round.fresh(now, fresh),
+                Out::Log(..) => {}
+            }
+        }
+        does
+    }
+
+    /// Has the store decide on a call; its number.
+    pub(crate) fn ask(&mut self, now: Millis, ask: Ask) -> (u64, Vec<Does>) {
+        self.next += 1;
+        let id = self.lives << 32 | self.next;
+        (id, self.store(now, |book, now| book.call(now, Origin::Registry(id), ask)))
+    }
+}
--- /dev/null
+++ b/post/diorama/src/proxy.rs
@@ -0,0 +1,233 @@
+//! A proxy: what it holds of the news, its lease cache, its session.
+
+use crate::Millis;
+use post_courier::held::{Held, Place};
+use post_units::{Admission, Cache, Comer, Terms};
+use post_words::Host;
+use post_words::news::{Down, Member, Up};
+use std::collections::BTreeMap;
+
+/// As the program has it: beats, silence, and how long a registry that failed is not thought of.
+const BEAT: Millis = 400.0;
+const SILENT: Millis = 1500.0;
+const FAILED: Millis = 6000.0;
+/// A request waits for a block at most so long.
+const WAITS: Millis = 150.0;
+
+/// One proxy.
+pub(crate) struct Proxy {
+    pub(crate) host: Host,
+    pub(crate) zone: String,
+    pub(crate) region: String,
+    zones: BTreeMap<String, String>,
+    pub(crate) up: bool,
+    pub(crate) life: u64,
+    pub(crate) held: Held,
+    cache: Cache,
+    /// The core machine of the session, and its life.
+    pub(crate) session: Option<(usize, u64)>,
+    heard: Millis,
+    beat_at: Millis,
+    failed: BTreeMap<usize, Millis>,
+    /// The newest version of each item that this life has held.
+    seen: BTreeMap<String, u64>,
+    waiting: BTreeMap<u64, String>,
+    next: u64,
+    /// Whose requests were let in since it was last asked.
+    pub(crate) admitted: Vec<String>,
+    pub(crate) refused: usize,
+    pub(crate) broken: Vec<String>,
+}
+
+impl Proxy {
+    pub(crate) fn new(n: usize, zones: &BTreeMap<String, String>) -> Self {
+        let zone = format!("z{}", n % zones.len());
+        let (host, region) = (Host(1000 + n as u32), zones[&zone].clone());
+        let place = place(host, &zone, &region, zones);
+        Self {
+            host,
+            zone,
+            region,
+            zones: zones.clone(),
+            up: false,
+            life: 0,
+            held: Held::new(place),
+            cache: Cache::new(0.0, 0),
+            session: None,
+            heard: 0.0,
+            beat_at: 0.0,
+            failed: BTreeMap::new(),
+            seen: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            next: 0,
+            admitted: Vec::new(),
+            refused: 0,
+            broken: Vec::new(),
+        }
+    }
+
+    pub(crate) fn start(&mut self, now: Millis) {
+        if self.up {
+            return;
+        }
+        self.life += 1;
+        self.up = true;
+        self.held = Held::new(place(self.host, &self.zone, &self.region, &self.zones));
+        self.cache = Cache::new(now, post_words::mix(u64::from(self.host.0) ^ self.life << 32));
+        (self.session, self.beat_at) = (None, now);
+        self.failed.clear();
+        self.seen.clear();
+        self.waiting.clear();
+    }
+
+    pub(crate) fn kill(&mut self) {
+        (self.up, self.session) = (false, None);
+    }
+
+    pub(crate) fn member(&self) -> Member {
+        Member {
+            host: self.host,
+            life: self.life,
+            zone: self.zone.clone(),
+            region: self.region.clone(),
+            port: 80,
+            ready: self.held.is_ready(),
+            quiet: Vec::new(),
+        }
+    }
+
+    /// The session is over, and its registry not thought of for a while.
+    pub(crate) fn lost(&mut self, now: Millis) {
+        if let Some((core, _)) = self.session.take() {
+            self.failed.insert(core, now);
+        }
+    }
+
+    /// Whether a core machine may be dialled.
+    pub(crate) fn thinks_of(&self, core: usize, now: Millis) -> bool {
+        self.failed.get(&core).is_none_or(|at| now - at >= FAILED)
+    }
+
+    pub(crate) fn failed_at(&self, core: usize) -> Millis {
+        self.failed.get(&core).copied().unwrap_or(f64::MIN)
+    }
+
+    pub(crate) fn dialled(&mut self, now: Millis, core: usize, life: u64) -> Up {
+        (self.session, self.heard, self.beat_at) = (Some((core, life)), now, now + BEAT);
+        Up::Hello(self.member())
+    }
+
+    pub(crate) fn dial_failed(&mut self, now: Millis, core: usize) {
+        self.failed.insert(core, now);
+    }
+
+    /// A word of the session's registry.
+    pub(crate) fn word(&mut self, now: Millis, word: &Down, out: &mut Vec<Up>) {
+        self.heard = now;
+        let was = self.held.is_ready();
+        match word {
+            Down::Items { fresh, entries, .. } => {
+                for (name, entry) in entries {
+                    let seen = self.seen.entry(name.clone()).or_default();
+                    let known = self.held.merge(now, vec![(name.clone(), entry.clone())]);
+                    if known.is_empty() {
+                        continue;
+                    }
+                    if entry.revision < *seen {
+                        self.broken.push(format!("{name} goes back from {seen} to {}", entry.revision));
+                    }
+                    *seen = entry.revision;
+                }
+                self.held.fresh |= fresh;
+            }
+            Down::Listing(listing) => drop(self.held.list(now, listing.clone())),
+            Down::Members(members, gateways) => {
+                self.held.tell_members(members.clone(), *gateways);
+                self.cache.gateways(self.held.gateways);
+            }
+            Down::Grant(grant) => {
+                let mut told = Vec::new();
+                self.cache.grant(now, grant.clone(), out, &mut told);
+                self.told(told);
+            }
+            Down::Beat(true) => self.lost(now),
+            Down::Beat(false) | Down::Registries(_) | Down::Time(..) | Down::Recall(..) => {}
+        }
+        if !was && self.held.is_ready() {
+            out.push(self.beat());
+        }
+    }
+
+    fn beat(&self) -> Up {
+        Up::Beat { ready: self.held.is_ready(), items: self.held.sum(), listing: self.held.listing.stamp }
+    }
+
+    fn told(&mut self, told: Vec<(u64, Admission)>) {
+        for (request, admission) in told {
+            let Some(tenant) = self.waiting.remove(&request) else { continue };
+            self.count(tenant, admission);
+        }
+    }
+
+    fn count(&mut self, tenant: String, admission: Admission) {
+        match admission {
+            Admission::Taken => self.admitted.push(tenant),
+            Admission::Refused(_) | Admission::Waits => self.refused += 1,
+        }
+    }
+
+    /// A request of a tenant.
+    pub(crate) fn request(&mut self, now: Millis, tenant: &str, out: &mut Vec<Up>) {
+        if !self.up || !self.held.is_ready() {
+            return;
+        }
+        let Some(terms) =
+            self.held.table.tenant_named(tenant).map(|t| Terms { rate: t.rate, burst: t.burst })
+        else {
+            return;
+        };
+        self.next += 1;
+        let admission = self.cache.admit(
+            now,
+            tenant,
+            terms,
+            Comer { request: self.next, until: now + WAITS, late: false },
+            out,
+        );
+        if admission == Admission::Waits {
+            self.waiting.insert(self.next, tenant.to_owned());
+        } else {
+            self.count(tenant.to_owned(), admission);
+        }
+    }
+
+    pub(crate) fn tick(&mut self, now: Millis, out: &mut Vec<Up>) {
+        let mut told = Vec::new();
+        self.cache.tick(now, out, &mut told);
+        self.told(told);
+        if self.session.is_some() && now - self.heard >= SILENT {
+            self.lost(now);
+        }
+        if self.session.is_some() && now >= self.beat_at {
+            self.beat_at = now + BEAT;
+            out.push(self.beat());
+        }
+    }
+
+    pub(crate) fn held_size(&self) -> usize {
+        format!("{:?}", self.held).len()
+    }
+
+    pub(crate) fn cache_size(&self) -> usize {
+        format!("{:?}", self.cache).len()
+    }
+
+    /// The version of an item that is in force here, and whether it stands.
+    pub(crate) fn version(&self, name: &str) -> u64 {
+        self.seen.get(name).copied().unwrap_or(0)
+    }
+}
+
+fn place(host: Host, zone: &str, region: &str, zones: &BTreeMap<String, String>) -> Place {
+    Place { me: host, zone: zone.to_owned(), region: region.to_owned(), zones: zones.clone(), lag: 500.0 }
+}
--- /dev/null
+++ b/post/diorama/tests/long.rs
@@ -0,0 +1,77 @@
+//! What takes long in virtual time: an hour in which nothing may pile up, and how soon changes are everywhere.
+//! `WORLD_MINUTES` is how long the soak is; the whole hour is played by `WORLD_MINUTES=60`.
+
+use post_diorama::{APPLY, Chance, Config, Fault, World};
+
+fn number(name: &str, usual: u64) -> u64 {
+    std::env::var(name).map_or(usual, |n| n.parse().unwrap())
+}
+
+/// A quarter of a minute in which an item changes, a tenant floods, a proxy and a core machine die and come back.
+fn stretch(world: &mut World, chance: &mut Chance) {
+    let (proxy, core, tenant) = (chance.below(6), chance.below(6), chance.below(2));
+    world.operate();
+    world.fault(Fault::Flood(tenant, 5.0));
+    world.fault(Fault::KillProxy(proxy));
+    world.run(4000.0);
+    world.fault(Fault::Flood(tenant, 1.0));
+    world.fault(Fault::StartProxy(proxy));
+    world.fault(Fault::KillCore(core));
+    world.run(3000.0);
+    world.operate();
+    world.fault(Fault::StartCore(core));
+    world.run(8000.0);
+}
+
+#[test]
+fn nothing_piles_up_over_a_long_time() {
+    let config = Config { proxies: 6, tenants: 2, routes: 4, rate: 20.0, ..Config::default() };
+    let (mut world, mut chance) = (World::new(3, config), Chance::new(7));
+    let stretches = number("WORLD_MINUTES", 8) * 4;
+    let mut sizes = Vec::new();
+    for at in 0..stretches {
+        stretch(&mut world, &mut chance);
+        assert_eq!(world.broken, Vec::<String>::new(), "at {}", world.now);
+        if (at + 1) % (stretches / 4).max(1) == 0 {
+            println!("after {:.0} s: store, registry, items, cache: {:?}", world.now / 1000.0, world.held());
+            sizes.push(world.held());
+        }
+    }
+    // The first quarter fills what is bounded; from then on nothing grows but digits.
+    for (from, to) in sizes[0].into_iter().zip(*sizes.last().unwrap()) {
+        assert!(to * 10 <= from * 12 + 4000, "{sizes:?}");
+    }
+}
+
+fn quantile(times: &[f64], part: f64) -> f64 {
+    times[((times.len() - 1) as f64 * part) as usize]
+}
+
+/// The distribution of how soon a change is acknowledged, and of how soon every proxy holds it, beside `configApply`.
+#[test]
+fn changes_are_acknowledged_and_everywhere_soon() {
+    let (mut agreed, mut held) = (Vec::new(), Vec::new());
+    for seed in 0..number("WORLD_SEEDS", 4) {
+        let mut world = World::new(seed, Config::default());
+        let mut chance = Chance::new(seed);
+        for _ in 0..25 {
+            world.operate();
+            let span = 300.0 + chance.share() * 1500.0;
+            world.run(span);
+        }
+        world.run(APPLY);
+        assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
+        for (acknowledged, everywhere) in world.times() {
+            agreed.push(acknowledged);
+            held.push(everywhere.expect("a change that is acknowledged is everywhere in the end"));
+        }
+    }
+    agreed.sort_by(f64::total_cmp);
+    held.sort_by(f64::total_cmp);
+    for (what, times) in [("acknowledged", &agreed), ("everywhere after that", &held)] {
+        let [half, most, all] = [0.5, 0.99, 1.0].map(|part| quantile(times, part));
+        println!("{} changes {what}: half {half:.0}, 99 of 100 {most:.0}, all {all:.0} ms", times.len());
+    }
+    assert!(quantile(&agreed, 1.0) < 1000.0, "an operator's patience");
+    assert!(quantile(&held, 1.0) < APPLY / 4.0, "a quarter of what is allowed");
+}
--- a/post/host/src/call.rs
+++ b/post/host/src/call.rs
@@ -133,7 +133,10 @@
                     text = failure.text
                 );
             }
-            failed(&failure)
+            let mut response = failed(&failure);
+            // For whoever tells others of it.
+            response.extensions_mut().insert(failure);
+            response
         }
     })
 }
--- a/post/host/src/start.rs
+++ b/post/host/src/start.rs
@@ -2,6 +2,7 @@
 
 use post_settings::{Fault, Settings};
 use std::future::Future;
+use std::io::Write as _;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use tokio::net::TcpListener;
@@ -47,9 +48,19 @@
 
 /// Checks a settings file and says what is wrong with it.
 pub fn check(program: &str) -> ExitCode {
-    match Settings::from_environment() {
-        Ok(settings) => {
-            println!("{program}: settings of {} can be used", settings.node);
+    match Settings::told_by_environment() {
+        Ok((settings, told)) => {
+            let list = |fields: &[String]| {
+                if fields.is_empty() { "nothing".to_owned() } else { fields.join(", ") }
+            };
+            // Whoever reads may stop before the end: that is no fault.
+            let _ = writeln!(
+                std::io::stdout(),
+                "{program}: settings of {} can be used\n  taken: {}\n  ignored: {}",
+                settings.node,
+                list(&told.taken),
+                list(&told.ignored)
+            );
             ExitCode::SUCCESS
         }
         Err(fault) => unusable(program, fault.into()),
--- /dev/null
+++ b/post/inspector/src/mutants.rs
@@ -0,0 +1,168 @@
+//! Deliberate faults, each a line in how a store is hosted or in what one says. Every one must be caught.
+
+use crate::scenarios::Scenario;
+use post_book::{Memory, SEATS, Vows, Writes};
+use post_words::Host;
+use post_words::depot::{Ask, Word};
+
+/// A fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Mutant {
+    /// Words go out, nothing is brought to the disk.
+    NoSync,
+    /// Promises are not brought to the disk, items are.
+    NoVows,
+    /// What is taken and not yet chosen is not brought to the disk.
+    NoPending,
+    /// A machine that lost its disk takes itself for one that did not.
+    AmnesiacVotes,
+    /// What one other seat tells counts as told by all.
+    LearnsFromOne,
+    /// A promise tells nothing of what was taken.
+    PromiseWithoutTaken,
+    /// A promise tells nothing of what is chosen.
+    PromiseWithoutChosen,
+    /// A refusal counts as a promise.
+    RefusedIsPromise,
+    /// One seat's word that it took a write counts for all.
+    AcceptedCountsForAll,
+    /// A refusal counts as a word that the write was taken.
+    RefusedIsAccepted,
+    /// A write is said to be chosen when it is sent.
+    ChosenEarly,
+    /// Writes come in part.
+    HalfAWrite,
+    /// The first write of a turn comes without what it takes over.
+    EmptyBase,
+    /// A seat joins a turn although it lacks what was chosen before it.
+    JoinsBehind,
+    /// A reader's own copy is as new as any.
+    ReadsOwnCopy,
+    /// An evacuation comes without the version that was known when it was ordered.
+    BlindEvacuation,
+    /// A store starts with a promise one lower than it gave.
+    ForgetsLastPromise,
+    /// After a start, the seats are those that one machine sees.
+    SeatsByWhoIsAlive,
+}
+
+/// All of them.
+pub const ALL: [Mutant; 18] = [
+    Mutant::NoSync,
+    Mutant::NoVows,
+    Mutant::NoPending,
+    Mutant::AmnesiacVotes,
+    Mutant::LearnsFromOne,
+    Mutant::PromiseWithoutTaken,
+    Mutant::PromiseWithoutChosen,
+    Mutant::RefusedIsPromise,
+    Mutant::AcceptedCountsForAll,
+    Mutant::RefusedIsAccepted,
+    Mutant::ChosenEarly,
+    Mutant::HalfAWrite,
+    Mutant::EmptyBase,
+    Mutant::JoinsBehind,
+    Mutant::ReadsOwnCopy,
+    Mutant::BlindEvacuation,
+    Mutant::ForgetsLastPromise,
+    Mutant::SeatsByWhoIsAlive,
+];
+
+impl Mutant {
+    /// The world in which the fault shows, and for one that orders of events are explored of by breadth, so many states; none for
+    /// ways by chance.
+    pub fn shown_in(self) -> (Scenario, Option<usize>) {
+        match self {
+            Self::NoSync | Self::NoPending | Self::ForgetsLastPromise | Self::SeatsByWhoIsAlive => {
+                (Scenario::Fence, None)
+            }
+            Self::AmnesiacVotes | Self::LearnsFromOne => (Scenario::Amnesia, None),
+            Self::RefusedIsPromise => (Scenario::Turns, None),
+            Self::NoVows | Self::PromiseWithoutTaken | Self::JoinsBehind => (Scenario::Everything, None),
+            Self::AcceptedCountsForAll | Self::ChosenEarly => (Scenario::Forgetting, None),
+            Self::ReadsOwnCopy => (Scenario::Reading, None),
+            Self::PromiseWithoutChosen => (Scenario::Reader, Some(60_000)),
+            Self::RefusedIsAccepted | Self::EmptyBase => (Scenario::Race, Some(60_000)),
+            Self::HalfAWrite => (Scenario::Together, Some(60_000)),
+            Self::BlindEvacuation => (Scenario::Overtaken, Some(60_000)),
+        }
+    }
+
+    /// What of a step's writes comes to the disk.
+    pub(crate) fn writes(self, writes: Writes) -> Writes {
+        match self {
+            Self::NoSync => Writes::default(),
+            Self::NoVows => Writes { vows: writes.vows.map(|_| Vows::default()), ..writes },
+            Self::NoPending => {
+                let items = writes.items.into_iter().map(|(name, mut item)| {
+                    item.pending = None;
+                    (name, item)
+                });
+                Writes { vows: writes.vows, items: items.collect() }
+            }
+            _ => writes,
+        }
+    }
+
+    /// What a disk holds at a start.
+    pub(crate) fn memory(self, mut memory: Memory) -> Memory {
+        match self {
+            Self::ForgetsLastPromise => {
+                if let Some(vows) = &mut memory.vows {
+                    vows.promised = vows.joined;
+                }
+            }
+            Self::SeatsByWhoIsAlive => {
+                let seats = memory.items.get_mut(SEATS).and_then(|item| item.chosen.as_mut());
+                if let Some(body) = seats.and_then(|entry| entry.body.as_mut()) {
+                    let lines: Vec<&str> = body.lines().collect();
+                    *body = lines[..lines.len().min(1)].join("\n");
+                }
+            }
+            _ => {}
+        }
+        memory
+    }
+
+    /// What a disk that was lost holds.
+    pub(crate) fn wiped(self, memory: &Memory) -> Memory {
+        if self != Self::AmnesiacVotes {
+            return Memory::default();
+        }
+        let seats = memory.items.get(SEATS).map(|item| (SEATS.to_owned(), item.clone()));
+        Memory { vows: Some(Vows::default()), items: seats.into_iter().collect() }
+    }
+
+    /// What becomes of a word that arrives, and from whom it seems to come.
+    pub(crate) fn word(self, from: Host, all: &[Host], word: Word) -> Vec<(Host, Word)> {
+        let by_all = |word: &Word| all.iter().map(|host| (*host, word.clone())).collect();
+        let word = match (self, word) {
+            (Self::LearnsFromOne, word @ Word::Learned { .. })
+            | (Self::AcceptedCountsForAll, word @ Word::Accepted(_)) => return by_all(&word),
+            (Self::PromiseWithoutTaken, Word::Promise { epoch, joined, chosen, .. }) => {
+                Word::Promise { epoch, joined, chosen, pending: Vec::new() }
+            }
+            (Self::PromiseWithoutChosen, Word::Promise { epoch, joined, pending, .. }) => {
+                Word::Promise { epoch, joined, chosen: Vec::new(), pending }
+            }
+            (Self::ChosenEarly, word @ Word::Accept { stamp, .. }) => {
+                return vec![(from, word), (from, Word::Chosen(stamp))];
+            }
+            (Self::HalfAWrite, Word::Accept { stamp, mut entries, chosen }) => {
+                entries.truncate(entries.len().div_ceil(2));
+                Word::Accept { stamp, entries, chosen }
+            }
+            (Self::EmptyBase, Word::Begin { epoch, digest, lacked, .. }) => {
+                Word::Begin { epoch, entries: Vec::new(), digest, lacked }
+            }
+            (Self::JoinsBehind, Word::Begin { epoch, entries, digest, .. }) => {
+                Word::Begin { epoch, entries, digest, lacked: Some(Vec::new()) }
+            }
+            (Self::BlindEvacuation, Word::Pass(id, Ask::Evacuate(zone, on, _))) => {
+                Word::Pass(id, Ask::Evacuate(zone, on, None))
+            }
+            (_, word) => word,
+        };
+        vec![(from, word)]
+    }
+}
--- a/post/items/src/call.rs
+++ b/post/items/src/call.rs
@@ -10,6 +10,10 @@
 /// The most items of one call. Guards the store against a call that would keep every seat busy for long.
 const MOST: usize = 20_000;
 
+/// Lists of the operators' orders, beside those of the configuration.
+const ORDERS: [(&str, &str); 3] =
+    [("maintenanceContracts", "c:"), ("workOrders", "w:"), ("failureOrders", "f:")];
+
 fn wrong(what: &str) -> Invalid {
     Invalid(what.to_owned())
 }
@@ -74,13 +78,18 @@
                 item("r:", host, &rule)?;
             }
         }
+        for (name, kind) in ORDERS {
+            for one in list(&upsert, name)? {
+                item(kind, "", &one)?;
+            }
+        }
         if let Some(limits) = upsert.get("limits").filter(|l| !l.is_null()) {
             item(LIMITS, "", &limits)?;
         }
     }
     if let Some(remove) = whole.get("remove").filter(|r| !r.is_null()) {
-        for (name, kind) in [("routes", "r:"), ("tenants", "t:"), ("backendPools", "s:"), ("services", "s:")]
-        {
+        let kinds = [("routes", "r:"), ("tenants", "t:"), ("backendPools", "s:"), ("services", "s:")];
+        for (name, kind) in kinds.into_iter().chain(ORDERS) {
             for item in list(&remove, name)? {
                 let name = named(&item, kind)?;
                 let revision = revision(&item, &name)?;
@@ -127,6 +136,7 @@
 /// All items that stand, laid out as calls are, each as it was sent.
 pub fn lay_out<'a>(entries: impl Iterator<Item = (&'a str, &'a depot::Entry)>) -> String {
     let (mut tenants, mut services, mut limits) = (Vec::new(), Vec::new(), None);
+    let mut orders = ORDERS.map(|_| Vec::new());
     let mut hosts: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
     for (name, entry) in entries {
         let Some(body) = entry.body.as_deref() else { continue };
@@ -135,7 +145,12 @@
             Some(("t:", _)) => tenants.push(body),
             Some(("s:", _)) => services.push(body),
             Some(("l:", _)) => limits = Some(body),
-            _ => {}
+            Some((kind, _)) => {
+                if let Some(at) = ORDERS.iter().position(|(_, known)| *known == kind) {
+                    orders[at].push(body);
+                }
+            }
+            None => {}
         }
     }
     let mut text = String::from("{");
@@ -149,6 +164,11 @@
         let host = sonic_rs::to_string(host).unwrap_or_default();
         let _ = write!(text, "{comma}{{\"hostname\":{host},\"policy\":[{}]}}", rules.join(","));
     }
-    let _ = write!(text, "],\"backendPools\":[{}]}}", services.join(","));
+    let _ = write!(text, "],\"backendPools\":[{}]", services.join(","));
+    // Lists that operators without such orders never sent are not laid out for them.
+    for ((name, _), items) in ORDERS.iter().zip(orders).filter(|(_, items)| !items.is_empty()) {
+        let _ = write!(text, ",\"{name}\":[{}]", items.join(","));
+    }
+    text.push('}');
     text
 }
--- a/post/items/src/fact.rs
+++ b/post/items/src/fact.rs
@@ -1,6 +1,6 @@
 //! What an item says, read and checked by itself.
 
-use crate::Invalid;
+use crate::{Invalid, failures, maintenance};
 use sonic_rs::{JsonContainerTrait, JsonValueTrait, Value};
 
 /// What repeating a request may do.
@@ -19,6 +19,8 @@
 pub struct Route {
     /// Its name.
     pub name: String,
+    /// Its version, as it was sent.
+    pub revision: String,
     /// Its host, in small letters.
     pub host: String,
     /// What a path begins with; begins and ends with a slash.
@@ -99,6 +101,16 @@
     Limits(Limits),
     /// A zone is to get nothing.
     Evacuation,
+    /// Hours in which nodes may be drained.
+    Contract(Box<post_shutter::hours::Contract>),
+    /// Nodes that are to be drained in them.
+    Order(Box<post_shutter::order::Order>),
+    /// Nodes that are drained now.
+    Drain(post_shutter::night::Drain),
+    /// The record of an order's night.
+    Night,
+    /// Requests that are to be failed on purpose.
+    Failure(Box<post_mislay::Order>),
 }
 
 /// The longest time-out, in ms.
@@ -106,28 +118,28 @@
 /// An aim is less than this beyond the time-out, in ms.
 const AIM_BEYOND: f64 = 60_000.0;
 
-struct Item<'a> {
+pub(crate) struct Item<'a> {
     what: &'a str,
     value: Value,
 }
 
 impl Item<'_> {
-    fn wrong(&self, field: &str, want: &str) -> Invalid {
+    pub(crate) fn wrong(&self, field: &str, want: &str) -> Invalid {
         Invalid(format!("{}: {field}: {want}", self.what))
     }
 
-    fn at(&self, path: &[&str]) -> Option<&Value> {
+    pub(crate) fn at(&self, path: &[&str]) -> Option<&Value> {
         self.value.pointer(path).filter(|value| !value.is_null())
     }
 
-    fn text(&self, path: &[&str]) -> Result<String, Invalid> {
+    pub(crate) fn text(&self, path: &[&str]) -> Result<String, Invalid> {
         let text = self.at(path).and_then(|value| value.as_str());
         let text =
             text.filter(|t| !t.is_empty()).ok_or_else(|| self.wrong(&path.join("."), "a text is wanted"))?;
         Ok(text.to_owned())
     }
 
-    fn number(&self, path: &[&str], fallback: Option<f64>) -> Result<f64, Invalid> {
+    pub(crate) fn number(&self, path: &[&str], fallback: Option<f64>) -> Result<f64, Invalid> {
         let wrong = || self.wrong(&path.join("."), "a number of 0 or more is wanted");
         match self.at(path) {
             None => fallback.ok_or_else(wrong),
@@ -135,7 +147,7 @@
         }
     }
 
-    fn flag(&self, path: &[&str]) -> Result<bool, Invalid> {
+    pub(crate) fn flag(&self, path: &[&str]) -> Result<bool, Invalid> {
         match self.at(path) {
             None => Ok(false),
             Some(value) => {
@@ -144,7 +156,7 @@
         }
     }
 
-    fn span(&self, path: &[&str], fallback: Option<f64>) -> Result<f64, Invalid> {
+    pub(crate) fn span(&self, path: &[&str], fallback: Option<f64>) -> Result<f64, Invalid> {
         let wrong = || self.wrong(&path.join("."), "a time like 1500ms or 2.5s is wanted");
         match self.at(path) {
             None => fallback.ok_or_else(wrong),
@@ -152,7 +164,7 @@
         }
     }
 
-    fn texts(&self, path: &[&str]) -> Result<Vec<String>, Invalid> {
+    pub(crate) fn texts(&self, path: &[&str]) -> Result<Vec<String>, Invalid> {
         let wrong = || self.wrong(&path.join("."), "a list of texts is wanted");
         let Some(value) = self.at(path) else { return Ok(Vec::new()) };
         let list = value.as_array().ok_or_else(wrong)?;
@@ -184,6 +196,16 @@
         Some(("s:", name)) => service(name, &item).map(Fact::Service),
         Some(("l:", _)) => limits(&item).map(Fact::Limits),
         Some(("e:", _)) => Ok(Fact::Evacuation),
+        Some(("c:", name)) => {
+            maintenance::contract(name, &item).map(|contract| Fact::Contract(Box::new(contract)))
+        }
+        Some(("w:", name)) => maintenance::order(name, &item).map(|order| Fact::Order(Box::new(order))),
+        Some(("d:", _)) => {
+            let drain = post_shutter::night::Drain::read(body);
+            drain.map(Fact::Drain).ok_or_else(|| Invalid(format!("{name}: no drain")))
+        }
+        Some(("n:", _)) => Ok(Fact::Night),
+        Some(("f:", name)) => failures::order(name, host, &item).map(|order| Fact::Failure(Box::new(order))),
         _ => Err(Invalid(format!("{name}: no such kind of item"))),
     }
 }
@@ -228,6 +250,7 @@
     };
     Ok(Route {
         name: name.to_owned(),
+        revision: item.text(&["revision"]).unwrap_or_default(),
         host: host.to_ascii_lowercase(),
         prefix,
         kind,
--- a/post/items/src/lib.rs
+++ b/post/items/src/lib.rs
@@ -1,17 +1,20 @@
 //! Items of the configuration: calls are read into changes, each item is kept as it was sent, what it says is checked and
 //! compiled into a table of routes.
 //!
-//! An item's name bears its kind: `r:` routes, `t:` tenants, `s:` services, `l:` the limits, `e:` evacuations. JSON is read by
-//! pointers: fields that nobody here asks for are kept and passed over. No I/O, no clock.
+//! An item's name bears its kind: `r:` routes, `t:` tenants, `s:` services, `l:` the limits, `e:` evacuations, `c:` contracts of
+//! maintenance hours, `w:` work orders, `d:` what these have drained, `n:` the record of it, `f:` failure orders. JSON is read by pointers: fields that nobody here asks for are kept and passed over. No I/O, no clock.
 
 mod call;
 mod fact;
+mod failures;
+mod maintenance;
 mod table;
 
 pub use call::{lay_out, read_call};
 pub use fact::{Fact, Limits, Route, RouteKind, Service, Tenant, fact};
 pub use table::Table;
 
+use post_shutter::order::MOST_ORDERS;
 use post_words::depot::{Entry, PARTS};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -60,7 +63,8 @@
 /// Whether items that are each in order are so together.
 ///
 /// # Errors
-/// When a route names a service that is not there, two routes share a place, or two tenants a key.
+/// When a route names a service that is not there, two routes share a place, two tenants a key, or an order names a contract
+/// that is not there.
 pub fn check_together<'a>(facts: impl Iterator<Item = (&'a str, &'a Fact)> + Clone) -> Result<(), Invalid> {
     let services: HashSet<&str> = facts
         .clone()
@@ -71,6 +75,7 @@
         .collect();
     let mut places: HashMap<(&str, &str), &str> = HashMap::new();
     let mut keys: HashMap<&str, &str> = HashMap::new();
+    let (mut orders, mut contracts, mut failures) = (Vec::new(), HashSet::new(), 0);
     for (name, fact) in facts {
         match fact {
             Fact::Route(route) => {
@@ -97,10 +102,29 @@
                     }
                 }
             }
-            Fact::Service(_) | Fact::Limits(_) | Fact::Evacuation => {}
+            Fact::Order(order) => orders.push(order),
+            Fact::Contract(contract) => drop(contracts.insert(contract.name.as_str())),
+            Fact::Failure(_) => failures += 1,
+            Fact::Service(_) | Fact::Limits(_) | Fact::Evacuation | Fact::Drain(_) | Fact::Night => {}
         }
     }
-    Ok(())
+    if failures > post_mislay::MOST_ORDERS {
+        let most = post_mislay::MOST_ORDERS;
+        return Err(Invalid(format!("{failures} failure orders would stand, at most {most}: drop old ones")));
+    }
+    if orders.len() > MOST_ORDERS {
+        return Err(Invalid(format!(
+            "{} work orders would stand, at most {MOST_ORDERS}: drop old ones",
+            orders.len()
+        )));
+    }
+    match orders.iter().find(|order| !contracts.contains(order.contract.as_str())) {
+        None => Ok(()),
+        Some(order) => Err(Invalid(format!(
+            "order w:{}: there is no contract {}; add it in the same call, or drop the order first",
+            order.name, order.contract
+        ))),
+    }
 }
 
 /// A copy of items: of each name the newest entry, and all of them in one number.
--- a/post/items/src/table.rs
+++ b/post/items/src/table.rs
@@ -1,6 +1,7 @@
 //! The table that a proxy looks requests up in.
 
 use crate::{Fact, Limits, Route, Service, Tenant};
+use post_shutter::night::Drain;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 
@@ -16,6 +17,10 @@
     pub limits: Limits,
     /// Zones that get nothing.
     pub evacuated: BTreeSet<String>,
+    /// What each work order has drained.
+    pub drains: BTreeMap<String, Drain>,
+    /// Failure orders.
+    pub failures: BTreeMap<String, post_mislay::Order>,
 }
 
 #[derive(Clone, Debug)]
@@ -25,6 +30,10 @@
     Service,
     Limits,
     Evacuation,
+    Drain,
+    Failure,
+    /// It says nothing about requests.
+    Other,
 }
 
 impl Table {
@@ -58,6 +67,15 @@
                 self.evacuated.insert(name[2..].to_owned());
                 Kept::Evacuation
             }
+            Some(Fact::Drain(drain)) => {
+                self.drains.insert(name.to_owned(), drain);
+                Kept::Drain
+            }
+            Some(Fact::Failure(order)) => {
+                self.failures.insert(name.to_owned(), *order);
+                Kept::Failure
+            }
+            Some(Fact::Contract(_) | Fact::Order(_) | Fact::Night) => Kept::Other,
         };
         self.facts.insert(name.to_owned(), kept);
     }
@@ -76,6 +94,9 @@
             Kept::Service => drop(self.services.remove(&name[2..])),
             Kept::Limits => self.limits = Limits::default(),
             Kept::Evacuation => drop(self.evacuated.remove(&name[2..])),
+            Kept::Drain => drop(self.drains.remove(name)),
+            Kept::Failure => drop(self.failures.remove(name)),
+            Kept::Other => {}
         }
     }
 
--- a/post/items/src/tests.rs
+++ b/post/items/src/tests.rs
@@ -113,3 +113,91 @@
         prop_assert_eq!(one, other);
     }
 }
+
+const NIGHT: &str = r#"{"upsert":{"maintenanceContracts":[{"name":"nights","revision":"00000001","timeZone":"Europe/Ljubljana","hours":[{"days":["mon","sun"],"from":"23:00","to":"04:30"}],"exceptions":[{"date":"2026-12-24","hours":[]}],"places":["ljubljana"],"approvedBy":"director"}],
+"workOrders":[{"name":"reels","revision":"00000001","contract":"nights","nodes":["backend:b-1","zone:lj-bezigrad","proxy:10.1.0.33"],"length":"600s","backBefore":"60s","mostOut":{"zone":2},"state":"running","approvedBy":"director"}]}}"#;
+
+#[test]
+fn contracts_and_orders_are_read_and_laid_out_as_they_were_sent() {
+    let facts = facts(NIGHT).unwrap();
+    assert_eq!(facts.len(), 2);
+    let Fact::Order(order) = &facts[1].1 else { panic!("{:?}", facts[1]) };
+    assert_eq!((order.length, order.back_before, order.nodes.len()), (600_000.0, 60_000.0, 3));
+    assert_eq!((order.most.zone, order.most.region), (2, 1));
+    let changes = read_call(NIGHT.as_bytes()).unwrap();
+    let entries: Vec<_> = changes
+        .iter()
+        .map(|c| (c.name.clone(), Entry { body: c.body.clone(), ..Entry::default() }))
+        .collect();
+    let text = lay_out(entries.iter().map(|(n, e)| (n.as_str(), e)));
+    let again = read_call(format!("{{\"upsert\":{text}}}").as_bytes()).unwrap();
+    assert_eq!(again, changes);
+    assert!(!lay_out(std::iter::empty()).contains("maintenance"), "who sent none is shown none");
+}
+
+#[test]
+fn contracts_and_orders_that_cannot_be_are_refused() {
+    for (from, to) in [
+        ("Europe/Ljubljana", "Europe/Nowhere"),
+        ("\"mon\",", "\"monday\","),
+        ("[\"mon\",\"sun\"]", "[]"),
+        ("23:00", "25:00"),
+        ("23:00", "04:30"),
+        ("2026-12-24", "2026-13-24"),
+        ("\"places\":[\"ljubljana\"]", "\"places\":[]"),
+        ("\"contract\":\"nights\"", "\"contract\":\"days\""),
+        ("backend:b-1", "b-1"),
+        ("backend:b-1", "zone:lj-bezigrad"),
+        ("10.1.0.33", "lj"),
+        ("600s", "600"),
+        ("600s", "90000s"),
+        ("\"60s\"", "\"1s\""),
+        ("{\"zone\":2}", "{\"zone\":0}"),
+        ("{\"zone\":2}", "{\"zone\":1.5}"),
+        ("running", "going"),
+        ("\"state\":\"running\",\"approvedBy\":\"director\"", "\"state\":\"running\""),
+    ] {
+        assert!(NIGHT.contains(from), "{from}");
+        assert!(facts_of(&NIGHT.replacen(from, to, 1)).is_err(), "{from} -> {to}");
+    }
+}
+
+fn facts_of(call: &str) -> Result<(), Invalid> {
+    let changes = read_call(call.as_bytes())?;
+    let facts =
+        changes.iter().map(|c| Ok((c.name.as_str(), fact(&c.name, &c.host, c.body.as_deref().unwrap())?)));
+    let facts: Vec<_> = facts.collect::<Result<_, Invalid>>()?;
+    check_together(facts.iter().map(|(n, f)| (*n, f)))
+}
+
+const FAILURE: &str = r#"{"upsert":{"failureOrders":[{"name":"reels","revision":"00000001","whom":{"tenants":["choir"],"kinds":["upload"],"share":0.5},"what":{"kind":"cut-request","share":0.75},"from":"2026-12-02T22:00:00Z","until":"2026-12-02T22:10:00Z","most":{"inAll":40,"perS":2},"state":"dry"}]}}"#;
+
+#[test]
+fn a_failure_order_is_read_and_one_that_cannot_be_is_refused() {
+    assert!(facts_of(FAILURE).is_ok());
+    let facts = facts(FAILURE).unwrap();
+    let Fact::Failure(order) = &facts[0].1 else { panic!("{facts:?}") };
+    assert_eq!((order.what, order.most), (post_mislay::What::CutRequest(0.75), 40));
+    assert_eq!(order.until - order.from, 600_000.0);
+    for (from, to) in [
+        ("\"tenants\":[\"choir\"],", ""),
+        ("[\"upload\"]", "[\"uploads\"]"),
+        ("\"share\":0.5", "\"share\":0"),
+        ("\"share\":0.5", "\"share\":1.5"),
+        ("cut-request", "cut"),
+        ("\"kind\":\"cut-request\",\"share\":0.75", "\"kind\":\"delay\""),
+        ("\"kind\":\"cut-request\",\"share\":0.75", "\"kind\":\"delay\",\"time\":\"31s\""),
+        ("22:10:00Z", "22:00:00Z"),
+        ("2026-12-02T22:00:00Z", "tonight"),
+        ("\"inAll\":40", "\"inAll\":0.5"),
+        ("\"perS\":2", "\"perS\":0"),
+        ("\"most\":{\"inAll\":40,\"perS\":2},", ""),
+        ("\"dry\"", "\"wet\""),
+    ] {
+        assert!(FAILURE.contains(from), "{from}");
+        assert!(facts_of(&FAILURE.replacen(from, to, 1)).is_err(), "{from} -> {to}");
+    }
+    // Everybody is met only with a second word.
+    let all = FAILURE.replace("\"tenants\":[\"choir\"],", "\"everybody\":true,");
+    assert!(facts_of(&all).is_ok());
+}
--- /dev/null
+++ b/post/mislay/src/lib.rs
@@ -0,0 +1,28 @@
+//! Fault injection (the post's mislaid mail): failure orders, whom they name, and what one proxy does about a request.
+//!
+//! # What holds
+//!
+//! - A request that no running order names is told nothing here and changes nothing here but a count ([`Desk::meet`]).
+//! - Nothing is failed outside of the order's time, by a time of day that a majority of the core vouches for; a proxy that is cut off
+//!   carries the last one on, so each order ends by itself everywhere.
+//! - All proxies together fail no more than the order's `most` in all: the order names the proxies' lives that share it, once for all
+//!   its versions, and each has an even part, rounded down. Any other has none, and a part that a life takes with it is gone.
+//! - No order may do more than the operators' settings allow ([`Limits`]); without these none is heeded.
+//!
+//! # What the caller owes
+//!
+//! Tells [`Desk::over`] when a request that is held is done. No I/O, no clock.
+
+mod desk;
+mod order;
+
+pub use desk::{Counts, Desk, Met, Sums, Verdict};
+pub use order::{Caller, Limits, Order, State, What, Whom, fingerprint, proxy};
+
+/// Milliseconds.
+pub type Millis = f64;
+
+/// Names of failure orders begin so.
+pub const FAILURE: &str = "f:";
+/// The most failure orders that stand.
+pub const MOST_ORDERS: usize = 16;
--- a/post/postmaster/src/calls.rs
+++ b/post/postmaster/src/calls.rs
@@ -1,17 +1,23 @@
 //! The calls from outside: of operators, and of clients that ask where to go.
 
+use crate::events::Events;
 use crate::registry::Registry;
+use crate::requests::Request;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Response};
 use post_host::call::{Asked, Call, Done, Json, Serves, handle};
 use post_host::error::{Failure, Kind};
-use post_rounds::feed::{self, Wanted};
-use post_words::depot::{Ask, Change, Told};
+use post_items::Fact;
+use post_rounds::hours::{NodeState, OrderState};
+use post_shutter::order::Node;
+use post_shutter::plan::Why;
+use post_words::depot::{Ask, Change, Entry, Told};
 use std::rc::Rc;
 use std::time::Duration;
 
 const CONFIG: &str = "/fennelscale/config";
+const MAINTENANCE: &str = "/fennelscale/maintenance";
 const EVACUATIONS: &str = "/fennelscale/evacuations/";
 /// A directory answer counts for so long, or for what the settings allow if that is less: clients that hold an old one come to
 /// proxies that have gone.
@@ -25,17 +31,21 @@
 pub struct GetConfig;
 /// A zone is emptied or taken back.
 pub struct Evacuate(String, bool);
-/// What happened.
-pub struct Events(Wanted);
 /// How this registry is.
 pub struct Status;
+/// How far work orders are.
+pub struct Maintenance;
+/// Whether a call's orders can be carried out, without sending it.
+pub struct Rehearse(Vec<Change>);
+/// What proxies have counted of failure orders.
+pub struct Failures;
 /// Where to go.
 pub struct Resolve {
     region: String,
     zone: String,
 }
 
-fn method(asked: &Asked, allowed: &[Method]) -> Result<(), Failure> {
+pub(crate) fn method(asked: &Asked, allowed: &[Method]) -> Result<(), Failure> {
     if allowed.contains(&asked.method) {
         return Ok(());
     }
@@ -79,36 +89,31 @@
     }
 }
 
-impl Call for Events {
+impl Call for Maintenance {
     type Answer = Json;
-    const FORM: &'static str = "GET /fennelscale/events";
+    const FORM: &'static str = "GET /fennelscale/maintenance";
     fn read(asked: &Asked) -> Option<Result<Self, Failure>> {
-        if asked.path != "/fennelscale/events" {
-            return None;
-        }
-        Some(method(asked, &[Method::GET]).and_then(|()| {
-            let wrong = |what: &str, help: &str| Failure::new(Kind::Malformed, format!("{what}: {help}"));
-            let after = asked.query("after").filter(|after| !after.is_empty());
-            let cursor = |text: String| {
-                let (life, number) = text.split_once('-')?;
-                Some((u64::from_str_radix(life, 16).ok()?, number.parse().ok()?))
-            };
-            let after = after
-                .map(|text| cursor(text).ok_or_else(|| wrong("after", "the cursor of an answer is wanted")));
-            let kind = asked.query("kind").map(|name| {
-                let known = feed::Kind::ALL.into_iter().find(|kind| kind.name() == name);
-                known.ok_or_else(|| wrong("kind", &feed::Kind::ALL.map(feed::Kind::name).join(", ")))
-            });
-            let most =
-                asked.query("most").map(|most| most.parse().map_err(|_| wrong("most", "a number is wanted")));
-            let what = asked.query("what").unwrap_or_default();
-            Ok(Self(Wanted {
-                after: after.transpose()?,
-                kind: kind.transpose()?,
-                what,
-                most: most.transpose()?.unwrap_or_default(),
-            }))
-        }))
+        (asked.path == MAINTENANCE && asked.method != Method::POST)
+            .then(|| method(asked, &[Method::GET, Method::POST]).map(|()| Self))
+    }
+}
+
+impl Call for Rehearse {
+    type Answer = Json;
+    const FORM: &'static str = "POST /fennelscale/maintenance";
+    fn read(asked: &Asked) -> Option<Result<Self, Failure>> {
+        (asked.path == MAINTENANCE && asked.method == Method::POST).then(|| {
+            let changes = post_items::read_call(&asked.body).map(Self);
+            changes.map_err(|invalid| Failure::new(Kind::Invalid, invalid.0))
+        })
+    }
+}
+
+impl Call for Failures {
+    type Answer = Json;
+    const FORM: &'static str = "GET /fennelscale/failures";
+    fn read(asked: &Asked) -> Option<Result<Self, Failure>> {
+        (asked.path == "/fennelscale/failures").then(|| method(asked, &[Method::GET]).map(|()| Self))
     }
 }
 
@@ -147,12 +152,124 @@
 impl Serves<PatchConfig> for Rc<Registry> {
     async fn serve(&self, call: PatchConfig) -> Result<Done, Failure> {
         let items = call.0.len();
-        told(self.ask(Ask::Change(call.0)).await)?;
+        if let Some((order, node, why)) = rehearse(self, &call.0).into_iter().next() {
+            return Err(Failure::new(Kind::Invalid, format!("order {order}: {node}: {why}")));
+        }
+        let mut changes = call.0;
+        share_failures(self, &mut changes)?;
+        told(self.ask(Ask::Change(changes)).await)?;
         tracing::info!(event = "config-acknowledged", items);
         Ok(Done)
     }
 }
 
+/// What stands in the way of a call's work orders for good. A call without any costs nothing.
+fn rehearse(registry: &Rc<Registry>, changes: &[Change]) -> Vec<(String, Node, Why)> {
+    let maintenance =
+        |name: &str| name.starts_with(post_shutter::CONTRACT) || name.starts_with(post_shutter::ORDER);
+    let named = changes.iter().filter(|change| maintenance(&change.name)).map(|change| {
+        let Change { name, revision, host, body } = change.clone();
+        (name, Entry { revision, host, body, ..Entry::default() })
+    });
+    let named: Vec<_> = named.collect();
+    if named.is_empty() {
+        return Vec::new();
+    }
+    registry.round.borrow_mut().rehearse(registry.now(), &named)
+}
+
+/// Sees that the failure orders of a call are within what the settings allow, and writes beside each which proxies share it. The
+/// store keeps to those that stand there already.
+fn share_failures(registry: &Rc<Registry>, changes: &mut [Change]) -> Result<(), Failure> {
+    for change in changes.iter_mut().filter(|change| change.name.starts_with(post_mislay::FAILURE)) {
+        let fact = change.body.as_deref().map(|body| post_items::fact(&change.name, &change.host, body));
+        let Some(Ok(Fact::Failure(order))) = fact else { continue };
+        let invalid =
+            |text: String| Failure::new(Kind::Invalid, format!("failure order {}: {text}", order.name));
+        let settings = registry.settings.borrow().clone();
+        let Some(limits) = &settings.failures else {
+            return Err(invalid("the settings have no table failureOrders, so there are none".into()));
+        };
+        limits.allow(&order).map_err(invalid)?;
+        let members = registry.round.borrow().members(registry.now());
+        if order.most < members.len() as u64 {
+            let text = format!("most.inAll: one for each of {} proxies at least is wanted", members.len());
+            return Err(invalid(text));
+        }
+        let lives: Vec<String> = members.iter().map(|m| post_mislay::proxy(m.host, m.life)).collect();
+        change.host = lives.join(" ");
+    }
+    Ok(())
+}
+
+impl Serves<Failures> for Rc<Registry> {
+    async fn serve(&self, _: Failures) -> Result<Json, Failure> {
+        let counts = self.round.borrow().failures();
+        let sums = |[served, refused, failed]: &[u64; 3]| {
+            format!("{{\"served\":{served},\"refused\":{refused},\"failed\":{failed}}}")
+        };
+        let lines = counts.iter().flat_map(|(proxy, life, counts)| {
+            counts.iter().map(move |(order, [named, failed, over], [before, within])| {
+                format!(
+                    "{{\"order\":{},\"proxy\":\"{proxy}\",\"life\":\"{life:x}\",\"named\":{named},\"failed\":{failed},\"untouched\":{over},\"othersBefore\":{},\"others\":{}}}",
+                    quoted(order),
+                    sums(before),
+                    sums(within)
+                )
+            })
+        });
+        let lines: Vec<String> = lines.collect();
+        Ok(Json(format!("{{\"met\":[{}]}}", lines.join(","))))
+    }
+}
+
+impl Serves<Rehearse> for Rc<Registry> {
+    async fn serve(&self, call: Rehearse) -> Result<Json, Failure> {
+        let missing = rehearse(self, &call.0);
+        let missing: Vec<String> = missing
+            .iter()
+            .map(|(order, node, why)| {
+                let (node, why) = (quoted(&node.to_string()), quoted(&why.text));
+                format!("{{\"order\":{},\"node\":{node},\"missing\":{why}}}", quoted(order))
+            })
+            .collect();
+        Ok(Json(format!("{{\"can\":{},\"missing\":[{}]}}", missing.is_empty(), missing.join(","))))
+    }
+}
+
+impl Serves<Maintenance> for Rc<Registry> {
+    async fn serve(&self, _: Maintenance) -> Result<Json, Failure> {
+        let (time, orders) = self.round.borrow_mut().maintenance(self.now());
+        let list = |texts: &[String]| texts.iter().map(|t| quoted(t)).collect::<Vec<_>>().join(",");
+        let node = |node: &NodeState| {
+            format!(
+                "{{\"node\":{},\"phase\":\"{}\",\"since\":{},\"why\":{},\"waitsFor\":[{}]}}",
+                quoted(&node.node),
+                node.phase,
+                quoted(&node.since),
+                quoted(&node.why),
+                list(&node.waits_for)
+            )
+        };
+        let order = |order: &OrderState| {
+            format!(
+                "{{\"name\":{},\"state\":\"{}\",\"contract\":{},\"holder\":{},\"hours\":{},\"nodes\":[{}]}}",
+                quoted(&order.name),
+                order.wanted,
+                quoted(&order.contract),
+                quoted(&order.holder),
+                quoted(&order.hours),
+                order.nodes.iter().map(node).collect::<Vec<_>>().join(",")
+            )
+        };
+        let time = time.map_or("null".into(), |t| {
+            format!("{{\"earliest\":{:.0},\"latest\":{:.0}}}", t.earliest, t.latest)
+        });
+        let orders: Vec<String> = orders.iter().map(order).collect();
+        Ok(Json(format!("{{\"time\":{time},\"orders\":[{}]}}", orders.join(","))))
+    }
+}
+
 impl Serves<GetConfig> for Rc<Registry> {
     async fn serve(&self, _: GetConfig) -> Result<Json, Failure> {
         let items = told(self.ask(Ask::Read).await)?.unwrap_or_default();
@@ -171,34 +288,10 @@
     }
 }
 
-fn quoted(text: &str) -> String {
+pub(crate) fn quoted(text: &str) -> String {
     sonic_rs::to_string(text).unwrap_or_else(|_| "\"\"".into())
 }
 
-impl Serves<Events> for Rc<Registry> {
-    async fn serve(&self, Events(wanted): Events) -> Result<Json, Failure> {
-        let told = self.round.borrow().feed().read(&wanted);
-        let event = |event: &feed::Event| {
-            format!(
-                "{{\"id\":{},\"kind\":\"{}\",\"what\":{},\"cause\":{},\"at\":\"{:.0}ms\"}}",
-                quoted(&event.id),
-                event.kind.name(),
-                quoted(&event.what),
-                quoted(&event.cause),
-                event.at
-            )
-        };
-        let events: Vec<String> = told.events.iter().map(event).collect();
-        let (life, number) = told.cursor;
-        Ok(Json(format!(
-            "{{\"version\":{},\"events\":[{}],\"cursor\":\"{life:x}-{number}\",\"missed\":{}}}",
-            feed::VERSION,
-            events.join(","),
-            told.missed
-        )))
-    }
-}
-
 impl Serves<Status> for Rc<Registry> {
     async fn serve(&self, _: Status) -> Result<Json, Failure> {
         let pairs = self.round.borrow().status(self.now());
@@ -228,19 +321,43 @@
 
 /// What operators call.
 pub async fn control(registry: &Rc<Registry>, asked: Asked) -> Option<Response<Full<Bytes>>> {
-    if let Some(answer) = handle::<PatchConfig, _>(registry, &asked).await {
-        return Some(answer);
-    }
-    if let Some(answer) = handle::<GetConfig, _>(registry, &asked).await {
-        return Some(answer);
+    let answer = answer(registry, &asked).await?;
+    // What was wrong with a question of a reader is the reader's matter.
+    if let Some(failure) = answer.extensions().get::<Failure>()
+        && answer.status().is_client_error()
+        && asked.method != Method::GET
+    {
+        let what = asked.path.strip_prefix("/fennelscale/").unwrap_or(&asked.path);
+        let cause = format!("{}: {}", failure.kind.row().1, failure.text);
+        registry.with(|round, now| round.refused(now, what, &cause));
     }
-    if let Some(answer) = handle::<Events, _>(registry, &asked).await {
-        return Some(answer);
-    }
-    if let Some(answer) = handle::<Status, _>(registry, &asked).await {
-        return Some(answer);
-    }
-    handle::<Evacuate, _>(registry, &asked).await
+    Some(answer)
+}
+
+/// The answer of the first kind of call that takes what was asked.
+macro_rules! first_of {
+    ($server:expr, $asked:expr, $($call:ty),+) => {{
+        $(if let Some(answer) = handle::<$call, _>($server, $asked).await {
+            return Some(answer);
+        })+
+        None
+    }};
+}
+
+async fn answer(registry: &Rc<Registry>, asked: &Asked) -> Option<Response<Full<Bytes>>> {
+    first_of!(
+        registry,
+        asked,
+        PatchConfig,
+        GetConfig,
+        Request,
+        Events,
+        Status,
+        Maintenance,
+        Failures,
+        Rehearse,
+        Evacuate
+    )
 }
 
 /// What clients call.
--- /dev/null
+++ b/post/postmaster/src/events.rs
@@ -0,0 +1,171 @@
+//! The event feed as readers get it: what this registry has, what the others have, what their stores have kept.
+
+use crate::calls::{method, quoted};
+use crate::registry::Registry;
+use hyper::Method;
+use post_host::call::{Asked, Call, Json, Serves};
+use post_host::error::{Failure, Kind};
+use post_rounds::feed::{self, Event};
+use post_rounds::streams::{self, Cursor, Joined};
+use post_words::Host;
+use post_words::depot::Order;
+use post_words::feed::{At, Told, Wanted};
+use post_words::round::Word;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, timeout, timeout_at};
+
+/// Other registries have so long to answer: the longest way there and back twice, and their stores' reading. What comes later
+/// comes with the next answer.
+const GATHER: Duration = Duration::from_millis(500);
+/// The store has so long to read a page.
+const PAGE: Duration = Duration::from_millis(300);
+/// Instead of a cursor: from the oldest event that any disk has.
+const OLDEST: &str = "oldest";
+
+/// What happened, after a cursor; that of nobody is from the beginning of the present lives.
+pub struct Events {
+    after: Option<Cursor>,
+    oldest: bool,
+    wanted: Wanted,
+}
+
+impl Call for Events {
+    type Answer = Json;
+    const FORM: &'static str = "GET /fennelscale/events";
+    fn read(asked: &Asked) -> Option<Result<Self, Failure>> {
+        if asked.path != "/fennelscale/events" {
+            return None;
+        }
+        Some(method(asked, &[Method::GET]).and_then(|()| {
+            let wrong = |what: &str, help: &str| Failure::new(Kind::Malformed, format!("{what}: {help}"));
+            let after = asked.query("after").filter(|after| !after.is_empty());
+            let oldest = after.as_deref() == Some(OLDEST);
+            let cursor = |text: String| {
+                text.parse().map_err(|()| wrong("after", "the cursor of an answer is wanted, or oldest"))
+            };
+            let kind = asked.query("kind").map(|name| {
+                let known = feed::Kind::ALL.into_iter().find(|kind| kind.name() == name);
+                known.ok_or_else(|| wrong("kind", &feed::Kind::ALL.map(feed::Kind::name).join(", ")))
+            });
+            let most =
+                asked.query("most").map(|most| most.parse().map_err(|_| wrong("most", "a number is wanted")));
+            let what = asked.query("what").unwrap_or_default();
+            Ok(Self {
+                after: after.filter(|_| !oldest).map(cursor).transpose()?,
+                oldest,
+                wanted: Wanted {
+                    after: None,
+                    kind: kind.transpose()?,
+                    what,
+                    most: most.transpose()?.unwrap_or_default(),
+                },
+            })
+        }))
+    }
+}
+
+impl Serves<Events> for Rc<Registry> {
+    async fn serve(&self, call: Events) -> Result<Json, Failure> {
+        let joined = self.events(call).await;
+        let event = |(host, event): &(Host, Event)| {
+            format!(
+                "{{\"id\":{},\"kind\":\"{}\",\"what\":{},\"cause\":{},\"at\":\"{:.0}ms\",\"by\":\"{host}\",\"life\":\"{:x}\"}}",
+                quoted(&event.id),
+                event.kind.name(),
+                quoted(&event.what),
+                quoted(&event.cause),
+                event.at,
+                event.place.life
+            )
+        };
+        let events: Vec<String> = joined.events.iter().map(event).collect();
+        Ok(Json(format!(
+            "{{\"version\":{},\"events\":[{}],\"cursor\":\"{}\",\"missed\":{}}}",
+            feed::VERSION,
+            events.join(","),
+            joined.cursor,
+            joined.missed
+        )))
+    }
+}
+
+/// A reader that waits for others; dropped, it waits no more.
+struct Question<'a>(&'a Registry, u64);
+
+impl Drop for Question<'_> {
+    fn drop(&mut self) {
+        self.0.readers.borrow_mut().remove(&self.1);
+        self.0.past.borrow_mut().remove(&self.1);
+    }
+}
+
+impl Registry {
+    /// What all registries that are heard have after a cursor.
+    async fn events(&self, call: Events) -> Joined {
+        let Events { after, oldest, wanted } = call;
+        let most = if wanted.most == 0 { feed::MOST } else { wanted.most.min(feed::MOST) };
+        let before = after.unwrap_or_default();
+        let place = |host: Host| {
+            let after = if oldest { Some(At::default()) } else { before.0.get(&host).copied() };
+            // All that fits, however few are wanted: what comes behind decides what may be told first.
+            Wanted { after, most: feed::MOST, ..wanted.clone() }
+        };
+        let (me, peers) = {
+            let round = self.round.borrow();
+            (round.me(), round.heard(self.now()))
+        };
+        let (sender, mut receiver) = mpsc::channel(peers.len().max(1));
+        let question = Question(self, self.number());
+        self.readers.borrow_mut().insert(question.1, sender);
+        for peer in &peers {
+            self.peers.send(*peer, &Word::WantEvents(question.1, place(*peer)));
+        }
+        let until = Instant::now() + GATHER;
+        let mut told = BTreeMap::from([(me, self.own_events(place(me)).await)]);
+        while told.len() <= peers.len() {
+            match timeout_at(until, receiver.recv()).await {
+                Ok(Some((host, events))) if peers.contains(&host) => drop(told.insert(host, events)),
+                Ok(Some(_)) => {}
+                Ok(None) | Err(_) => break,
+            }
+        }
+        let mut joined = streams::join(told, &before, most);
+        // A machine that is no seat any more has nothing to tell.
+        let (round, known) = (self.round.borrow(), joined.cursor.0.len());
+        joined.cursor.0.retain(|host, _| round.is_registry(*host));
+        joined.missed |= joined.cursor.0.len() < known;
+        joined
+    }
+
+    /// What this registry has, and what its store has of earlier lives.
+    pub(crate) async fn own_events(&self, wanted: Wanted) -> Told {
+        let (now, life) = (self.now(), self.round.borrow().feed().life());
+        let Some(at) = wanted.after.filter(|at| at.life != life) else {
+            return self.round.borrow().feed().read(now, &wanted);
+        };
+        if let Some(told) = self.past(wanted.clone()).await
+            && told.at != at
+        {
+            return told;
+        }
+        // Nothing more of earlier lives, or nothing is known of that one: on with the life at hand.
+        let after = Some(At { life, number: 0 });
+        let mut told = self.round.borrow().feed().read(now, &Wanted { after, ..wanted });
+        told.missed |= at.life != 0;
+        told
+    }
+
+    /// A page of what the store has kept.
+    async fn past(&self, wanted: Wanted) -> Option<Told> {
+        let question = Question(self, self.number());
+        let (sender, receiver) = oneshot::channel();
+        self.past.borrow_mut().insert(question.1, sender);
+        if !self.tell_depot(&Order::Kept(question.1, wanted)) {
+            return None;
+        }
+        timeout(PAGE, receiver).await.ok()?.ok()?
+    }
+}
--- a/post/postmaster/src/lib.rs
+++ b/post/postmaster/src/lib.rs
@@ -3,8 +3,10 @@
 //! where clients should go, and takes the outside calls for itself and for the store beside it.
 
 mod calls;
+mod events;
 mod list;
 mod registry;
+mod requests;
 
 post_host::program!(
     "postmaster",
--- a/post/postmaster/src/registry.rs
+++ b/post/postmaster/src/registry.rs
@@ -5,20 +5,19 @@
 use post_host::link::{self, Peers, Reader, Writer, hear, split};
 use post_host::start::Signals;
 use post_host::{call, spawn, start};
-use post_items::Fact;
 use post_rounds::{Out, Round};
 use post_settings::{Port, Settings};
-use post_units::Terms;
 use post_words::Host;
-use post_words::depot::{Ask, Named, Order, Report, Told};
+use post_words::depot::{Ask, Order, Report, Told};
+use post_words::feed;
 use post_words::news::Up;
 use post_words::round::Word;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpStream;
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep;
 
 /// Time passes for the machine this often.
@@ -29,16 +28,24 @@
 /// After so many readings of the list that failed in a row the settings are read again.
 const UNREAD: u32 = 5;
 
+/// What each proxy knows of a request, as JSON.
+pub type Known = Vec<(Host, String)>;
+
 /// The registry.
 pub struct Registry {
     pub settings: RefCell<Rc<Settings>>,
     /// Times in a row that the list could not be read.
     unread: Cell<u32>,
     pub round: RefCell<Round>,
-    peers: Peers,
-    sessions: RefCell<HashMap<Host, (u64, Writer)>>,
+    pub(crate) peers: Peers,
+    pub(crate) sessions: RefCell<HashMap<Host, (u64, Writer)>>,
     depot: RefCell<Option<Writer>>,
     waiting: RefCell<HashMap<u64, oneshot::Sender<Told>>>,
+    /// Readers of events here that wait for other registries, and for the store.
+    pub(crate) readers: RefCell<HashMap<u64, mpsc::Sender<(Host, feed::Told)>>>,
+    /// Who waits for what proxies and other registries know of a request.
+    pub(crate) seekers: RefCell<HashMap<u64, mpsc::Sender<(Host, Known)>>>,
+    pub(crate) past: RefCell<HashMap<u64, oneshot::Sender<Option<feed::Told>>>>,
     next: Cell<u64>,
     born: Instant,
 }
@@ -55,7 +62,9 @@
     let control = settings.listen.control.ok_or_else(|| missing("listenAddresses.controlPlane"))?;
     let directory = settings.listen.directory.ok_or_else(|| missing("listenAddresses.directory"))?;
     let life = start::life() >> 1;
-    let round = Round::new(host, life, &settings.zone, &settings.region, settings.bootstrap, 0.0);
+    let mut round = Round::new(host, life, &settings.zone, &settings.region, settings.bootstrap, 0.0);
+    let may_go = settings.tolerance;
+    round.deployment(settings.zones.clone(), may_go.machines, (may_go.zones, may_go.regions));
     let peers = Peers::new(host, settings.own(Port::Postmaster).port());
     let others = start::listen(settings.own(Port::Postmaster)).await?;
     let sessions = start::listen(settings.own(Port::Sessions)).await?;
@@ -69,6 +78,9 @@
         sessions: RefCell::default(),
         depot: RefCell::default(),
         waiting: RefCell::default(),
+        readers: RefCell::default(),
+        seekers: RefCell::default(),
+        past: RefCell::default(),
         next: Cell::new(life),
         born: Instant::now(),
     });
@@ -92,7 +104,11 @@
     spawn(async move {
         loop {
             sleep(TICK).await;
-            ticking.with(Round::tick_now);
+            let wall = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |t| t.as_secs_f64() * 1000.0);
+            ticking.with(|round, now| {
+                round.time_of_day(now, wall);
+                round.tick(now);
+            });
         }
     });
     loop {
@@ -105,17 +121,6 @@
     Ok(())
 }
 
-/// For a method that takes the machine first.
-trait TickNow {
-    fn tick_now(&mut self, now: f64);
-}
-
-impl TickNow for Round {
-    fn tick_now(&mut self, now: f64) {
-        self.tick(now);
-    }
-}
-
 impl Registry {
     pub fn now(&self) -> f64 {
         self.born.elapsed().as_secs_f64() * 1000.0
@@ -185,6 +190,43 @@
                         tracing::info!(event = "fleet-noted", proxies, done = told == Told::Done);
                     });
                 }
+                Out::Step(write) => {
+                    let registry = self.clone();
+                    spawn(async move {
+                        let told = registry.ask(Ask::Step(write.seen, write.records)).await;
+                        if told != Told::Done {
+                            tracing::info!(event = "maintenance-step-refused", told = ?told);
+                        }
+                        registry.with(Round::stepped);
+                    });
+                }
+                Out::Keep(events) => {
+                    let last = events.last().map_or(0, |event| event.place.number);
+                    if self.tell_depot(&Order::Keep(events)) {
+                        self.round.borrow_mut().kept(last);
+                    }
+                }
+                Out::WantEvents(from, question, wanted) => {
+                    let registry = self.clone();
+                    spawn(async move {
+                        let told = registry.own_events(wanted).await;
+                        registry.peers.send(from, &Word::Events(question, told));
+                    });
+                }
+                Out::Events(from, question, told) => {
+                    if let Some(reader) = self.readers.borrow().get(&question) {
+                        let _ = reader.try_send((from, told));
+                    }
+                }
+                Out::WantRequest(from, question, id) => {
+                    let registry = self.clone();
+                    spawn(async move {
+                        let known = registry.own_request(id).await;
+                        registry.peers.send(from, &Word::Request(question, known));
+                    });
+                }
+                Out::Request(from, question, known) => self.tell_seeker(question, from, known),
+                Out::Recalled(from, question, known) => self.tell_seeker(question, from, vec![(from, known)]),
                 Out::Close(host) => drop(self.sessions.borrow_mut().remove(&host)),
                 Out::Log(event, about) => tracing::info!(event, about),
             }
@@ -194,8 +236,7 @@
     async fn hear_proxy(self: Rc<Self>, stream: TcpStream) {
         let (mut reader, writer) = split(stream);
         let Ok(Up::Hello(member)) = reader.next::<Up>().await else { return };
-        let (host, life) = (member.host, self.next.get());
-        self.next.set(life + 1);
+        let (host, life) = (member.host, self.number());
         self.sessions.borrow_mut().insert(host, (life, writer));
         self.with(|round, now| round.up(now, host, Up::Hello(member)));
         while self.stands(host, life)
@@ -226,7 +267,14 @@
                         let _ = answer.send(told);
                     }
                 }
-                Report::Items { whole, entries } => self.items(whole, entries),
+                Report::Kept(id, told) => {
+                    if let Some(reader) = self.past.borrow_mut().remove(&id) {
+                        let _ = reader.send(told);
+                    }
+                }
+                Report::Items { whole, entries } => {
+                    self.with(|round, now| round.items(now, whole, entries));
+                }
                 Report::Fresh(fresh) => self.with(|round, now| round.fresh(now, fresh)),
                 Report::Seats(seats) => self.with(|round, now| round.seats(now, seats)),
             }
@@ -235,31 +283,32 @@
         self.with(|round, now| round.fresh(now, false));
         // Nobody knows how these went.
         self.waiting.borrow_mut().clear();
+        self.past.borrow_mut().clear();
     }
 
-    fn items(self: &Rc<Self>, whole: bool, entries: Vec<Named>) {
-        self.with(|round, now| {
-            for (name, entry) in &entries {
-                let Some(tenant) = name.strip_prefix("t:") else { continue };
-                let fact = entry.body.as_deref().map(|body| post_items::fact(name, &entry.host, body));
-                let terms = match fact {
-                    Some(Ok(Fact::Tenant(t))) if t.rate > 0.0 => Some(Terms { rate: t.rate, burst: t.burst }),
-                    _ => None,
-                };
-                round.set_terms(tenant, terms);
-            }
-            round.items(now, whole, entries);
-        });
+    fn tell_seeker(&self, question: u64, from: Host, known: Known) {
+        if let Some(seeker) = self.seekers.borrow().get(&question) {
+            // One that has left, or was told too much, hears no more.
+            let _ = seeker.try_send((from, known));
+        }
+    }
+
+    pub(crate) fn tell_depot(&self, order: &Order) -> bool {
+        self.depot.borrow().as_ref().is_some_and(|depot| depot.send(order))
+    }
+
+    pub(crate) fn number(&self) -> u64 {
+        let number = self.next.get();
+        self.next.set(number + 1);
+        number
     }
 
     /// Has the store beside this registry decide on a call.
     pub async fn ask(&self, ask: Ask) -> Told {
-        let id = self.next.get();
-        self.next.set(id + 1);
+        let id = self.number();
         let (sender, receiver) = oneshot::channel();
         self.waiting.borrow_mut().insert(id, sender);
-        let sent = self.depot.borrow().as_ref().is_some_and(|depot| depot.send(&Order::Call(id, ask)));
-        let told = if sent {
+        let told = if self.tell_depot(&Order::Call(id, ask)) {
             tokio::time::timeout(PATIENCE, receiver).await.ok().and_then(Result::ok)
         } else {
             None
--- a/post/rounds/src/duties.rs
+++ b/post/rounds/src/duties.rs
@@ -77,6 +77,11 @@
         }
     }
 
+    /// When a beat was sent that may still be answered.
+    pub(crate) fn sent_at(&self, number: u64) -> Option<Millis> {
+        self.sent.get(&number).copied()
+    }
+
     /// A seat's word on a beat.
     pub(crate) fn heard(&mut self, seat: Host, number: u64, granted: u64) {
         let Some(&sent) = self.sent.get(&number) else { return };
--- a/post/rounds/src/lib.rs
+++ b/post/rounds/src/lib.rs
@@ -13,17 +13,23 @@
 //! Carries out [`Round::outs`] after each input. `now` never goes back. Words to one registry go out in order or not at all.
 
 pub mod duties;
+mod failures;
 pub mod feed;
+pub mod hours;
 pub mod members;
 mod news;
+mod quotas;
+pub mod streams;
 
 use duties::Duties;
 use feed::{Feed, Kind};
+use hours::Hours;
 use members::Members;
-use post_items::Copied;
+use post_items::{Copied, Fact};
 use post_units::{Ask, Counts, Relay, Sent, Terms};
 use post_words::Host;
-use post_words::depot::Seats;
+use post_words::depot::{Entry, Seats};
+use post_words::feed::{Event, Told, Wanted};
 use post_words::news::{Backend, Down, Grant, Listing, Member, Up};
 use post_words::round::Word;
 use std::collections::{BTreeMap, BTreeSet};
@@ -64,6 +70,20 @@
     Note(u32),
     /// Ends a proxy's session: another line of it has taken its place, or it was silent.
     Close(Host),
+    /// Has the store write a step of a maintenance order, and tells [`Round::stepped`].
+    Step(hours::Write),
+    /// Gives the store events to keep, and tells [`Round::kept`] if it took them.
+    Keep(Vec<Event>),
+    /// Looks up what a reader at another registry wants, also what the store has of earlier lives, and sends it with that number.
+    WantEvents(Host, u64, Wanted),
+    /// Another registry's part of what a reader here wants.
+    Events(Host, u64, Told),
+    /// Asks the proxies here for a request and sends that registry what they know, with that number.
+    WantRequest(Host, u64, u64),
+    /// What proxies of another registry know of a request.
+    Request(Host, u64, Vec<(Host, String)>),
+    /// What a proxy here knows of it.
+    Recalled(Host, u64, String),
     /// A line for the log.
     Log(&'static str, String),
 }
@@ -104,8 +124,16 @@
     number: u64,
     /// How many proxies there were, by the store, and since when that has not been so.
     noted: f64,
+    /// The store's copy was as new as a quorum's once in this life: what it says of the number of proxies counts, also if that
+    /// is nothing.
+    informed: bool,
     differs: Option<Millis>,
     feed: Feed,
+    /// Tenants whose quota is spent, by the holder of their count: since when none had to be told so.
+    spent: quotas::Spent,
+    hours: Hours,
+    /// What proxies with a session here have counted of failure orders.
+    met: failures::Told,
     out: Vec<Out>,
 }
 
@@ -134,8 +162,12 @@
             beat_at: now,
             number: 0,
             noted: 0.0,
+            informed: false,
             differs: None,
             feed: Feed::new(life),
+            spent: quotas::Spent::default(),
+            hours: Hours::default(),
+            met: failures::Told::default(),
             out: Vec::new(),
         }
     }
@@ -163,7 +195,7 @@
     /// What operators are told of this registry: pairs of names and values, in a fixed order.
     pub fn status(&self, now: Millis) -> Vec<(&'static str, String)> {
         let (gateways, silent) = self.counted(now);
-        let alive = self.others().into_iter().filter(|host| self.alive(*host, now)).count();
+        let alive = self.heard(now).len();
         let lagging = self.members.lagging();
         vec![
             ("registry", self.me.to_string()),
@@ -245,13 +277,7 @@
     pub fn tick(&mut self, now: Millis) {
         for host in self.members.expire(now) {
             self.out.push(Out::Close(host));
-            self.feed.note(
-                now,
-                Kind::MemberSilent,
-                &host.to_string(),
-                self.life ^ now.to_bits(),
-                self.here(),
-            );
+            self.feed.note_own(now, Kind::MemberSilent, &host.to_string(), self.here());
             self.out.push(Out::Log("session-silent", format!("proxy={host}")));
         }
         self.claim(now);
@@ -261,6 +287,7 @@
             self.counts.sweep(now);
             let known: BTreeSet<Host> = self.members.all(now).iter().map(|m| m.host).collect();
             self.ways.retain(|proxy, _| known.contains(proxy));
+            self.met.retain(|proxy, _| known.contains(proxy));
         }
         let mut sent = Vec::new();
         self.relay.tick(now, &mut sent);
@@ -268,6 +295,44 @@
         self.read_list(now);
         self.tell_members(now);
         self.note(now);
+        self.keep_hours(now);
+        self.quotas_back(now);
+        let events = self.feed.to_keep(now);
+        if !events.is_empty() {
+            self.out.push(Out::Keep(events));
+        }
+    }
+
+    /// The store has taken events up to this one.
+    pub fn kept(&mut self, number: u64) {
+        self.feed.kept(number);
+    }
+
+    /// An operator's call was refused here.
+    pub fn refused(&mut self, now: Millis, what: &str, cause: &str) {
+        self.feed.refused(now, what, cause);
+    }
+
+    /// This registry's machine.
+    pub fn me(&self) -> Host {
+        self.me
+    }
+
+    /// Whether a machine has a registry, by the seats that are known; without any, nobody can say.
+    pub fn is_registry(&self, host: Host) -> bool {
+        host == self.me
+            || self.seats.seats.is_empty()
+            || self.seats.seats.iter().any(|seat| seat.host == host)
+    }
+
+    /// Proxies with a session here.
+    pub fn sessions(&self) -> Vec<Host> {
+        self.members.sessions()
+    }
+
+    /// Other registries that are heard.
+    pub fn heard(&self, now: Millis) -> Vec<Host> {
+        self.others().into_iter().filter(|host| self.alive(*host, now)).collect()
     }
 
     /// How many proxies there are for shares, and how many may be on their own. A registry that has just started knows few: it
@@ -275,7 +340,13 @@
     fn counted(&self, now: Millis) -> (f64, f64) {
         let (gateways, silent) = self.members.counted(now);
         let young = now - self.born < YOUNG;
-        (if young { gateways.max(self.noted) } else { gateways }, silent)
+        (if young || self.is_cut(now) { gateways.max(self.noted) } else { gateways }, silent)
+    }
+
+    /// The same for proxies; 0 as long as nobody can know. A registry that has started with the whole core has one session at first:
+    /// told that it is the only one, that proxy would spend a whole quota alone.
+    pub(crate) fn told_count(&self, now: Millis) -> u32 {
+        if self.informed || self.noted > 0.0 { self.counted(now).0 as u32 } else { 0 }
     }
 
     /// Who reads the list also keeps how many proxies there are, where that has changed for good.
@@ -314,7 +385,7 @@
     /// Claims what nobody who is there claims and this registry is the first for.
     fn claim(&mut self, now: Millis) {
         let held = self.held(now);
-        let live: Vec<Host> = self.others().into_iter().filter(|h| self.alive(*h, now)).collect();
+        let live = self.heard(now);
         let taken = live.iter().fold(0, |taken, host| taken | self.peers[host].claims);
         let first = duties::first_of(self.me, &live);
         let before = self.duties.claims();
@@ -330,11 +401,10 @@
             for key in 0..=duties::SHARDS {
                 let what =
                     if 1 << key == duties::LIST { "list".to_owned() } else { format!("tenants-{key}") };
-                let mark = self.life ^ now.to_bits();
                 if gained & 1 << key != 0 {
-                    self.feed.note(now, Kind::DutyTaken, &what, mark, self.here());
+                    self.feed.note_own(now, Kind::DutyTaken, &what, self.here());
                 } else if lost & 1 << key != 0 {
-                    self.feed.note(now, Kind::DutyLost, &what, mark, self.here());
+                    self.feed.note_own(now, Kind::DutyLost, &what, self.here());
                 }
             }
         }
@@ -406,10 +476,14 @@
                     self.out.push(Out::Send(from, Word::WantListing));
                 }
                 let granted = self.duties.vote(now, from, claims);
-                self.out.push(Out::Send(from, Word::Heard { number, life, granted }));
+                let wall = self.hours.wall(now);
+                self.out.push(Out::Send(from, Word::Heard { number, life, granted, wall }));
             }
-            Word::Heard { number, life, granted } => {
+            Word::Heard { number, life, granted, wall } => {
                 if life == self.life && self.seats.seats.iter().any(|seat| seat.host == from) {
+                    if let (Some(wall), Some(sent)) = (wall, self.duties.sent_at(number)) {
+                        self.hours.heard_time(from, sent, now, wall);
+                    }
                     self.duties.heard(from, number, granted);
                 }
             }
@@ -437,6 +511,10 @@
                     self.counts.back(now, &tenant, units, window);
                 }
             }
+            Word::WantEvents(question, wanted) => self.out.push(Out::WantEvents(from, question, wanted)),
+            Word::Events(question, told) => self.out.push(Out::Events(from, question, told)),
+            Word::WantRequest(question, id) => self.out.push(Out::WantRequest(from, question, id)),
+            Word::Request(question, known) => self.out.push(Out::Request(from, question, known)),
         }
     }
 
@@ -454,7 +532,9 @@
             return closed(tenant, next, terms);
         }
         let (gateways, silent) = self.counted(now);
-        self.counts.ask(now, ask, terms, since, gateways, silent)
+        let grant = self.counts.ask(now, ask, terms, since, gateways, silent);
+        self.quota_edge(now, &grant);
+        grant
     }
 
     /// A word from a proxy of this registry's.
@@ -476,15 +556,16 @@
                 Some(host) => self.out.push(Out::Send(host, Word::Back { tenant, units, window })),
                 None => {}
             },
+            Up::Quiet(nodes) => {
+                if self.members.quiet(from, nodes, now) {
+                    self.beat_at = now;
+                }
+            }
+            Up::Met(counts) => self.met(now, from, counts),
+            Up::Recalled(question, known) => self.out.push(Out::Recalled(from, question, known)),
             Up::Bye => {
                 self.members.bye(from, now);
-                self.feed.note(
-                    now,
-                    Kind::MemberLeft,
-                    &from.to_string(),
-                    self.life ^ now.to_bits(),
-                    "it said so".into(),
-                );
+                self.feed.note_own(now, Kind::MemberLeft, &from.to_string(), "it said so".into());
                 self.beat_at = now;
             }
         }
@@ -562,23 +643,21 @@
     /// A proxy's line is down.
     pub fn closed(&mut self, now: Millis, proxy: Host) {
         if self.members.closed(proxy, now) {
-            self.feed.note(
-                now,
-                Kind::MemberLeft,
-                &proxy.to_string(),
-                self.life ^ now.to_bits(),
-                "its line is down".into(),
-            );
+            self.feed.note_own(now, Kind::MemberLeft, &proxy.to_string(), "its line is down".into());
             self.out.push(Out::Log("session-closed", format!("proxy={proxy}")));
             self.beat_at = now;
         }
     }
 
-    /// What a tenant may use; none when it is dropped.
-    pub fn set_terms(&mut self, tenant: &str, terms: Option<Terms>) {
-        match terms {
-            Some(terms) => drop(self.terms.insert(tenant.to_owned(), terms)),
-            None => drop(self.terms.remove(tenant)),
+    /// What a tenant may use follows from its item; nothing when it is dropped or has no limit.
+    fn set_terms(&mut self, name: &str, entry: &Entry) {
+        let Some(tenant) = name.strip_prefix("t:") else { return };
+        let fact = entry.body.as_deref().map(|body| post_items::fact(name, &entry.host, body));
+        match fact {
+            Some(Ok(Fact::Tenant(t))) if t.rate > 0.0 => {
+                self.terms.insert(tenant.to_owned(), Terms { rate: t.rate, burst: t.burst });
+            }
+            _ => drop(self.terms.remove(tenant)),
         }
     }
 }
--- a/post/rounds/src/members.rs
+++ b/post/rounds/src/members.rs
@@ -23,6 +23,7 @@
     member: Member,
     heard: Millis,
     differs: bool,
+    lags: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -45,14 +46,15 @@
 fn roll_hash<'a>(members: impl Iterator<Item = &'a Member>) -> u64 {
     members.fold(1, |hash, m| {
         let text = format!("{}{:x}{}{}", m.host, m.life, m.port, m.ready);
-        post_words::mix(hash ^ post_words::hash(text.as_bytes()))
+        let hash = post_words::mix(hash ^ post_words::hash(text.as_bytes()));
+        m.quiet.iter().fold(hash, |hash, node| post_words::mix(hash ^ post_words::hash(node.as_bytes())))
     })
 }
 
 impl Members {
     pub(crate) fn hello(&mut self, member: Member, now: Millis) {
         self.silent.remove(&member.host);
-        self.sessions.insert(member.host, Session { member, heard: now, differs: false });
+        self.sessions.insert(member.host, Session { member, heard: now, differs: false, lags: false });
     }
 
     /// A proxy shows that it lives. Whether others should hear of a change.
@@ -76,6 +78,18 @@
         again
     }
 
+    /// The life of a proxy with a session here.
+    pub(crate) fn life(&self, host: Host) -> Option<u64> {
+        self.sessions.get(&host).map(|session| session.member.life)
+    }
+
+    /// Where a proxy has nothing at work. Whether others should hear of a change.
+    pub(crate) fn quiet(&mut self, host: Host, nodes: Vec<String>, now: Millis) -> bool {
+        let Some(session) = self.sessions.get_mut(&host) else { return false };
+        session.heard = now;
+        std::mem::replace(&mut session.member.quiet, nodes.clone()) != nodes
+    }
+
     pub(crate) fn bye(&mut self, host: Host, _now: Millis) {
         self.sessions.remove(&host);
         self.silent.remove(&host);
@@ -106,6 +120,13 @@
         over
     }
 
+    /// Whether a proxy began or ceased to lag: it differs, though what it lacked was sent again.
+    pub(crate) fn lags(&mut self, host: Host, differs: bool, again: bool) -> Option<bool> {
+        let session = self.sessions.get_mut(&host)?;
+        let lags = again || session.lags && differs;
+        (std::mem::replace(&mut session.lags, lags) != lags).then_some(lags)
+    }
+
     /// Sessions here whose proxies held other items at their last beat.
     pub(crate) fn lagging(&self) -> usize {
         self.sessions.values().filter(|session| session.differs).count()
@@ -178,3 +199,31 @@
         news
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_proxy_lags_from_the_second_beat_that_differs_until_one_that_does_not() {
+        let (mut members, host) = (Members::default(), Host(9));
+        let member = Member {
+            host,
+            life: 1,
+            zone: "a".into(),
+            region: "r".into(),
+            port: 1,
+            ready: true,
+            quiet: Vec::new(),
+        };
+        members.hello(member, 0.0);
+        let mut beat = |differs| {
+            let again = members.differs(host, differs);
+            members.lags(host, differs, again)
+        };
+        let told: Vec<_> =
+            [true, false, true, true, true, true, true, false, false].into_iter().map(&mut beat).collect();
+        let (lags, current) = (Some(true), Some(false));
+        assert_eq!(told, [None, None, None, lags, None, None, None, current, None]);
+    }
+}
--- a/post/rounds/src/news.rs
+++ b/post/rounds/src/news.rs
@@ -10,6 +10,8 @@
 
 /// A copy that was behind for so long is not only about to hear the newest.
 const DOUBT: Millis = 1500.0;
+/// A registry without seats is taken for one that waits to be founded for so long.
+const SEATLESS: Millis = 4000.0;
 
 /// Whether two readings of the list say the same. How long a backend stays cold runs down by itself: that it is says enough,
 /// as long as it does not grow.
@@ -27,9 +29,14 @@
     pub fn items(&mut self, now: Millis, whole: bool, entries: Vec<Named>) {
         let mut fresh = Vec::new();
         for (name, entry) in entries {
+            self.set_terms(&name, &entry);
             if name.strip_prefix("m:") == Some(crate::FLEET) {
                 self.noted = entry.body.as_deref().and_then(|body| body.parse().ok()).unwrap_or(0.0);
             }
+            if name.starts_with(post_shutter::NIGHT) {
+                self.hours.record(now, &name, &entry, &mut self.feed);
+                continue;
+            }
             if name.starts_with("m:") {
                 // The system's own: no proxy needs it.
                 continue;
@@ -37,7 +44,10 @@
             if !self.items.take(&name, &entry) {
                 continue;
             }
-            self.note_item(now, &name, &entry);
+            self.hours.item(&name, &entry);
+            if !name.starts_with(post_shutter::DRAIN) {
+                self.note_item(now, &name, &entry);
+            }
             fresh.push((name, entry));
         }
         if whole {
@@ -93,14 +103,9 @@
     pub fn fresh(&mut self, now: Millis, fresh: bool) {
         if fresh != self.fresh {
             let kind = if fresh { Kind::CopyFresh } else { Kind::CopyDoubtful };
-            self.feed.note(
-                now,
-                kind,
-                &self.me.to_string(),
-                self.life ^ now.to_bits(),
-                "by the store's beats".into(),
-            );
+            self.feed.note_own(now, kind, &self.me.to_string(), "by the store's beats".into());
         }
+        self.informed |= fresh;
         if fresh && !self.fresh {
             // Proxies that wait to be ready may be: what they hold is vouched for from now on.
             self.fresh = true;
@@ -116,9 +121,10 @@
     /// takes to be chosen everywhere.
     pub(crate) fn is_cut(&self, now: Millis) -> bool {
         let heard = self.others().into_iter().filter(|host| self.alive(*host, now)).count();
-        let seats = self.seats.seats.len();
-        let young = now - self.born < DOUBT;
-        seats > 0 && !young && (heard + 1 < self.majority() || !self.fresh && now - self.doubtful > DOUBT)
+        // One that knows no seats may be waiting for the first founding; one whose store has forgotten everything and hears nobody
+        // must not keep its proxies either.
+        let young = now - self.born < if self.seats.seats.is_empty() { SEATLESS } else { DOUBT };
+        !young && (heard + 1 < self.majority() || !self.fresh && now - self.doubtful > DOUBT)
     }
 
     pub(crate) fn whole(&self) -> Down {
@@ -153,9 +159,19 @@
             self.beat_at = now;
         }
         let cut = self.is_cut(now);
+        if let Some(time) = self.hours.time(now) {
+            self.out.push(Out::Down(from, Rc::new(Down::Time(time.earliest, time.latest))));
+        }
         self.out.push(Out::Down(from, Rc::new(Down::Beat(cut))));
         // News may be on its way: only what differs twice is sent again.
-        if self.members.differs(from, items != self.items.sum()) {
+        let differs = items != self.items.sum();
+        let again = self.members.differs(from, differs);
+        if let Some(lags) = self.members.lags(from, differs, again) {
+            let kind = if lags { Kind::MemberLagging } else { Kind::MemberCurrent };
+            let cause = format!("its items against those of registry {}", self.me);
+            self.feed.note_own(now, kind, &from.to_string(), cause);
+        }
+        if again {
             let word = Rc::new(self.whole());
             self.out.push(Out::Down(from, word));
         }
@@ -167,7 +183,9 @@
     }
 
     fn members_word(&self, now: Millis) -> Down {
-        Down::Members(self.members.all(now), self.counted(now).0 as u32)
+        // Where each has nothing at work is the registries' matter.
+        let members = self.members.all(now).into_iter().map(|m| Member { quiet: Vec::new(), ..m });
+        Down::Members(members.collect(), self.told_count(now))
     }
 
     pub(crate) fn tell_members(&mut self, now: Millis) {
