--- a/post/settings/src/bounds.rs
+++ b/post/settings/src/bounds.rs
@@ -15,6 +15,8 @@
         impl Bounds {
             pub(crate) fn read(sheet: &Sheet) -> Result<Self, Fault> {
                 let given: BTreeMap<String, String> = read::bounds(sheet)?.into_iter().collect();
+                const NAMES: &[&str] = &[$($name),*];
+                given.keys().filter(|name| !NAMES.contains(&name.as_str())).for_each(|name| sheet.unused(name));
                 Ok(Self { $($field: {
                     let text = given.get($name).map_or($fallback, String::as_str);
                     <$kind as Figure>::figure(text).ok_or_else(|| Fault::Field {
--- a/post/settings/src/lib.rs
+++ b/post/settings/src/lib.rs
@@ -7,7 +7,7 @@
 mod read;
 
 pub use bounds::Bounds;
-pub use read::Fault;
+pub use read::{Fault, Told};
 
 use read::Sheet;
 use std::collections::BTreeMap;
@@ -114,6 +114,8 @@
     pub cloud: Cloud,
     /// The figures of the rules.
     pub bounds: Bounds,
+    /// What failure orders may do; without it none is taken or heeded.
+    pub failures: Option<post_mislay::Limits>,
 }
 
 impl Settings {
@@ -122,13 +124,21 @@
     /// # Errors
     /// When there is none or it cannot be used.
     pub fn from_environment() -> Result<Self, Fault> {
+        Self::told_by_environment().map(|(settings, _)| settings)
+    }
+
+    /// The same, and what became of the file's fields.
+    ///
+    /// # Errors
+    /// When there is none or it cannot be used.
+    pub fn told_by_environment() -> Result<(Self, Told), Fault> {
         let Some(path) = std::env::var_os(VARIABLE) else { return Err(Fault::NotNamed) };
         let path = PathBuf::from(path);
         let text = std::fs::read_to_string(&path).map_err(|error| Fault::Unreadable {
             path: path.display().to_string(),
             error: error.to_string(),
         })?;
-        Self::parse(&text)
+        Self::parse_told(&text)
     }
 
     /// Reads the text of a settings file.
@@ -136,7 +146,20 @@
     /// # Errors
     /// When it cannot be used.
     pub fn parse(text: &str) -> Result<Self, Fault> {
+        Self::parse_told(text).map(|(settings, _)| settings)
+    }
+
+    /// The same, and what became of its fields.
+    ///
+    /// # Errors
+    /// When it cannot be used.
+    pub fn parse_told(text: &str) -> Result<(Self, Told), Fault> {
         let sheet = Sheet::parse(text)?;
+        let settings = Self::read(&sheet)?;
+        Ok((settings, sheet.told()))
+    }
+
+    fn read(sheet: &Sheet) -> Result<Self, Fault> {
         let ports: Vec<u16> = sheet.list("/internalPortRange")?;
         let &[first, last] = ports.as_slice() else {
             return Err(sheet.fault("/internalPortRange", "write two ports, the first and the last"));
@@ -180,7 +203,8 @@
                 per_s: sheet.number("/cloudApi/ratePerS")?,
                 lag: sheet.span("/cloudApi/maxLag")?,
             },
-            bounds: Bounds::read(&sheet)?,
+            bounds: Bounds::read(sheet)?,
+            failures: failures(sheet)?,
             zone,
             region,
             zones,
@@ -203,5 +227,24 @@
     }
 }
 
+/// The table `failureOrders`, where there is one.
+fn failures(sheet: &Sheet) -> Result<Option<post_mislay::Limits>, Fault> {
+    const AT: &str = "/failureOrders";
+    if !sheet.has(AT) {
+        return Ok(None);
+    }
+    let kinds: Vec<String> = sheet.value("/failureOrders/kinds")?;
+    let names = post_mislay::What::NAMES;
+    if kinds.iter().any(|kind| !names.contains(&kind.as_str())) {
+        return Err(sheet.fault("/failureOrders/kinds", format!("list some of {}", names.join(", "))));
+    }
+    Ok(Some(post_mislay::Limits {
+        most: sheet.value("/failureOrders/mostInAll")?,
+        per_s: sheet.number("/failureOrders/mostPerS")?,
+        longest: sheet.span("/failureOrders/longest")?,
+        kinds: kinds.into_iter().collect(),
+    }))
+}
+
 #[cfg(test)]
 mod tests;
--- a/post/settings/src/read.rs
+++ b/post/settings/src/read.rs
@@ -3,6 +3,8 @@
 use miette::Diagnostic;
 use serde::de::DeserializeOwned;
 use sonic_rs::{JsonValueTrait, LazyValue, PointerNode};
+use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::time::Duration;
 use thiserror::Error;
 
@@ -42,8 +44,32 @@
     },
 }
 
+/// What became of a file's fields.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Told {
+    /// Read and used.
+    pub taken: Vec<String>,
+    /// Passed over: these may be of another version, or misspelt.
+    pub ignored: Vec<String>,
+}
+
 pub(crate) struct Sheet {
     json: String,
+    /// Every field of the file, with dots; what was asked for; bounds that no rule here goes by.
+    fields: Vec<String>,
+    asked: RefCell<BTreeSet<String>>,
+    unused: RefCell<Vec<String>>,
+}
+
+/// The fields of a table, those of its tables one by one.
+fn fields(table: &toml::Table, before: &str, all: &mut Vec<String>) {
+    for (name, value) in table {
+        let name = format!("{before}{name}");
+        match value {
+            toml::Value::Table(table) if !table.is_empty() => fields(table, &format!("{name}."), all),
+            _ => all.push(name),
+        }
+    }
 }
 
 /// `/a/b` as a pointer.
@@ -60,13 +86,38 @@
             |error: &dyn std::fmt::Display| Fault::Malformed { error: error.to_string().trim().to_owned() };
         let table: toml::Table = text.parse().map_err(|error| malformed(&error))?;
         let json = sonic_rs::to_string(&table).map_err(|error| malformed(&error))?;
-        Ok(Self { json })
+        let mut all = Vec::new();
+        fields(&table, "", &mut all);
+        Ok(Self { json, fields: all, asked: RefCell::default(), unused: RefCell::default() })
+    }
+
+    /// Which fields were read and which nobody asked for.
+    pub(crate) fn told(&self) -> Told {
+        let asked = self.asked.borrow();
+        let read = |field: &String| {
+            asked.iter().any(|name| {
+                field.strip_prefix(name.as_str()).is_some_and(|rest| rest.is_empty() || rest.starts_with('.'))
+            })
+        };
+        let (taken, mut ignored): (Vec<_>, Vec<_>) = self.fields.iter().cloned().partition(read);
+        ignored.extend(self.unused.borrow().iter().cloned());
+        Told { taken, ignored }
+    }
+
+    /// A bound that no rule here goes by.
+    pub(crate) fn unused(&self, bound: &str) {
+        self.unused.borrow_mut().push(format!("bounds.{bound}"));
     }
 
     fn at(&self, at: &str) -> Option<LazyValue<'_>> {
+        self.asked.borrow_mut().insert(at.trim_start_matches('/').replace('/', "."));
         sonic_rs::get(self.json.as_str(), pointer(at)).ok()
     }
 
+    pub(crate) fn has(&self, at: &str) -> bool {
+        self.at(at).is_some()
+    }
+
     pub(crate) fn fault(&self, at: &str, help: impl Into<String>) -> Fault {
         let found = self.at(at).map_or("is missing".into(), |value| value.as_raw_str().to_owned());
         Fault::Field { field: at.trim_start_matches('/').replace('/', "."), found, help: help.into() }
--- a/post/settings/src/tests.rs
+++ b/post/settings/src/tests.rs
@@ -71,3 +71,35 @@
     }
     assert!(matches!(Settings::parse("a = "), Err(Fault::Malformed { .. })));
 }
+
+#[test]
+fn failure_orders_have_limits_or_there_are_none() {
+    assert_eq!(Settings::parse(TEXT).unwrap().failures, None);
+    let table = "[failureOrders]\nmostInAll = 40\nmostPerS = 2.5\nlongest = \"60s\"\nkinds = [\"refuse\", \"delay\"]\n";
+    let limits = Settings::parse(&format!("{TEXT}{table}")).unwrap().failures.unwrap();
+    assert_eq!(
+        (limits.most, limits.per_s, limits.longest, limits.kinds.len()),
+        (40, 2.5, Duration::from_secs(60), 2)
+    );
+    for (from, to, field) in [
+        ("\"delay\"", "\"explode\"", "failureOrders.kinds"),
+        ("mostInAll = 40\n", "", "failureOrders.mostInAll"),
+        ("mostPerS = 2.5", "mostPerS = -1", "failureOrders.mostPerS"),
+        ("\"60s\"", "60", "failureOrders.longest"),
+    ] {
+        let fault = Settings::parse(&format!("{TEXT}{}", table.replacen(from, to, 1))).unwrap_err();
+        assert!(matches!(&fault, Fault::Field { field: named, .. } if named == field), "{fault}");
+    }
+}
+
+#[test]
+fn what_is_taken_and_what_is_passed_over_is_told() {
+    let (settings, told) = Settings::parse_told(TEXT).unwrap();
+    assert_eq!(settings, Settings::parse(TEXT).unwrap());
+    assert_eq!(told.ignored, ["newField.any", "role", "serves", "bounds.seedLag"]);
+    for field in ["zones.a", "limits.diskMb", "bounds", "cloudApi.maxLag", "listenAddresses.controlPlane"] {
+        assert!(told.taken.iter().any(|taken| taken == field), "{field}: {told:?}");
+    }
+    let (_, told) = Settings::parse_told(&TEXT.replace("dataDirectory", "datadirectory")).unwrap();
+    assert!(told.ignored.contains(&"datadirectory".to_owned()), "a misspelt field shows");
+}
--- a/post/telegraph/src/main.rs
+++ b/post/telegraph/src/main.rs
@@ -13,14 +13,17 @@
 }
 
 mod config;
+mod events;
+mod failure;
 mod gateway;
+mod maintenance;
+mod order;
 
 use gateway::{Asked, Gateways};
 use gumdrop::Options;
 use sonic_rs::{JsonContainerTrait, JsonValueTrait, Value};
 use std::net::SocketAddr;
 use std::process::ExitCode;
-use std::time::Duration;
 
 #[derive(Debug, Options)]
 struct Arguments {
@@ -42,7 +45,9 @@
     #[options(help = "how each registry is")]
     Status(Plain),
     #[options(help = "what happened, oldest first")]
-    Events(Events),
+    Events(events::Events),
+    #[options(help = "what is known of an item, a backend, a proxy, a zone or a tenant, and why")]
+    Explain(events::Explain),
     #[options(help = "all items that stand")]
     Show(Plain),
     #[options(help = "whether a call's file can be, without sending it")]
@@ -53,6 +58,10 @@
     Apply(File),
     #[options(help = "empty a zone, or take it back")]
     Evacuate(Evacuate),
+    #[options(help = "maintenance orders: list, explain, rehearse, approve, start, pause, end, withdraw")]
+    Maintenance(maintenance::Maintenance),
+    #[options(help = "failure orders: dry, start, stop, report, fingerprint")]
+    Failure(failure::Failure),
 }
 
 #[derive(Debug, Options)]
@@ -69,20 +78,6 @@
     file: String,
 }
 
-#[derive(Debug, Options)]
-struct Events {
-    #[options(help = "show this and end")]
-    help: bool,
-    #[options(help = "go on as events come")]
-    follow: bool,
-    #[options(help = "only this kind", meta = "KIND")]
-    kind: Option<String>,
-    #[options(help = "only what begins so", meta = "TEXT")]
-    what: Option<String>,
-    #[options(help = "from this cursor on", meta = "CURSOR")]
-    after: Option<String>,
-}
-
 #[derive(Debug, Options)]
 struct Evacuate {
     #[options(help = "show this and end")]
@@ -93,9 +88,6 @@
     zone: String,
 }
 
-/// While nothing comes events are asked for this often.
-const FOLLOW: Duration = Duration::from_millis(500);
-
 fn main() -> ExitCode {
     let arguments = Arguments::parse_args_default_or_exit();
     let Some(command) = arguments.command else {
@@ -124,7 +116,8 @@
 async fn run(gateways: &Gateways, command: Command) -> ExitCode {
     match command {
         Command::Status(_) => status(gateways).await,
-        Command::Events(events) => follow(gateways, events).await,
+        Command::Events(events) => events::follow(gateways, events).await,
+        Command::Explain(explain) => events::explain(gateways, explain).await,
         Command::Show(_) => print(gateways.clear("GET", "/fennelscale/config", "").await),
         Command::Check(file) => config::check(&file.file),
         Command::Diff(file) => config::diff(gateways, &file.file).await,
@@ -132,6 +125,8 @@
             Ok(body) => print(gateways.clear("PATCH", "/fennelscale/config", &body).await),
             Err(status) => status,
         },
+        Command::Failure(failure) => failure::run(gateways, failure).await,
+        Command::Maintenance(maintenance) => maintenance::run(gateways, maintenance).await,
         Command::Evacuate(Evacuate { back, zone, .. }) => {
             let method = if back { "DELETE" } else { "POST" };
             print(gateways.clear(method, &format!("/fennelscale/evacuations/{zone}"), "").await)
@@ -179,45 +174,3 @@
     }
     if heard > 0 { ExitCode::SUCCESS } else { ExitCode::from(3) }
 }
-
-async fn follow(gateways: &Gateways, events: Events) -> ExitCode {
-    let mut after = events.after.unwrap_or_default();
-    let plain = |text: &str| text.replace(['&', '%', '+', ' ', '#'], "");
-    loop {
-        let mut path = format!("/fennelscale/events?after={}", plain(&after));
-        if let Some(kind) = &events.kind {
-            path.push_str(&format!("&kind={}", plain(kind)));
-        }
-        if let Some(what) = &events.what {
-            path.push_str(&format!("&what={}", plain(what)));
-        }
-        let body = match gateways.clear("GET", &path, "").await {
-            Asked::Answered(200, body) => body,
-            // Who follows waits for a gateway to come back.
-            Asked::Unclear if events.follow => continue,
-            other => return print(other),
-        };
-        let told: Value = sonic_rs::from_str(&body).unwrap_or_default();
-        if told.get("missed").and_then(|m| m.as_bool()) == Some(true) && !after.is_empty() {
-            eprintln!("telegraph: events may be missing here: another gateway, or too long ago");
-        }
-        let list = told.get("events").and_then(|e| e.as_array()).map(|e| e.to_vec()).unwrap_or_default();
-        for event in &list {
-            if gateways.json {
-                say!("{}", sonic_rs::to_string(event).unwrap_or_default());
-            } else {
-                let text =
-                    |name: &str| event.get(name).and_then(|v| v.as_str()).unwrap_or_default().to_owned();
-                say!("{:>10} {:17} {} ({})", text("at"), text("kind"), text("what"), text("cause"));
-            }
-        }
-        after = told.get("cursor").and_then(|c| c.as_str()).unwrap_or_default().to_owned();
-        if !list.is_empty() {
-            continue;
-        }
-        if !events.follow {
-            return ExitCode::SUCCESS;
-        }
-        tokio::time::sleep(FOLLOW).await;
-    }
-}
--- a/post/units/src/cache.rs
+++ b/post/units/src/cache.rs
@@ -1,12 +1,14 @@
 //! The lease cache of a proxy: blocks that end with their window, admission out of them, renewal before they run dry.
 
 use crate::counts::AHEAD;
-use crate::{Millis, SILENT, SLICE, Terms};
+use crate::{Block, Millis, SILENT, SLICE, Terms};
 use post_words::news::{Grant, Up};
 use std::collections::{BTreeMap, VecDeque};
 
 /// The weight of the newest demand.
 const ALPHA: f64 = 0.1;
+/// The same for those that come in time: once a flood ends, units must not be kept for it.
+const ALPHA_TIMELY: f64 = 0.3;
 /// Demand is looked at this often.
 const LOOK: Millis = 100.0;
 /// A block holds the demand of this part of a window.
@@ -25,12 +27,25 @@
 const IDLE: f64 = 6.0;
 /// After the count said that all is spent it is asked again after this part of a window.
 const SPENT: f64 = 0.12;
+/// Units are scarce for so many windows after the count said that all is spent.
+const SCARCE: f64 = 2.0;
 /// The most requests of a tenant that wait for a block.
 const WAITING: usize = 256;
 
 /// A request that waits for a block.
 pub type Request = u64;
 
+/// A request that wants its unit.
+#[derive(Clone, Copy, Debug)]
+pub struct Comer {
+    /// Which.
+    pub request: Request,
+    /// It waits for a block until then at most.
+    pub until: Millis,
+    /// An answer would come too late for its full worth: its client has been refused before and has waited.
+    pub late: bool,
+}
+
 /// What becomes of a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Admission {
@@ -42,14 +57,6 @@
     Waits,
 }
 
-#[derive(Clone, Debug, Default)]
-struct Block {
-    units: f64,
-    window: u64,
-    begins: Millis,
-    ends: Millis,
-}
-
 #[derive(Clone, Debug)]
 struct Tenant {
     terms: Terms,
@@ -58,6 +65,11 @@
     /// Smoothed requests a ms, and those since the last look.
     demand: f64,
     came: f64,
+    /// The same of those that are not late.
+    timely: f64,
+    timely_came: f64,
+    /// Units are scarce until then.
+    scarce: Millis,
     looked: Millis,
     last: Millis,
     /// The ask that is out, since when, and for which window.
@@ -90,7 +102,8 @@
 impl Cache {
     /// An empty cache; how many proxies there are is told by [`Self::gateways`].
     pub fn new(now: Millis, seed: u64) -> Self {
-        Self { tenants: BTreeMap::new(), gateways: 1.0, born: now, seed }
+        // As long as nobody says how many there are, an even part is nothing.
+        Self { tenants: BTreeMap::new(), gateways: f64::INFINITY, born: now, seed }
     }
 
     /// There are so many proxies.
@@ -103,9 +116,10 @@
         self.tenants.len()
     }
 
-    /// A request of a tenant wants its unit; it waits until `until` at most.
+    /// A request of a tenant wants its unit. While units are scarce those that are late have what the others leave: a unit of
+    /// theirs is worth less, and each that they take makes another request late.
     pub fn admit(
-        &mut self, now: Millis, name: &str, terms: Terms, request: Request, until: Millis, out: &mut Vec<Up>,
+        &mut self, now: Millis, name: &str, terms: Terms, comer: Comer, out: &mut Vec<Up>,
     ) -> Admission {
         if terms.rate <= 0.0 {
             return Admission::Taken;
@@ -122,18 +136,20 @@
         // Before this request counts: seen from the moment of one, the next is no nearer than from any other.
         tenant.look(now);
         tenant.came += 1.0;
+        tenant.timely_came += f64::from(u8::from(!comer.late));
         tenant.last = now;
-        let admission = if tenant.block.units >= 1.0 {
+        let yields = comer.late && tenant.late_yields(now);
+        let admission = if tenant.block.units >= 1.0 && !yields {
             tenant.block.units -= 1.0;
             Admission::Taken
         } else if tenant.silent(now) {
             tenant.spend_slice(now, gateways)
-        } else if now < tenant.spent || tenant.waiting.len() >= WAITING {
+        } else if yields || now < tenant.spent || tenant.waiting.len() >= WAITING {
             // The rest of the window, or until it is asked again, and a little apart from others.
             let wait = (tenant.block.ends - now).max(tenant.spent - now).clamp(20.0, 2000.0);
             Admission::Refused(wait)
         } else {
-            tenant.waiting.push_back((request, until));
+            tenant.waiting.push_back((comer.request, comer.until));
             Admission::Waits
         };
         tenant.renew(now, name, gateways, out);
@@ -181,6 +197,7 @@
             tenant.block.units += grant.units;
             if grant.units < 1.0 {
                 tenant.spent = (now + tenant.terms.window() * SPENT).min(ends);
+                tenant.scarce = now + tenant.terms.window() * SCARCE;
             }
         }
         tenant.serve(now, told);
@@ -239,6 +256,9 @@
             next: None,
             demand: 0.0,
             came: 0.0,
+            timely: 0.0,
+            timely_came: 0.0,
+            scarce: 0.0,
             looked: now,
             last: now,
             asked: [None; 2],
@@ -271,14 +291,20 @@
     fn look(&mut self, now: Millis) {
         let span = now - self.looked;
         if span >= LOOK {
-            let recent = self.came / span;
             // Several looks' worth of time passed: so much more weight has what came.
-            let weight = 1.0 - (1.0 - ALPHA).powf((span / LOOK).min(20.0));
-            self.demand += weight * (recent - self.demand);
-            (self.came, self.looked) = (0.0, now);
+            let weight = |newest: f64| 1.0 - (1.0 - newest).powf((span / LOOK).min(20.0));
+            self.demand += weight(ALPHA) * (self.came / span - self.demand);
+            self.timely += weight(ALPHA_TIMELY) * (self.timely_came / span - self.timely);
+            (self.came, self.timely_came, self.looked) = (0.0, 0.0, now);
         }
     }
 
+    /// Whether one that is late gets nothing now: what is left is likely to be wanted in time.
+    fn late_yields(&self, now: Millis) -> bool {
+        let left = (self.block.ends - now).max(0.0);
+        now < self.scarce && !self.silent(now) && self.block.units - self.timely * left < 1.0
+    }
+
     fn silent(&self, now: Millis) -> bool {
         self.unheard.is_some_and(|since| now - since >= SILENT)
     }
--- a/post/units/src/lib.rs
+++ b/post/units/src/lib.rs
@@ -20,10 +20,12 @@
 mod cache;
 mod counts;
 mod relay;
+mod timely;
 
-pub use cache::{Admission, Cache, Request};
+pub use cache::{Admission, Cache, Comer, Request};
 pub use counts::{Ask, Counts};
 pub use relay::{Relay, Sent};
+pub use timely::Timely;
 
 /// A time or a span in milliseconds.
 pub type Millis = f64;
@@ -35,6 +37,15 @@
 /// Of an even part a proxy on its own spends so much: how many there are may just have changed.
 pub const SLICE: f64 = 0.9;
 
+/// Units of one window that are at hand, at a proxy or a relay.
+#[derive(Clone, Debug, Default)]
+struct Block {
+    units: f64,
+    window: u64,
+    begins: Millis,
+    ends: Millis,
+}
+
 /// What a tenant may use.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Terms {
--- a/post/units/src/relay.rs
+++ b/post/units/src/relay.rs
@@ -6,7 +6,7 @@
 //! are, also when two take themselves for a region's.
 
 use crate::counts::AHEAD;
-use crate::{Millis, Terms};
+use crate::{Block, Millis, Terms};
 use post_words::Host;
 use post_words::news::Grant;
 use std::collections::{BTreeMap, VecDeque};
@@ -41,14 +41,6 @@
     Up(String, f64, bool, f64),
 }
 
-#[derive(Clone, Debug, Default)]
-struct Block {
-    units: f64,
-    window: u64,
-    begins: Millis,
-    ends: Millis,
-}
-
 #[derive(Clone, Debug)]
 struct Wait {
     from: Host,
--- a/post/units/src/tests.rs
+++ b/post/units/src/tests.rs
@@ -42,8 +42,17 @@
     asked: usize,
     next: u64,
     waiting: usize,
+    /// Clients that are refused come again, twice, when they were told to, as far as that is a third of what they will wait; when each
+    /// is due, and when it first came.
+    comes_again: Option<Vec<(f64, f64, u32)>>,
+    /// Units that went to who came in time.
+    timely: usize,
 }
 
+/// How long clients wait, and within which time an answer has its full worth.
+const PATIENCE: f64 = 3000.0;
+const AIM: f64 = 500.0;
+
 impl World {
     fn new(seed: u64, proxies: usize) -> Self {
         let proxy = |n: usize| {
@@ -65,7 +74,37 @@
             asked: 0,
             next: 0,
             waiting: 0,
+            comes_again: None,
+            timely: 0,
+        }
+    }
+
+    /// Refused clients that are due come to any proxy.
+    fn come_again(&mut self) {
+        let now = self.now;
+        let Some(all) = &mut self.comes_again else { return };
+        for (_, begun, tries) in all.extract_if(.., |(due, ..)| *due <= now).collect::<Vec<_>>() {
+            let n = (self.chance() * self.proxies.len() as f64) as usize;
+            let mut out = Vec::new();
+            self.come(n, begun, tries, &mut out);
+            self.up(n, out);
+        }
+    }
+
+    /// A request comes to a proxy; its client first came at `begun`.
+    fn come(&mut self, n: usize, begun: f64, tries: u32, out: &mut Vec<Up>) {
+        self.next += 1;
+        let (now, waited) = (self.now, self.now - begun);
+        let late = waited > AIM * 0.6;
+        let comer = Comer { request: self.next, until: now + 150.0, late };
+        let admission = self.proxies[n].cache.admit(now, "t", Self::terms(), comer, out);
+        self.timely += usize::from(admission == Admission::Taken && !late);
+        if let (Admission::Refused(wait), Some(again)) = (admission, &mut self.comes_again)
+            && tries < 2
+        {
+            again.push((now + wait.min((PATIENCE - waited) / 3.0), begun, tries + 1));
         }
+        self.count(admission);
     }
 
     fn chance(&mut self) -> f64 {
@@ -120,6 +159,7 @@
                 self.relays[r].tick(self.now, &mut sent);
                 self.relayed(r, sent);
             }
+            self.come_again();
             for n in 0..self.proxies.len() {
                 let (mut out, mut told) = (Vec::new(), Vec::new());
                 if ((self.now / STEP) as usize).is_multiple_of(4) {
@@ -128,12 +168,8 @@
                 let mut come = load / self.proxies.len() as f64 * STEP / 1000.0;
                 while self.chance() < come {
                     come -= 1.0;
-                    self.next += 1;
                     self.asked += 1;
-                    let (now, until) = (self.now, self.now + 150.0);
-                    let admission =
-                        self.proxies[n].cache.admit(now, "t", Self::terms(), self.next, until, &mut out);
-                    self.count(admission);
+                    self.come(n, self.now, 0, &mut out);
                 }
                 self.up(n, out);
                 self.told(told);
@@ -256,6 +292,39 @@
     }
 }
 
+#[test]
+fn in_a_flood_units_go_to_who_comes_in_time() {
+    for seed in 0..5 {
+        let mut world = World::new(seed, 10);
+        world.run(5000.0, 60.0);
+        world.comes_again = Some(Vec::new());
+        (world.timely, world.taken) = (0, Vec::new());
+        world.run(10_000.0, 500.0);
+        world.check();
+        let (timely, taken) = (world.timely as f64, world.taken.len() as f64);
+        assert!(taken > 0.93 * RATE * 10.0, "{taken} let in: none is left over for want of a first try");
+        assert!(timely > 0.9 * taken, "{timely} of {taken} in time");
+        // Once the flood is over, who comes again is served.
+        world.run(4000.0, 60.0);
+        (world.asked, world.refused) = (0, 0);
+        world.run(10_000.0, 60.0);
+        assert!((world.refused as f64) < 0.02 * world.asked as f64, "{} refused", world.refused);
+    }
+}
+
+#[test]
+fn while_few_come_in_time_the_late_have_the_rest() {
+    let mut world = World::new(3, 10);
+    world.comes_again = Some(Vec::new());
+    world.run(3000.0, 400.0);
+    // Hundreds come again; a third of the quota is wanted in time.
+    (world.timely, world.taken) = (0, Vec::new());
+    world.run(2000.0, 30.0);
+    // 141 where nobody goes before another; 60 would be those in time alone.
+    assert!(world.taken.len() > 115, "{} let in", world.taken.len());
+    world.check();
+}
+
 #[test]
 fn a_change_of_the_holder_stays_within_the_rule() {
     for seed in 0..20 {
@@ -344,14 +413,15 @@
     cache.gateways(10.0);
     let (mut now, mut asked) = (2000.0, Vec::new());
     // It had a block once; then nobody answers any more.
-    cache.admit(now, "t", World::terms(), 99, now + 100.0, &mut Vec::new());
+    let comer = |now, request| Comer { request, until: now + 100.0, late: false };
+    cache.admit(now, "t", World::terms(), comer(now, 99), &mut Vec::new());
     let (tenant, units) = ("t".to_owned(), 1.0);
     let grant = Grant { tenant, units, window: 1, begins: 0.0, ends: 300.0, next: false, closed: false };
     cache.grant(now + 5.0, grant, &mut Vec::new(), &mut Vec::new());
     for request in 0..40 {
         now += 700.0;
         let mut out = Vec::new();
-        cache.admit(now, "t", World::terms(), request, now + 100.0, &mut out);
+        cache.admit(now, "t", World::terms(), comer(now, request), &mut out);
         cache.tick(now + 120.0, &mut out, &mut Vec::new());
         asked.extend(out.iter().filter(|up| matches!(up, Up::Ask { next: false, .. })).map(|_| now));
     }
--- a/post/walk/src/machines.rs
+++ b/post/walk/src/machines.rs
@@ -12,6 +12,9 @@
 /// A core machine's or a proxy's number in its zone.
 pub const CORE: u8 = 1;
 pub const PROXY: u8 = 2;
+/// A second proxy of a zone, where a deployment has one, and the name that it is started by.
+pub const SECOND: u8 = 3;
+pub const SECOND_PROXY: &str = "courier-2";
 
 /// All machines.
 pub struct Machines {
@@ -24,10 +27,12 @@
 }
 
 impl Machines {
-    /// None running yet; addresses and ports are drawn by this process's number, so that two walks go side by side.
-    pub fn new(folder: &Path, logs: bool) -> Self {
+    /// None running yet; addresses and ports are drawn by this process's number, so that two walks go side by side, and by
+    /// `turn`: what stood in for others at an earlier turn of this process listens on.
+    pub fn new(folder: &Path, logs: bool, turn: u64) -> Self {
         let number = std::process::id();
-        let (base, net) = (20_000 + (number % 600) as u16 * 16, 1 + (number / 600 % 250) as u8);
+        let net = 1 + ((u64::from(number / 600) + turn) % 250) as u8;
+        let base = 20_000 + (number % 600) as u16 * 16;
         let platform = SocketAddr::new(Ipv4Addr::new(127, net, 9, 9).into(), base);
         Self { folder: folder.to_owned(), base, net, platform, logs, running: Vec::new() }
     }
@@ -58,20 +63,26 @@
     }
 
     pub fn readiness(&self, zone: usize) -> SocketAddr {
-        SocketAddr::new(self.ip(zone, PROXY).into(), self.base + 13)
+        self.readiness_of(zone, PROXY)
+    }
+
+    pub fn readiness_of(&self, zone: usize, machine: u8) -> SocketAddr {
+        SocketAddr::new(self.ip(zone, machine).into(), self.base + 13)
     }
 
     fn settings(&self, zone: usize, program: &str, bootstrap: bool) -> String {
         let (name, region) = ZONES[zone];
-        let core = program != "courier";
-        let ip = self.ip(zone, if core { CORE } else { PROXY });
+        let core = !program.starts_with("courier");
+        let machine = if program == SECOND_PROXY { SECOND } else { PROXY };
+        let ip = self.ip(zone, if core { CORE } else { machine });
+        let at = |port: u16| SocketAddr::new(ip.into(), self.base + port);
         let seeds: Vec<String> = (0..ZONES.len()).map(|z| format!("\"{}\"", self.control(z))).collect();
         let zones: Vec<String> =
             ZONES.iter().map(|(zone, region)| format!("{zone} = \"{region}\"\n")).collect();
         let listen = if core {
             format!("controlPlane = \"{}\"\ndirectory = \"{}\"", self.control(zone), self.directory(zone))
         } else {
-            format!("frontend = \"{}\"\nreadiness = \"{}\"", self.clients(zone), self.readiness(zone))
+            format!("frontend = \"{}\"\nreadiness = \"{}\"", at(12), at(13))
         };
         let data = self.folder.join(format!("disk-{zone}"));
         format!(
@@ -101,6 +112,11 @@
 machineLosses = 1
 zones = 1
 regionLosses = 1
+[failureOrders]
+mostInAll = 500
+mostPerS = 100.0
+longest = "60s"
+kinds = ["refuse", "delay", "cut-request", "lose-answer", "cut-answer", "slow-answer"]
 [cloudApi]
 address = "{platform}"
 ratePerS = 50.0
@@ -134,7 +150,7 @@
         std::fs::write(&file, self.settings(zone, program, bootstrap)).map_err(failed)?;
         let me = std::env::current_exe().map_err(failed)?;
         let mut command = Command::new(me);
-        command.arg(program).env("FENNELSCALE_CONFIG", &file).kill_on_drop(true);
+        command.arg(program.trim_end_matches("-2")).env("FENNELSCALE_CONFIG", &file).kill_on_drop(true);
         if !self.logs {
             command.stderr(Stdio::null());
         }
--- a/post/walk/src/main.rs
+++ b/post/walk/src/main.rs
@@ -1,9 +1,12 @@
 //! `walk`: the whole path on one machine in under a minute. Starts three core machines and three proxies as real processes on
 //! addresses of the loopback range, stand-ins for the platform, the backends, the operator and clients, and walks through what
-//! the system promises, with a core machine killed on the way. Ends with status 0 if every step held.
+//! the system promises, with a core machine killed on the way. Ends with status 0 if every step held. `--nights` plays
+//! maintenance nights instead.
 
 mod client;
+mod failures;
 mod machines;
+mod night;
 mod standins;
 mod steps;
 
@@ -23,6 +26,14 @@
         meta = "SECONDS"
     )]
     stay: u64,
+    #[options(no_short, help = "instead play so many maintenance nights", meta = "COUNT")]
+    nights: u64,
+    #[options(no_short, help = "instead rehearse failures of named callers so many times", meta = "COUNT")]
+    failures: u64,
+    #[options(no_short, help = "the first night's number: faults are drawn by it", meta = "NUMBER")]
+    seed: u64,
+    #[options(no_short, help = "play each night once more without orders, and compare the reads")]
+    pairs: bool,
     #[options(free, help = "a program to be: courier, postmaster or depot (used by walk itself)")]
     program: Option<String>,
 }
@@ -46,7 +57,14 @@
             return ExitCode::from(2);
         }
     };
-    let walked = tokio::task::LocalSet::new().block_on(&runtime, steps::walk(arguments.logs, arguments.stay));
+    let Arguments { logs, stay, nights, failures, seed, pairs, .. } = arguments;
+    let walked = tokio::task::LocalSet::new().block_on(&runtime, async move {
+        match nights {
+            0 if failures > 0 => failures::rehearsals(seed, failures, pairs, logs).await,
+            0 => steps::walk(logs, stay).await,
+            count => night::nights(seed, count, pairs, logs).await,
+        }
+    });
     match walked {
         Ok(()) => {
             println!("every step held");
--- a/post/walk/src/steps.rs
+++ b/post/walk/src/steps.rs
@@ -12,16 +12,16 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-const PATIENCE: Duration = Duration::from_secs(25);
-const HOST: &str = "music.example";
+pub const PATIENCE: Duration = Duration::from_secs(25);
+pub const HOST: &str = "music.example";
 
-struct Walk {
-    machines: Machines,
-    outside: Rc<Outside>,
-    next: u32,
+pub struct Walk {
+    pub machines: Machines,
+    pub outside: Rc<Outside>,
+    pub next: u32,
 }
 
-fn check(holds: bool, what: impl Into<String>) -> Result<()> {
+pub fn check(holds: bool, what: impl Into<String>) -> Result<()> {
     let what = what.into();
     if holds {
         println!("  held: {what}");
@@ -32,7 +32,7 @@
 }
 
 /// The first configuration, and routes as later calls send them.
-fn route(name: &str, kind: &str, prefix: &str, service: &str, revision: &str, regions: &str) -> String {
+pub fn route(name: &str, kind: &str, prefix: &str, service: &str, revision: &str, regions: &str) -> String {
     format!(
         r#"{{"hostname":"{HOST}","policy":[{{"name":"{name}","routeType":"{kind}","targetLatency":"800ms","priority":1,"public":false,"revision":"{revision}","matchCriteria":{{"pathPrefix":"{prefix}"}},"action":{{"service":"{service}","timeout":"4000ms","maxAttempts":2,"allowedRegions":[{regions}]}}}}]}}"#
     )
@@ -109,7 +109,7 @@
     }
 
     /// As an operator does: the same call again, at the next gateway, until one answers clearly.
-    async fn until_clear(&self, first: usize, method: Method, path: &str, body: &str) -> Result<Reply> {
+    pub async fn until_clear(&self, first: usize, method: Method, path: &str, body: &str) -> Result<Reply> {
         let begun = Instant::now();
         for zone in (0..ZONES.len()).cycle().skip(first) {
             if let Some(reply) =
@@ -126,7 +126,7 @@
     }
 }
 
-async fn until_ready(at: SocketAddr) -> Result<()> {
+pub async fn until_ready(at: SocketAddr) -> Result<()> {
     let begun = Instant::now();
     while send(at, Method::GET, "/fennelscale/readiness", &[], "").await.is_none_or(|r| r.status != 200) {
         if begun.elapsed() > PATIENCE {
@@ -141,7 +141,7 @@
 pub async fn walk(logs: bool, stay: u64) -> Result<()> {
     let folder = tempfile::tempdir().map_err(|error| miette!("no folder for disks: {error}"))?;
     let outside = Rc::new(Outside::default());
-    let mut walk = Walk { machines: Machines::new(folder.path(), logs), outside, next: 0 };
+    let mut walk = Walk { machines: Machines::new(folder.path(), logs, 0), outside, next: 0 };
     let io = |error: std::io::Error| miette!("stand-ins: {error}");
     platform(&walk.outside, walk.machines.platform()).await.map_err(io)?;
     for (zone, (name, _)) in ZONES.iter().enumerate() {
@@ -383,7 +383,55 @@
     let only = walk.until_clear(1, Method::GET, "/fennelscale/events?kind=zone-back&what=alder", "").await?;
     check(only.text().matches("\"id\"").count() == 1, "and by kind and place of one")?;
     let wrong = walk.until_clear(1, Method::GET, "/fennelscale/events?kind=nothing", "").await?;
-    check(wrong.status == 400, "a kind that there is not is refused with what there is")
+    check(wrong.status == 400, "a kind that there is not is refused with what there is")?;
+    let (id, reply) = walk.ask(0, Method::GET, "/listen/x", Some("key-archive"), "").await;
+    let told = walk.until_clear(2, Method::GET, &format!("/fennelscale/requests/{id}"), "").await?.text();
+    let runs = walk.outside.runs_of(&id);
+    let backend = runs.last().map(|run| format!("\"backend\":\"{}\"", run.backend)).unwrap_or_default();
+    check(
+        reply.is_some_and(|r| r.status == 200)
+            && told.contains(&backend)
+            && told.contains("\"route\":\"listen\"")
+            && told.contains("\"status\":200,\"why\":\"served\""),
+        "a gateway of another region tells which proxy had a request, by which route, and which backend ran it",
+    )?;
+    let (id, _) = walk.ask(1, Method::GET, "/listen/x", Some("key-unknown"), "").await;
+    let told = walk.until_clear(0, Method::GET, &format!("/fennelscale/requests/{id}"), "").await?.text();
+    check(told.contains("\"status\":401"), "and why one was refused")?;
+    println!("all registries are killed and start again, between two questions of a reader");
+    let refused = walk.until_clear(1, Method::PATCH, "/fennelscale/config", "{").await?;
+    check(refused.status == 400, "a call that was cut short is refused")?;
+    let cursor =
+        text.split("\"cursor\":\"").nth(1).and_then(|rest| rest.split('"').next()).unwrap_or_default();
+    // Events go to the disk once a second.
+    sleep(Duration::from_millis(1300)).await;
+    for zone in 0..ZONES.len() {
+        walk.machines.signal(zone, "postmaster", Signal::KILL);
+        walk.machines.ended(zone, "postmaster").await;
+    }
+    for zone in 0..ZONES.len() {
+        walk.machines.start(zone, "postmaster", false)?;
+    }
+    let begun = Instant::now();
+    let path = format!("/fennelscale/events?after={cursor}&kind=call-refused");
+    // Until the registries hear each other, one has only its own.
+    loop {
+        let read = walk.until_clear(2, Method::GET, &path, "").await?.text();
+        if read.contains("\"what\":\"config\"") && read.contains("\"missed\":true") {
+            break;
+        }
+        if begun.elapsed() > PATIENCE {
+            return Err(miette!("a cursor did not go on over the end of all registries: {read}"));
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    check(
+        true,
+        "its cursor goes on at another gateway, from what the disks kept, and says that lives ended",
+    )?;
+    let past = "/fennelscale/events?after=oldest&kind=zone-back&what=alder";
+    let past = walk.until_clear(0, Method::GET, past, "").await?.text();
+    check(past.matches("\"id\"").count() == 1, "what happened before is told once, whoever saw it")
 }
 
 async fn leaving(walk: &mut Walk) -> Result<()> {
--- a/post/walk/tests/walk.rs
+++ b/post/walk/tests/walk.rs
@@ -1,9 +1,18 @@
 //! The whole path over loopback with real processes.
 
 use std::process::Command;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Each of these starts a dozen processes that keep times: one after the other, whatever the machine.
+static ALONE: Mutex<()> = Mutex::new(());
+
+fn alone() -> MutexGuard<'static, ()> {
+    ALONE.lock().unwrap_or_else(PoisonError::into_inner)
+}
 
 #[test]
 fn the_whole_path_holds() {
+    let _alone = alone();
     let output = Command::new(env!("CARGO_BIN_EXE_walk")).output().unwrap();
     let text = String::from_utf8_lossy(&output.stdout);
     assert!(output.status.success(), "{text}");
@@ -23,3 +32,23 @@
         assert!(text.contains("FENNELSCALE_CONFIG") && text.lines().count() == 1, "{text}");
     }
 }
+
+#[test]
+fn a_maintenance_night_over_three_regions_holds() {
+    let _alone = alone();
+    let output =
+        Command::new(env!("CARGO_BIN_EXE_walk")).args(["--nights", "1", "--seed", "7"]).output().unwrap();
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(output.status.success(), "{text}");
+    assert!(text.ends_with("every step held\n"), "{text}");
+}
+
+#[test]
+fn named_callers_fail_and_nobody_else() {
+    let _alone = alone();
+    let output =
+        Command::new(env!("CARGO_BIN_EXE_walk")).args(["--failures", "1", "--seed", "8"]).output().unwrap();
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(output.status.success(), "{text}");
+    assert!(text.ends_with("every step held\n"), "{text}");
+}
--- a/post/words/src/depot.rs
+++ b/post/words/src/depot.rs
@@ -1,6 +1,7 @@
 //! Words among stores, and between a store and its machine's registry.
 
 use crate::Host;
+use crate::feed;
 use bitcode::{Decode, Encode};
 
 /// Whose turn it is to write. Higher ones go before; two seats never have the same.
@@ -62,6 +63,9 @@
     Evacuate(String, bool, Option<u64>),
     /// All items that stand.
     Read,
+    /// A step of a maintenance order: records to be written or dropped, if all that has a say in it is still as it was when the step
+    /// was decided (its versions in one number).
+    Step(u64, Vec<(String, Option<String>)>),
     /// Something that the system itself wants to know after its next start.
     Note(String, String),
 }
@@ -139,7 +143,18 @@
         /// What it took and does not know to be chosen.
         pending: Vec<Named>,
     },
-    /// Take this.
+    /// My turn begins. Who takes this holds all that was chosen before it.
+    Begin {
+        /// Whose turn.
+        epoch: Epoch,
+        /// What may have been chosen in earlier turns, written again.
+        entries: Vec<Named>,
+        /// What the sender holds as chosen.
+        digest: Digest,
+        /// Of that, what the receiver lacked by its last word; none before it has told.
+        lacked: Option<Vec<Named>>,
+    },
+    /// Take this: a write of a turn after its first.
     Accept {
         /// Whose turn and which write.
         stamp: Stamp,
@@ -152,8 +167,8 @@
     Accepted(Stamp),
     /// Not taken: a higher turn was promised.
     Refused(Epoch),
-    /// Not taken: the first write of this turn is missing here.
-    Behind(Epoch),
+    /// Not taken: the first write of this turn is missing here, or something that was chosen before it. This is what I hold.
+    Behind(Epoch, Digest),
     /// The turn's writes up to this one are chosen.
     Chosen(Stamp),
     /// Entries that the sender holds as chosen.
@@ -184,6 +199,10 @@
 pub enum Order {
     /// A call from outside.
     Call(u64, Ask),
+    /// What the registry saw happen, to be kept for readers that come after its life.
+    Keep(Vec<feed::Event>),
+    /// A reader wants events of earlier lives.
+    Kept(u64, feed::Wanted),
 }
 
 /// From a store to its machine's registry.
@@ -191,6 +210,8 @@
 pub enum Report {
     /// How a call went.
     Answer(u64, Told),
+    /// Events that were kept; none if the place after which they were wanted is not known here.
+    Kept(u64, Option<feed::Told>),
     /// Chosen entries: all of them, or those that are new. `fresh` if a quorum was heard lately and none held more.
     Items {
         /// All that there are.
--- a/post/words/src/news.rs
+++ b/post/words/src/news.rs
@@ -19,6 +19,8 @@
     pub port: u16,
     /// Whether it takes clients.
     pub ready: bool,
+    /// Nodes that are being drained and where it has nothing at work.
+    pub quiet: Vec<String>,
 }
 
 /// One backend as the platform lists it.
@@ -83,6 +85,13 @@
         /// Of which window.
         window: u64,
     },
+    /// All nodes that are being drained and where this proxy has nothing at work now.
+    Quiet(Vec<String>),
+    /// What this life of the proxy has counted of failure orders: of whom each names (named, failed, untouched), and how all other
+    /// requests ended (served, refused, otherwise) before its time and in it.
+    Met(Vec<(String, [u64; 3], [[u64; 3]; 2])>),
+    /// What this proxy did with a request that was asked for, as JSON; empty if it knows nothing of it.
+    Recalled(u64, String),
     /// The session ends in order.
     Bye,
 }
@@ -120,12 +129,16 @@
     },
     /// The list of backends.
     Listing(Listing),
-    /// All proxies, and how many there are for shares: those that are silent count for a while.
+    /// All proxies, and how many there are for shares: those that are silent count for a while. 0: nobody knows yet.
     Members(Vec<Member>, u32),
     /// The registries, this one's nearest first.
     Registries(Vec<(Host, String, String)>),
     /// Units.
     Grant(Grant),
+    /// An operator asks for a request, by the hash of its id. The first number comes back with the answer.
+    Recall(u64, u64),
+    /// True time lies between these, in ms since 1970: what is drained is drained until a moment.
+    Time(f64, f64),
     /// Still here. `true`: cut off from most registries or from a quorum's copy; a session elsewhere would be better.
     Beat(bool),
 }
--- a/post/words/src/round.rs
+++ b/post/words/src/round.rs
@@ -1,6 +1,7 @@
 //! Words among registries.
 
 use crate::Host;
+use crate::feed::{Told, Wanted};
 use crate::news::{Grant, Listing, Member};
 use bitcode::{Decode, Encode};
 
@@ -30,6 +31,8 @@
         life: u64,
         /// Claims that stand.
         granted: u64,
+        /// The sender's time of day, in ms since 1970, while there are maintenance hours to be kept.
+        wall: Option<u64>,
     },
     /// All sessions of the sender.
     Roll(Vec<Member>),
@@ -76,4 +79,12 @@
         /// Of which window.
         window: u64,
     },
+    /// A reader at the sender's wants to know what the receiver saw happen. The number comes back with the answer.
+    WantEvents(u64, Wanted),
+    /// That.
+    Events(u64, Told),
+    /// An operator at the sender's asks for a request, by the hash of its id.
+    WantRequest(u64, u64),
+    /// What each proxy with a session at the sender knows of it, as JSON.
+    Request(u64, Vec<(Host, String)>),
 }
