A disk that is full at any byte of a write: tested

Need: a store promises nothing that is not on its disk, also where the disk fills in the middle of a write; until now only a failing disk as a whole was tried. Change: a test whose process may write files of a stated length, at each seventh byte of a synced write. The write must fail, and the next life must hold what was synced, whole, and take writes.

--- a/post/depot/src/disk.rs
+++ b/post/depot/src/disk.rs
@@ -219,6 +219,7 @@
     use post_words::Host;
     use post_words::depot::{Entry, Epoch};
     use proptest::prelude::*;
+    use rustix::process::{Resource, Rlimit, Signal, getrlimit, setrlimit};
 
     fn writes(round: u64) -> Writes {
         let vows = Vows { promised: Epoch { round, seat: Host(1) }, joined: Epoch::default() };
@@ -346,6 +347,66 @@
         memory
     }
 
+    const SYNCED: u64 = 3;
+
+    /// Set for the process that [`a_disk_that_is_full_at_any_byte_of_a_write_fails_it_and_takes_nothing_back`] starts: the limit on
+    /// the length of files is one for all threads of a process.
+    const ALONE: &str = "DEPOT_FULL_DISK";
+
+    /// The longest file that this process may write.
+    fn limit(most: Option<u64>) {
+        let Rlimit { maximum, .. } = getrlimit(Resource::Fsize);
+        setrlimit(Resource::Fsize, Rlimit { current: most, maximum }).unwrap();
+    }
+
+    fn full_at_each_byte() {
+        // Whoever writes beyond the limit is told so by an error once the signal has somewhere to go.
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build().unwrap();
+        let _enter = runtime.enter();
+        let beyond = tokio::signal::unix::SignalKind::from_raw(Signal::XFSZ.as_raw());
+        let _told = tokio::signal::unix::signal(beyond).unwrap();
+        let place = std::env::temp_dir().join(format!("depot-full-{}", std::process::id()));
+        let (mut room, mut failed) = (0, 0);
+        loop {
+            let folder = place.join(room.to_string());
+            let (disk, _) = Disk::open(&folder, 256_000_000).unwrap();
+            (1..=SYNCED).for_each(|round| disk.write(&writes(round)).unwrap());
+            let used = files(&folder)[Path::new(APPENDS)].0.len() as u64;
+            limit(Some(used + room));
+            let written = disk.write(&writes(SYNCED + 1));
+            // The program ends there; what the library does as it goes meets the full disk as well.
+            drop(disk);
+            limit(None);
+            let (disk, memory) = Disk::open(&folder, 256_000_000).unwrap();
+            let kept = [SYNCED, SYNCED + 1].into_iter().find(|rounds| memory == state(*rounds));
+            assert!(kept.is_some(), "{room} bytes of room: {memory:?}");
+            assert!(written.is_err() || kept == Some(SYNCED + 1), "{room} bytes of room: promised and gone");
+            disk.write(&writes(40)).unwrap();
+            drop(disk);
+            assert_eq!(Disk::open(&folder, 256_000_000).unwrap().1.vows, writes(40).vows, "{room}");
+            std::fs::remove_dir_all(&folder).unwrap();
+            if written.is_ok() {
+                break;
+            }
+            failed += 1;
+            room += 7;
+        }
+        std::fs::remove_dir_all(&place).unwrap();
+        assert!(failed > 5, "{failed} writes met a full disk");
+    }
+
+    #[test]
+    fn a_disk_that_is_full_at_any_byte_of_a_write_fails_it_and_takes_nothing_back() {
+        if std::env::var_os(ALONE).is_some() {
+            return full_at_each_byte();
+        }
+        let me = std::env::current_exe().unwrap();
+        let name = "disk::tests::a_disk_that_is_full_at_any_byte_of_a_write_fails_it_and_takes_nothing_back";
+        let run = std::process::Command::new(me).args(["--exact", name]).env(ALONE, "1").output().unwrap();
+        let said = String::from_utf8_lossy(&run.stdout);
+        assert!(run.status.success() && said.contains("1 passed"), "{said}");
+    }
+
     /// What the disk held after so many writes.
     fn state(rounds: u64) -> Memory {
         let mut memory = Memory::default();
