A store's files say what all their records are together

Ruled out: our own order (one batch, one sync), synced writes (all there). Change: each batch brings the digest of all records as they are after it. Files that are not what their digest says count as torn: the unsynced end goes. Files from before have no digest and are read as ever.

--- a/post/depot/src/disk.rs
+++ b/post/depot/src/disk.rs
@@ -1,17 +1,23 @@
 //! The store's own state on disk: `fjall`, one record for each item and one for the promises, as `bitcode`, each with a
-//! check sum of its own.
+//! check sum of its own, and one that says of all of them together what they are.
 //!
-//! Every write of one step is one batch, synced before this returns: what was promised is there. Journals are bounded by the
+//! Every write of one step is one batch, synced before this returns: what was promised is there. A write that was not synced may come back
+//! in any form; the library's check sum covers the records of a batch but not the number by which a later record goes before an
+//! earlier one. So each batch brings the digest of all records as they are after it, and files whose records are not what their digest
+//! says hold a write in part. Journals are bounded by the
 //! machine's disk, which two programs share.
 
 use fjall::{Database, Keyspace, KeyspaceCreateOptions, PersistMode};
 use post_book::{Item, Memory, Vows, Writes};
-use std::collections::BTreeMap;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
 use std::io::{Read as _, Write as _};
 use std::path::{Path, PathBuf};
 
 /// The record of the promises. Items' names have a colon in second place.
 const VOWS: &str = "vows";
+/// The record of the digest. Files from before it was written have none.
+const DIGEST: &str = "digest";
 /// The journal takes this part of the disk.
 const JOURNAL_SHARE: u64 = 4;
 /// The least journal that the library takes.
@@ -24,6 +30,21 @@
 pub struct Disk {
     database: Database,
     records: Keyspace,
+    sums: RefCell<Sums>,
+}
+
+/// What the records are: each one's share of the digest, and that.
+#[derive(Default)]
+struct Sums {
+    of: HashMap<String, u64>,
+    digest: u64,
+}
+
+impl Sums {
+    fn set(&mut self, name: &str, record: &[u8]) {
+        let share = post_words::mix(post_words::hash(name.as_bytes()) ^ post_words::hash(record));
+        self.digest ^= share ^ self.of.insert(name.to_owned(), share).unwrap_or(0);
+    }
 }
 
 /// Why a store's files cannot be read.
@@ -35,6 +56,9 @@
     /// It reads them, and a record is not what was written.
     #[error("record {0}")]
     Record(String),
+    /// Each record is one that was written; together they are none of the states that were.
+    #[error("records of a write in part")]
+    Part,
 }
 
 /// A value with its check sum before it.
@@ -125,7 +149,7 @@
             Ok(read) => Ok(read),
             Err(error) => {
                 // A record that is whole and does not check out is no torn end.
-                if let Unreadable::Files(_) = error
+                if let Unreadable::Files(_) | Unreadable::Part = error
                     && let Some(read) = Self::without_torn_end(&place, size)
                 {
                     return Ok(read);
@@ -180,17 +204,26 @@
             .map_err(text)?;
         let records = database.keyspace("records", KeyspaceCreateOptions::default).map_err(text)?;
         let mut memory = Memory { vows: None, items: BTreeMap::new() };
+        let (mut sums, mut digest) = (Sums::default(), None);
         for record in records.iter() {
             let (key, value) = record.into_inner().map_err(text)?;
             let name = std::str::from_utf8(&key).map_err(|_| Unreadable::Record("without a name".into()))?;
             let broken = || Unreadable::Record(format!("{name} does not check out"));
+            if name == DIGEST {
+                digest = Some(unsealed::<u64>(&value).ok_or_else(broken)?);
+                continue;
+            }
+            sums.set(name, &value);
             if name == VOWS {
                 memory.vows = Some(unsealed::<Vows>(&value).ok_or_else(broken)?);
             } else {
                 memory.items.insert(name.to_owned(), unsealed::<Item>(&value).ok_or_else(broken)?);
             }
         }
-        Ok((Self { database, records }, memory))
+        if digest.is_some_and(|digest| digest != sums.digest) {
+            return Err(Unreadable::Part);
+        }
+        Ok((Self { database, records, sums: RefCell::new(sums) }, memory))
     }
 
     /// Brings writes to the disk. They are safe when this returns.
@@ -202,12 +235,14 @@
             return Ok(());
         }
         let mut batch = self.database.batch();
-        if let Some(vows) = &writes.vows {
-            batch.insert(&self.records, VOWS, sealed(vows));
-        }
-        for (name, item) in &writes.items {
-            batch.insert(&self.records, name.as_str(), sealed(item));
+        let mut sums = self.sums.borrow_mut();
+        let vows = writes.vows.iter().map(|vows| (VOWS, sealed(vows)));
+        let items = writes.items.iter().map(|(name, item)| (name.as_str(), sealed(item)));
+        for (name, record) in vows.chain(items) {
+            sums.set(name, &record);
+            batch.insert(&self.records, name, record);
         }
+        batch.insert(&self.records, DIGEST, sealed(&sums.digest));
         batch.commit().map_err(|error| error.to_string())?;
         self.database.persist(PersistMode::SyncAll).map_err(|error| error.to_string())
     }
@@ -313,6 +348,32 @@
         ]
     }
 
+    /// The number by which later records go before earlier ones was not written, and all behind it was.
+    #[test]
+    fn a_batch_that_lost_its_number_does_not_come_back_in_part() {
+        for at in 0..60 {
+            let memory = after_a_loss(1, 1, &Torn::Hole(at, 4));
+            assert!([1, 2].iter().any(|rounds| memory == state(*rounds)), "{at}: {memory:?}");
+        }
+    }
+
+    #[test]
+    fn files_without_a_digest_are_read_and_have_one_from_then_on() {
+        let folder = std::env::temp_dir().join(format!("depot-before-{}", std::process::id()));
+        let (disk, _) = Disk::open(&folder, 256_000_000).unwrap();
+        (1..4).for_each(|round| disk.write(&writes(round)).unwrap());
+        disk.records.remove(DIGEST).unwrap();
+        drop(disk);
+        let (disk, memory) = Disk::open(&folder, 256_000_000).unwrap();
+        assert_eq!(memory, state(3));
+        disk.write(&writes(4)).unwrap();
+        // Another state than the digest's, each record of which is whole.
+        disk.records.insert("r:0", sealed(&writes(9).items[0].1)).unwrap();
+        drop(disk);
+        assert!(matches!(Disk::read(&folder.join("items"), 256_000_000), Err(Unreadable::Part)));
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
+
     static RUNS: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
 
     /// Power is lost after so many synced writes and before the next ones were: what a start finds.
