Only who is told that nobody grants counts as on its own, by key

In a flood asks wait for more than 0.7 s; such a proxy said that it spends by itself, and the holders of all counts kept its part back for every tenant. Change: a proxy tells the keys of tenants for which it was told that nobody grants; whoever holds such a key keeps back.

--- a/post/courier/src/proxy.rs
+++ b/post/courier/src/proxy.rs
@@ -266,7 +266,7 @@
     pub fn beat(&self) -> Up {
         let held = self.held.borrow();
         let (items, listing) = (held.sum(), held.listing.stamp);
-        Up::Beat { ready: self.is_ready(), items, listing, alone: self.cache.borrow().is_alone(self.now()) }
+        Up::Beat { ready: self.is_ready(), items, listing, alone: self.cache.borrow().alone(self.now()) }
     }
 
     fn far(&self, zone: &str, region: &str) -> u8 {
--- a/post/diorama/src/proxy.rs
+++ b/post/diorama/src/proxy.rs
@@ -160,7 +160,7 @@
 
     fn beat(&self, now: Millis) -> Up {
         let (ready, items, listing) = (self.held.is_ready(), self.held.sum(), self.held.listing.stamp);
-        Up::Beat { ready, items, listing, alone: self.cache.is_alone(now) }
+        Up::Beat { ready, items, listing, alone: self.cache.alone(now) }
     }
 
     fn told(&mut self, told: Vec<(u64, Admission)>) {
--- a/post/rounds/benches/bytes.rs
+++ b/post/rounds/benches/bytes.rs
@@ -35,7 +35,7 @@
         for _ in 0..25 {
             for n in 0..proxies {
                 let listing = world.nodes[of(n)].as_ref().map(|r| r.listing().stamp).unwrap_or_default();
-                let beat = Up::Beat { ready: true, items: 0, listing, alone: false };
+                let beat = Up::Beat { ready: true, items: 0, listing, alone: 0 };
                 world.with(of(n), move |round, now| round.up(now, Host(1000 + n as u32), beat));
             }
             world.run(400.0);
--- a/post/rounds/src/duties.rs
+++ b/post/rounds/src/duties.rs
@@ -6,6 +6,7 @@
 //! share a seat. A seat that starts anew may have let a claim stand that it does not know of: it lets none stand for [`LEASE`].
 
 use crate::Millis;
+pub use post_units::{SHARDS, bit_of};
 use post_words::Host;
 use std::collections::BTreeMap;
 
@@ -13,18 +14,11 @@
 pub const LEASE: Millis = 1500.0;
 /// Its holder acts on it for so long. The difference covers a pause between the look at the fence and the effect.
 pub const ACTS: Millis = 1100.0;
-/// The keys that tenants are cut into.
-pub const SHARDS: u64 = 32;
 /// The key of reading the platform's list.
 pub const LIST: u64 = 1 << SHARDS;
 /// Beats whose answers may still come.
 const BEATS: usize = 16;
 
-/// The key that a tenant's count is under.
-pub fn bit_of(tenant: &str) -> u64 {
-    1 << (post_words::hash(tenant.as_bytes()) % SHARDS)
-}
-
 /// Keys that a registry is the first for, among those that are there: each key goes to the highest draw.
 pub fn first_of(me: Host, others: &[Host]) -> u64 {
     let draw = |host: Host, key: u64| post_words::mix(u64::from(host.0) << 8 ^ key);
--- a/post/rounds/src/lib.rs
+++ b/post/rounds/src/lib.rs
@@ -540,7 +540,7 @@
         let counts = self.counted(now);
         // While a new holder rested all were on their own, and it is a while until they say that they no longer are.
         let rested = now > since + Counts::REST as f64 * terms.window() + RESTED;
-        let alone = if rested { self.members.alone_count() } else { 0.0 };
+        let alone = if rested { self.members.alone_count(bit) } else { 0.0 };
         let grant = self.counts.ask(now, ask, terms, since, counts.parts + alone / counts.all);
         self.quota_edge(now, &grant);
         grant
--- a/post/rounds/src/members.rs
+++ b/post/rounds/src/members.rs
@@ -32,8 +32,8 @@
     heard: Millis,
     differs: bool,
     lags: bool,
-    /// It spends quotas by itself: no holder of a count reaches it.
-    alone: bool,
+    /// The keys of quotas that it spends by itself: their holders do not reach it.
+    alone: u64,
 }
 
 /// A proxy and how many it thinks there are.
@@ -59,7 +59,7 @@
     /// Whose sessions went silent there, and of how many each spends the part of one.
     silent: Vec<Parted>,
     /// Who spends by itself though it has a session there.
-    alone: Vec<Host>,
+    alone: Vec<(Host, u64)>,
     hash: u64,
     heard: Millis,
 }
@@ -92,10 +92,12 @@
     looked: Option<(u64, u32, Millis)>,
 }
 
-fn roll_hash<'a>(members: impl Iterator<Item = &'a Member>, silent: &[Parted], alone: &[Host]) -> u64 {
+fn roll_hash<'a>(members: impl Iterator<Item = &'a Member>, silent: &[Parted], alone: &[(Host, u64)]) -> u64 {
     let part = |(host, of): &Parted| u64::from(host.0) ^ u64::from(*of) << 32;
     let hash = silent.iter().fold(1, |hash, silent| post_words::mix(hash ^ part(silent)));
-    let hash = alone.iter().fold(hash, |hash, host| post_words::mix(hash ^ u64::from(host.0) << 32));
+    let hash = alone
+        .iter()
+        .fold(hash, |hash, (host, keys)| post_words::mix(post_words::mix(hash ^ u64::from(host.0)) ^ keys));
     members.fold(hash, |hash, m| {
         let text = format!("{}{:x}{}{}", m.host, m.life, m.port, m.ready);
         let hash = post_words::mix(hash ^ post_words::hash(text.as_bytes()));
@@ -108,7 +110,7 @@
         self.version += 1;
         self.silent.remove(&member.host);
         self.sessions
-            .insert(member.host, Session { member, heard: now, differs: false, lags: false, alone: false });
+            .insert(member.host, Session { member, heard: now, differs: false, lags: false, alone: 0 });
     }
 
     /// A proxy shows that it lives. Whether others should hear of a change.
@@ -121,16 +123,17 @@
     }
 
     /// A proxy spends by itself, or no longer. Whether others should hear of it.
-    pub(crate) fn alone(&mut self, host: Host, alone: bool) -> bool {
+    pub(crate) fn alone(&mut self, host: Host, alone: u64) -> bool {
         let Some(session) = self.sessions.get_mut(&host) else { return false };
         std::mem::replace(&mut session.alone, alone) != alone
     }
 
-    /// Members that spend by themselves.
-    pub(crate) fn alone_count(&self) -> f64 {
+    /// Members that spend quotas of a key by themselves.
+    pub(crate) fn alone_count(&self, key: u64) -> f64 {
         let told = self.rolls.values().flat_map(|roll| &roll.alone);
-        let told = told.filter(|host| !self.sessions.contains_key(*host)).copied();
-        told.chain(self.own_alone()).collect::<BTreeSet<Host>>().len() as f64
+        let told = told.filter(|(host, _)| !self.sessions.contains_key(host)).copied();
+        let alone = told.chain(self.own_alone()).filter(|(_, keys)| keys & key != 0);
+        alone.map(|(host, _)| host).collect::<BTreeSet<Host>>().len() as f64
     }
 
     pub(crate) fn heard(&mut self, host: Host, now: Millis) {
@@ -214,7 +217,7 @@
     }
 
     /// Sessions here; who went silent, and who spends by itself.
-    pub(crate) fn own_roll(&self) -> (Vec<Member>, Vec<Parted>, Vec<Host>) {
+    pub(crate) fn own_roll(&self) -> (Vec<Member>, Vec<Parted>, Vec<(Host, u64)>) {
         let members = self.sessions.values().map(|session| session.member.clone());
         (members.collect(), self.own_silent(), self.own_alone())
     }
@@ -223,8 +226,9 @@
         self.silent.iter().map(|(host, (_, of))| (*host, *of)).collect()
     }
 
-    fn own_alone(&self) -> Vec<Host> {
-        self.sessions.iter().filter(|(_, session)| session.alone).map(|(host, _)| *host).collect()
+    fn own_alone(&self) -> Vec<(Host, u64)> {
+        let alone = self.sessions.iter().filter(|(_, session)| session.alone != 0);
+        alone.map(|(host, session)| (*host, session.alone)).collect()
     }
 
     pub(crate) fn roll_hash(&self) -> u64 {
@@ -238,8 +242,8 @@
     }
 
     pub(crate) fn roll(
-        &mut self, registry: Host, members: Vec<Member>, mut silent: Vec<Parted>, mut alone: Vec<Host>,
-        now: Millis,
+        &mut self, registry: Host, members: Vec<Member>, mut silent: Vec<Parted>,
+        mut alone: Vec<(Host, u64)>, now: Millis,
     ) {
         self.version += 1;
         silent.truncate(MOST);
--- a/post/rounds/tests/nights/mod.rs
+++ b/post/rounds/tests/nights/mod.rs
@@ -38,11 +38,7 @@
             if !known {
                 round.up(now, member.host, Up::Hello(member.clone()));
             }
-            round.up(
-                now,
-                member.host,
-                Up::Beat { ready: true, items: 0, listing: (0, Host(0)), alone: false },
-            );
+            round.up(now, member.host, Up::Beat { ready: true, items: 0, listing: (0, Host(0)), alone: 0 });
             round.up(now, member.host, Up::Quiet(quiet));
         });
     }
--- a/post/rounds/tests/registries.rs
+++ b/post/rounds/tests/registries.rs
@@ -69,7 +69,7 @@
     }
     let beat = |world: &mut World| {
         for n in 0..6_u32 {
-            let up = Up::Beat { ready: true, items: 0, listing: (0, Host(0)), alone: false };
+            let up = Up::Beat { ready: true, items: 0, listing: (0, Host(0)), alone: 0 };
             world.with(n as usize, |round, now| round.up(now, Host(100 + n), up));
         }
     };
@@ -127,7 +127,7 @@
     world.with(2, |round, now| round.up(now, Host(102), Up::Hello(member(2, true))));
     for _ in 0..8 {
         world.with(2, |round, now| {
-            round.up(now, Host(102), Up::Beat { ready: true, items: 0, listing: old, alone: false })
+            round.up(now, Host(102), Up::Beat { ready: true, items: 0, listing: old, alone: 0 })
         });
         world.run(400.0);
     }
@@ -150,7 +150,7 @@
         world.downs.clear();
         world.with(0, |round, now| {
             round.fresh(now, true);
-            round.up(now, Host(100), Up::Beat { ready: true, items: 0, listing: (0, Host(0)), alone: false });
+            round.up(now, Host(100), Up::Beat { ready: true, items: 0, listing: (0, Host(0)), alone: 0 });
         });
         world.downs.iter().any(|(.., word)| **word == post_words::news::Down::Beat(true))
     };
@@ -180,7 +180,7 @@
     round.up(10.0, Host(100), Up::Hello(member(0, true)));
     let mut told = |now: f64| {
         round.tick(now);
-        round.up(now, Host(100), Up::Beat { ready: true, items: 0, listing: (0, Host(0)), alone: false });
+        round.up(now, Host(100), Up::Beat { ready: true, items: 0, listing: (0, Host(0)), alone: 0 });
         let beat = post_words::news::Down::Beat(true);
         round.outs().iter().any(|out| matches!(out, post_rounds::Out::Down(_, word) if **word == beat))
     };
--- a/post/units/src/cache.rs
+++ b/post/units/src/cache.rs
@@ -1,7 +1,7 @@
 //! The lease cache of a proxy: blocks that end with their window, admission out of them, renewal before they run dry.
 
 use crate::counts::AHEAD;
-use crate::{Block, Millis, SILENT, SLICE, Terms};
+use crate::{Block, Millis, SILENT, SLICE, Terms, bit_of};
 use post_words::news::{Grant, Up};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -25,6 +25,8 @@
 const AGAIN: Millis = 300.0;
 /// An ask that was answered with nothing at all is sent again after this.
 const CLOSED: Millis = 150.0;
+/// That nobody grants counts for so long: it is asked for more often.
+const TOLD: Millis = 600.0;
 /// A tenant is forgotten after so many windows without a request.
 const IDLE: f64 = 6.0;
 /// After the count said that all is spent it is asked again after this part of a window.
@@ -88,6 +90,8 @@
     slice_ends: Millis,
     /// No slice is spent before.
     alone_from: Millis,
+    /// When this proxy was last told that nobody grants.
+    closed: Millis,
 }
 
 /// The lease cache.
@@ -171,7 +175,7 @@
             return;
         };
         tenant.roll(now);
-        (tenant.heard, tenant.unheard) = (now, None);
+        (tenant.heard, tenant.unheard, tenant.closed) = (now, None, f64::MIN);
         tenant.asked[usize::from(grant.next)] = None;
         if grant.begins <= 0.0 && tenant.next.as_ref().is_some_and(|next| next.window != grant.window + 1) {
             tenant.asked[1] = None;
@@ -181,6 +185,7 @@
             // A new holder lets the window go by. It is a silence of known length, and treated as one.
             tenant.unheard = Some(now - SILENT);
             tenant.spent = 0.0;
+            tenant.closed = now;
             // The answer to the next ask would be the same for a while, and there at once.
             tenant.asked[usize::from(grant.next)] = Some(now - AGAIN + CLOSED);
         } else if grant.begins > 0.0 {
@@ -231,10 +236,12 @@
         });
     }
 
-    /// Whether some tenant's requests are let in from slices: nobody answers for its count.
-    pub fn is_alone(&self, now: Millis) -> bool {
-        let spends = |tenant: &Tenant| tenant.silent(now) && now - tenant.last < tenant.terms.window();
-        self.tenants.values().any(spends)
+    /// The keys of tenants whose requests are let in from slices since this proxy was told that nobody grants. One that waits for an
+    /// answer is none of them: its units may be on their way.
+    pub fn alone(&self, now: Millis) -> u64 {
+        let told = |tenant: &Tenant| now - tenant.closed < TOLD && now - tenant.last < tenant.terms.window();
+        let alone = self.tenants.iter().filter(|(_, tenant)| told(tenant));
+        alone.fold(0, |keys, (name, _)| keys | bit_of(name))
     }
 
     /// A limit is no more, or a tenant: nothing of it is kept.
@@ -280,6 +287,7 @@
             // Below one: over many proxies as much as an even part of each window is, from the first on.
             slice: part,
             slice_ends: 0.0,
+            closed: f64::MIN,
         }
     }
 
--- a/post/units/src/lib.rs
+++ b/post/units/src/lib.rs
@@ -27,6 +27,14 @@
 pub use relay::{Relay, Sent};
 pub use timely::Timely;
 
+/// The keys that tenants are cut into.
+pub const SHARDS: u64 = 32;
+
+/// The key that a tenant's count is under.
+pub fn bit_of(tenant: &str) -> u64 {
+    1 << (post_words::hash(tenant.as_bytes()) % SHARDS)
+}
+
 /// A time or a span in milliseconds.
 pub type Millis = f64;
 
--- a/post/words/src/news.rs
+++ b/post/words/src/news.rs
@@ -64,8 +64,8 @@
         items: u64,
         /// The list that it has.
         listing: (u64, Host),
-        /// Whether it spends some quota by itself, since nobody answers for it.
-        alone: bool,
+        /// The keys of quotas that it spends by itself, since it is told that nobody grants them.
+        alone: u64,
     },
     /// Units of a tenant, for the window at hand or the one after.
     Ask {
--- a/post/words/src/round.rs
+++ b/post/words/src/round.rs
@@ -40,8 +40,8 @@
         members: Vec<Member>,
         /// Who had one and went silent: they may be on their own, each with the part of one of so many.
         silent: Vec<(Host, u32)>,
-        /// Who has one and spends by itself all the same: the holder of a count does not reach it.
-        alone: Vec<Host>,
+        /// Who has one and spends by itself all the same, and of which keys: their holders do not reach it.
+        alone: Vec<(Host, u64)>,
     },
     /// Tell me all your sessions.
     WantRoll,
