A write that nobody is known to have chosen is asked for without a caller

Cause (hard cases by name, in virtual time): a gateway acknowledges a change as the one who writes and loses its disk in the same moment, another region being dark, or all power goes: everybody serves the version before until somebody sends or reads a configuration. The others hold the write as taken; a turn that finds it was begun for callers only. Ruled out: the write (a quorum had it on disk). Change: a seat that holds a taken write for longer than a writer needs to tell begins a turn by itself, one seat after the other; one that finds such a write on its disk is not as new as a quorum until it is known what became of it.

--- a/post/book/src/lib.rs
+++ b/post/book/src/lib.rs
@@ -32,7 +32,7 @@
 
 use post_items::Fact;
 use post_words::Host;
-use post_words::depot::{Entry, Epoch, Named, Seat, Seats, Told, Word};
+use post_words::depot::{Entry, Epoch, Named, Seat, Seats, Stamp, Told, Word};
 use std::collections::{BTreeMap, BTreeSet};
 use writer::Turn;
 
@@ -46,6 +46,10 @@
 pub const BEAT: Millis = 400.0;
 /// A seat that was not heard for this long is not counted on: three beats, and the longest way.
 pub const SILENT: Millis = 1300.0;
+/// A write that a living writer does not choose is asked for after this.
+const STUCK: Millis = 2600.0;
+/// Seats that ask by themselves do so one after the other, this far apart.
+const APART: Millis = 250.0;
 
 /// Of one name: what is chosen, and what was taken but is not known to be.
 #[derive(Clone, Debug, Default, PartialEq, Eq, bitcode::Encode, bitcode::Decode)]
@@ -152,6 +156,10 @@
     seated: Millis,
     told: Millis,
     fresh: bool,
+    /// The oldest write that was taken here and is not known to be chosen, and since when it is.
+    stuck: Option<(Stamp, Millis)>,
+    /// There was such a write on the disk at the start: it may have been acknowledged.
+    inherited: bool,
     /// What learned from whom, while everything is forgotten.
     learned: BTreeSet<Host>,
     lesson: BTreeMap<String, Item>,
@@ -203,6 +211,8 @@
             seated: now,
             told: now,
             fresh: false,
+            stuck: None,
+            inherited: false,
             learned: BTreeSet::new(),
             lesson: BTreeMap::new(),
             dirty: BTreeSet::new(),
@@ -217,6 +227,7 @@
         names.iter().for_each(|name| book.refact(name));
         book.take_seats();
         book.votes = !blank && book.is_seat(book.place.me.host);
+        book.inherited = book.items.values().any(|item| item.pending.is_some());
         book
     }
 
@@ -327,13 +338,15 @@
         }
         // After a start others are to find soon that this copy is as new as theirs, or not.
         self.beat_at = now + if self.fresh { BEAT } else { BEAT / 3.0 };
+        self.look_stuck(now);
         if self.votes {
             let beat = Word::Beat {
                 seats: self.seats.version,
                 promised: self.vows.promised,
                 votes: true,
                 leaving: self.leaving,
-                digest: self.sum(),
+                // Not alike: what it does not know to be chosen may be in force.
+                digest: self.sum() ^ u64::from(self.inherited),
             };
             for host in self.others() {
                 self.send(host, beat.clone());
@@ -351,7 +364,8 @@
         let alike = |peer: &Peer| peer.votes && now - peer.heard < SILENT && peer.digest == sum;
         let others = self.others();
         let heard = others.iter().filter(|host| self.peers.get(host).is_some_and(alike)).count();
-        let fresh = !self.seats.seats.is_empty() && heard + usize::from(self.votes) >= self.quorum();
+        let enough = heard + usize::from(self.votes) >= self.quorum();
+        let fresh = !self.seats.seats.is_empty() && enough && !self.inherited;
         if fresh != self.fresh {
             self.fresh = fresh;
             self.out.push(Out::Fresh(fresh));
@@ -369,6 +383,29 @@
         }
     }
 
+    /// A write that was taken here stays unknown where its writer died before it could say that it is chosen, though it may have
+    /// acknowledged it. Who takes the next turn finds out; with no caller, a seat does so by itself.
+    fn look_stuck(&mut self, now: Millis) {
+        let oldest =
+            self.items.values().filter_map(|item| item.pending.as_ref()).map(|entry| entry.stamp).min();
+        let Some(oldest) = oldest else {
+            (self.stuck, self.inherited) = (None, false);
+            return;
+        };
+        if !self.votes || !matches!(self.turn, Turn::Idle) {
+            return;
+        }
+        let since = self.stuck.filter(|(stamp, _)| *stamp == oldest).map_or(now, |(_, since)| since);
+        self.stuck = Some((oldest, since));
+        // A writer that lives will say so, unless it has forgotten. The seats take their turns to ask, by their place in the list.
+        let wait = if self.writer(now).is_some() { STUCK } else { SILENT };
+        let at = self.seats.seats.iter().position(|seat| seat.host == self.place.me.host).unwrap_or(0);
+        if now - since >= wait + at as f64 * APART {
+            self.stuck = None;
+            self.ask_turn(now);
+        }
+    }
+
     /// A word from another store.
     pub fn word(&mut self, now: Millis, from: Host, word: Word) {
         match word {
--- a/post/diorama/src/world.rs
+++ b/post/diorama/src/world.rs
@@ -156,6 +156,8 @@
     admitted: BTreeMap<String, VecDeque<Millis>>,
     /// When something last went wrong.
     trouble: Millis,
+    /// Time stops at an acknowledgement.
+    stops: bool,
     /// Requests let in and refused, words and bytes by kind of line.
     pub served: usize,
     /// Requests that were refused.
@@ -202,6 +204,7 @@
             floods: BTreeMap::new(),
             admitted: BTreeMap::new(),
             trouble: 0.0,
+            stops: false,
             served: 0,
             refused: 0,
             bytes: [0; 3],
@@ -739,7 +742,11 @@
                 }
                 let sent = entry.remove();
                 self.now = self.now.max(due);
+                let before = if self.stops { self.acknowledged() } else { 0 };
                 self.arrives(sent);
+                if self.stops && self.acknowledged() > before {
+                    return;
+                }
             }
             self.now = tick;
             self.listed.push_back((self.now, self.backends.clone()));
@@ -767,6 +774,18 @@
         }
     }
 
+    /// Time passes until a change is acknowledged, and no moment longer; the machine that did so.
+    pub fn run_to_acknowledged(&mut self, most: Millis) -> Option<usize> {
+        let (begun, before) = (self.now, self.acknowledged());
+        self.stops = true;
+        while self.acknowledged() == before && self.now - begun < most && self.broken.is_empty() {
+            self.run(TICK);
+        }
+        self.stops = false;
+        let last = self.calls.iter().filter(|call| call.acknowledged == Some(self.now)).next_back()?;
+        last.asked.map(|(machine, ..)| machine)
+    }
+
     /// Time passes until something is so, or for so long; after how long it was.
     pub fn run_until(&mut self, most: Millis, met: impl Fn(&Self) -> bool) -> Option<Millis> {
         let begun = self.now;
