--- a/post/rounds/src/members.rs
+++ b/post/rounds/src/members.rs
@@ -468,6 +468,24 @@
         }
     }
 
+    /// One that was told that it is alone spends a whole part, however many have come; also where the higher number was on its way.
+    #[test]
+    fn a_silent_proxy_counts_with_the_part_that_it_thinks_it_has() {
+        for (told_again, parts) in [(None, 1.0), (Some(SILENT - 500.0), 1.0), (Some(-2.0 * UNDER_WAY), 0.5)] {
+            let mut members = Members::default();
+            members.hello(member(1, 1, true), -20_000.0);
+            members.tells(-20_000.0, 1);
+            if let Some(at) = told_again {
+                members.tells(at, 2);
+            }
+            members.beat(Host(1), true, 0.0);
+            assert_eq!(members.expire(SILENT), [Host(1)]);
+            members.hello(member(2, 1, true), SILENT);
+            let counted = members.counted(SILENT);
+            assert_eq!((counted.all, counted.silent, counted.parts), (2.0, 1.0, parts), "{told_again:?}");
+        }
+    }
+
     #[test]
     fn a_proxy_lags_from_the_second_beat_that_differs_until_one_that_does_not() {
         let (mut members, host) = (Members::default(), Host(9));
