--- a/post/diorama/src/world.rs
+++ b/post/diorama/src/world.rs
@@ -782,7 +782,7 @@
             self.run(TICK);
         }
         self.stops = false;
-        let last = self.calls.iter().filter(|call| call.acknowledged == Some(self.now)).next_back()?;
+        let last = self.calls.iter().rfind(|call| call.acknowledged == Some(self.now))?;
         last.asked.map(|(machine, ..)| machine)
     }
 
