Read again: one way to outlive a registry, one mean, one place in the list

Need: the same steps stood twice. Change, behaviour as before: proxies of a registry that is gone and of one that began anew go the same way (`outlive`); seats that ask by themselves take one `place_in_list`; the experiment tool has one mean, reads figures by `by_seed` and the number of core machines from the world; drawn schedules are judged in one place.

--- a/post/book/src/chair.rs
+++ b/post/book/src/chair.rs
@@ -194,9 +194,7 @@
                 self.write(now, vec![(SEATS.to_owned(), entry)], Vec::new());
             }
             Turn::Idle if self.writer(now).is_none() => {
-                // The seats take their turns to ask, by their place in the list.
-                let at = self.seats.seats.iter().position(|s| s.host == me).unwrap_or(0);
-                self.reseat_at = now + SILENT * (1.0 + at as f64 * 0.3);
+                self.reseat_at = now + SILENT * (1.0 + self.place_in_list() * 0.3);
                 self.ask_turn(now);
             }
             _ => {}
--- a/post/book/src/lib.rs
+++ b/post/book/src/lib.rs
@@ -383,6 +383,11 @@
         }
     }
 
+    /// Seats that ask by themselves take their turns, by their place in the list.
+    pub(crate) fn place_in_list(&self) -> f64 {
+        self.seats.seats.iter().position(|seat| seat.host == self.place.me.host).unwrap_or(0) as f64
+    }
+
     /// A write that was taken here stays unknown where its writer died before it could say that it is chosen, though it may have
     /// acknowledged it. Who takes the next turn finds out; with no caller, a seat does so by itself.
     fn look_stuck(&mut self, now: Millis) {
@@ -397,10 +402,9 @@
         }
         let since = self.stuck.filter(|(stamp, _)| *stamp == oldest).map_or(now, |(_, since)| since);
         self.stuck = Some((oldest, since));
-        // A writer that lives will say so, unless it has forgotten. The seats take their turns to ask, by their place in the list.
+        // A writer that lives will say so, unless it has forgotten.
         let wait = if self.writer(now).is_some() { STUCK } else { SILENT };
-        let at = self.seats.seats.iter().position(|seat| seat.host == self.place.me.host).unwrap_or(0);
-        if now - since >= wait + at as f64 * APART {
+        if now - since >= wait + self.place_in_list() * APART {
             self.stuck = None;
             self.ask_turn(now);
         }
--- a/post/diorama/tests/schedules.rs
+++ b/post/diorama/tests/schedules.rs
@@ -32,6 +32,11 @@
     left.collect()
 }
 
+fn keep_every_promise(left: &[Left]) {
+    let broken: Vec<&String> = left.iter().flat_map(|(broken, ..)| broken).collect();
+    assert_eq!(broken, Vec::<&String>::new());
+}
+
 fn play(seed: u64) -> World {
     let mut world = World::new(seed, size(seed));
     let mut chance = Chance::new(!seed);
@@ -52,8 +57,7 @@
 #[test]
 fn drawn_schedules_of_the_whole_system_keep_every_promise() {
     let left = all(seeds(2400), play);
-    let broken: Vec<&String> = left.iter().flat_map(|(broken, ..)| broken).collect();
-    assert_eq!(broken, Vec::<&String>::new());
+    keep_every_promise(&left);
     let (served, acknowledged) = left.iter().fold((0, 0), |all, one| (all.0 + one.1, all.1 + one.2));
     // A world in which nothing happens would keep any promise.
     assert!(served > 1000 * left.len() && acknowledged > 3 * left.len(), "{served} {acknowledged}");
@@ -82,9 +86,7 @@
 /// Machines that stand still, cuts in one direction, replaced machines, all power lost with a disk.
 #[test]
 fn drawn_schedules_with_the_hard_troubles_keep_every_promise() {
-    let left = all(seeds(800), play_hard);
-    let broken: Vec<&String> = left.iter().flat_map(|(broken, ..)| broken).collect();
-    assert_eq!(broken, Vec::<&String>::new());
+    keep_every_promise(&all(seeds(800), play_hard));
 }
 
 #[test]
--- a/post/essay/src/figures.rs
+++ b/post/essay/src/figures.rs
@@ -23,7 +23,8 @@
     pub many: usize,
 }
 
-fn mean_of(values: &[f64]) -> f64 {
+/// The mean of values; 0 of none.
+pub fn mean_of(values: &[f64]) -> f64 {
     values.iter().sum::<f64>() / values.len().max(1) as f64
 }
 
--- a/post/essay/src/growth.rs
+++ b/post/essay/src/growth.rs
@@ -6,8 +6,6 @@
 
 /// Virtual time that is looked at, in ms.
 const SPAN: f64 = 10_000.0;
-/// Core machines of each world.
-const CORES: f64 = 6.0;
 
 /// One size.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -31,6 +29,7 @@
     let (backends, tenants, routes) = (proxies * 4, proxies, (proxies / 2).max(1));
     let config =
         Config { proxies, backends, tenants, routes, rate: 20.0, measure: true, ..Config::default() };
+    let cores = config.cores as f64;
     let mut world = World::new(1, config);
     world.run(3000.0);
     let (before, begun) = (world.bytes, Instant::now());
@@ -39,8 +38,8 @@
     let sent = [0, 1, 2].map(|n| (world.bytes[n] - before[n]) as f64 / seconds);
     Size {
         proxies,
-        sweep: sent[0] / CORES,
-        core: (sent[0] + sent[1]) / CORES,
+        sweep: sent[0] / cores,
+        core: (sent[0] + sent[1]) / cores,
         proxy: sent[2] / many,
         time: took * 1e6 / seconds / many,
         held: world.held().map(|held| held as f64),
--- a/post/essay/src/page.rs
+++ b/post/essay/src/page.rs
@@ -1,7 +1,7 @@
 //! A page of its own, with plots as SVG: no other file is needed to read it.
 
 use crate::Fault;
-use crate::figures::{Mean, Pair, compare};
+use crate::figures::{Mean, Pair, by_seed, compare};
 use crate::growth::{Size, TOLD, exponent};
 use crate::play::{FIGURES, PART, Run, Set};
 use plotters::prelude::*;
@@ -157,7 +157,7 @@
                 row(&mut page, pair, what);
                 continue;
             }
-            let values: Vec<f64> = runs.iter().filter_map(|run| run.figures.get(figure).copied()).collect();
+            let values: Vec<f64> = by_seed(one, name, figure).into_values().collect();
             let mean = told(&Mean::new(&values));
             let _ = writeln!(page, "<tr><td>{figure}: {what}</td><td>{mean}</td></tr>");
         }
--- a/post/essay/src/play.rs
+++ b/post/essay/src/play.rs
@@ -1,5 +1,6 @@
 //! Runs of scenarios.
 
+use crate::figures::mean_of;
 use crate::scenario::{Happens, Scenario};
 use post_diorama::World;
 use rayon::prelude::*;
@@ -81,14 +82,19 @@
     let sent = [0, 1, 2].map(|n| (world.bytes[n] - bytes[n]) as f64 / seconds);
     world.run(BEHIND);
     let times: Vec<(f64, Option<f64>)> = world.times().into_iter().skip(first).collect();
-    let mean = |of: Vec<f64>| if of.is_empty() { 0.0 } else { of.iter().sum::<f64>() / of.len() as f64 };
     let changes = scenario.events.iter().filter(|(_, happens)| *happens == Happens::Change).count();
     let whole = times.iter().filter(|(_, everywhere)| everywhere.is_some()).count();
     let figures = [
         ("served", if came + refused == 0.0 { 1.0 } else { came / (came + refused) }),
         ("worst", served.iter().copied().fold(1.0, f64::min)),
-        ("acknowledged_ms", mean(times.iter().map(|(acknowledged, _)| *acknowledged).collect())),
-        ("everywhere_ms", mean(times.iter().filter_map(|(_, everywhere)| *everywhere).collect())),
+        (
+            "acknowledged_ms",
+            mean_of(&times.iter().map(|(acknowledged, _)| *acknowledged).collect::<Vec<f64>>()),
+        ),
+        (
+            "everywhere_ms",
+            mean_of(&times.iter().filter_map(|(_, everywhere)| *everywhere).collect::<Vec<f64>>()),
+        ),
         ("open", changes.saturating_sub(whole) as f64),
         ("core_bytes", (sent[0] + sent[1]) / scenario.config.cores as f64),
         ("proxy_bytes", sent[2] / scenario.config.proxies as f64),
--- a/post/rounds/src/members.rs
+++ b/post/rounds/src/members.rs
@@ -183,12 +183,9 @@
             self.silent.insert(*host, (now, least));
         }
         let before = (self.rolls.len(), self.silent.len());
-        for (_, roll) in self.rolls.iter().filter(|(_, roll)| now - roll.heard >= KEPT) {
-            for (host, of) in roll.parted(least) {
-                self.silent.entry(host).or_insert((now, of));
-            }
-        }
-        self.rolls.retain(|_, roll| now - roll.heard < KEPT);
+        let gone = self.rolls.iter().filter(|(_, roll)| now - roll.heard >= KEPT);
+        let gone: Vec<Host> = gone.map(|(registry, _)| *registry).collect();
+        gone.into_iter().for_each(|registry| self.outlive(registry, least, now));
         self.silent.retain(|_, (since, _)| now - *since < CUT);
         while self.silent.len() > MOST {
             self.silent.pop_first();
@@ -260,9 +257,14 @@
 
     /// A registry has started anew: its proxies come back, or are on their own and nobody else knows of them.
     pub(crate) fn began(&mut self, registry: Host, now: Millis) {
+        let least = self.least(now);
+        self.outlive(registry, least, now);
+    }
+
+    /// What a registry told is over; its proxies may be on their own.
+    fn outlive(&mut self, registry: Host, least: u32, now: Millis) {
         let Some(roll) = self.rolls.remove(&registry) else { return };
         self.version += 1;
-        let least = self.least(now);
         for (host, of) in roll.parted(least) {
             self.silent.entry(host).or_insert((now, of));
         }
