Store: every answer after a round of contact; one number, one content; contact has an age

Cause: a leader that was cut off refused and confirmed at once by its own view; a second content under an acknowledged number was confirmed once a higher version stood; proxies stayed with a cut-off registry since those that had failed were never thought of again while a session stood. Change: confirmations, refusals and reads go out after an empty write has been taken by a quorum in the writer's turn; a writer without words of a quorum for 2 s, or with a write that is not taken for 2.5 s, ends its turn. Calls among stores are known by life and number, and answered only by whom they were sent to. The beat of a session bears the age of the registry's contact with the majority; RegistryChoice (no I/O, shared with the simulation) looks at failed registries too. The soak fills the bounded histories first and then holds the same bounds as before.

--- a/post/book/src/calls.rs
+++ b/post/book/src/calls.rs
@@ -1,10 +1,11 @@
 //! Callers: what their calls change, who decides on them, and what they are told.
 
+use crate::versions::{self, Standing};
 use crate::writer::Turn;
 use crate::{Book, Millis, Out, SEATS};
-use post_items::{Fact, content};
+use post_items::Fact;
 use post_words::Host;
-use post_words::depot::{Ask, Change, Entry, Named, Told, Word};
+use post_words::depot::{Ask, CallId, Change, Entry, Named, Told, Word};
 use std::collections::{BTreeMap, VecDeque};
 
 /// A call that was passed on and not answered is taken up here after this: the way there and back, twice.
@@ -15,8 +16,6 @@
 const READS: Millis = 1500.0;
 /// The most calls that wait at once; more are told that nothing is clear.
 const MOST: usize = 1024;
-/// Versions of one item whose calls are known when they arrive again.
-const PAST: usize = 6;
 
 /// Who waits for the answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -24,7 +23,7 @@
     /// This machine's registry; its number of the call.
     Registry(u64),
     /// Another store, which passed it on.
-    Seat(Host, u64),
+    Seat(Host, CallId),
 }
 
 /// A call whose answer is owed.
@@ -34,10 +33,23 @@
     pub(crate) since: Millis,
 }
 
+/// What a caller is told once the write that its answer rests on is chosen.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Reply {
+    /// Its call is in force, or has been.
+    Done,
+    /// The items.
+    Read,
+    /// It cannot be.
+    Refusal(Told),
+}
+
 #[derive(Clone, Debug)]
 struct Passed {
     ticket: Ticket,
     ask: Ask,
+    /// The store that it was passed on to: nobody else answers it.
+    to: Host,
     until: Millis,
 }
 
@@ -51,15 +63,15 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Calls {
     waiting: VecDeque<(Ticket, Ask)>,
-    passed: BTreeMap<u64, Passed>,
+    passed: BTreeMap<CallId, Passed>,
     reading: Vec<Reading>,
-    next: u64,
+    last: CallId,
 }
 
 impl Calls {
     pub(crate) fn new(life: u64) -> Self {
-        // Numbers of another life are not taken for this one's.
-        Self { waiting: VecDeque::new(), passed: BTreeMap::new(), reading: Vec::new(), next: life << 20 }
+        let last = CallId { life, number: 0 };
+        Self { waiting: VecDeque::new(), passed: BTreeMap::new(), reading: Vec::new(), last }
     }
 }
 
@@ -93,9 +105,9 @@
         let to = self.writer(now).or_else(|| if self.votes { None } else { any() });
         match to {
             Some(to) if self.calls.passed.len() < MOST => {
-                self.calls.next += 1;
-                let id = self.calls.next;
-                self.calls.passed.insert(id, Passed { ticket, ask: ask.clone(), until: now + PASSED });
+                self.calls.last.number += 1;
+                let id = self.calls.last;
+                self.calls.passed.insert(id, Passed { ticket, ask: ask.clone(), to, until: now + PASSED });
                 self.send(to, Word::Pass(id, ask));
             }
             _ if self.votes => {
@@ -121,7 +133,10 @@
         }
     }
 
-    pub(crate) fn on_passed(&mut self, now: Millis, from: Host, id: u64, told: Told) {
+    pub(crate) fn on_passed(&mut self, now: Millis, from: Host, id: CallId, told: Told) {
+        if self.calls.passed.get(&id).is_none_or(|passed| passed.to != from) {
+            return;
+        }
         let Some(passed) = self.calls.passed.remove(&id) else { return };
         match told {
             Told::Unclear => self.take_up(now, passed),
@@ -155,7 +170,7 @@
     }
 
     pub(crate) fn calls_tick(&mut self, now: Millis) {
-        let late: Vec<u64> =
+        let late: Vec<CallId> =
             self.calls.passed.iter().filter(|(_, p)| now >= p.until).map(|(id, _)| *id).collect();
         for id in late {
             if let Some(passed) = self.calls.passed.remove(&id) {
@@ -185,42 +200,32 @@
         over.into_iter().for_each(|reading| self.answer_unclear(reading.ticket));
     }
 
-    /// What a call writes: of each item the new version, nothing where it is there already.
+    /// What a call writes: of each item the new version, nothing where it is there already. A call is whole: where one of its items
+    /// cannot be, none of them is.
     pub(crate) fn entries_of(&self, changes: Vec<Change>) -> Result<Vec<Named>, Told> {
         let mut entries = Vec::new();
         let mut facts: BTreeMap<String, Option<Fact>> = BTreeMap::new();
         for change in changes {
-            let Change { name, revision, host, body } = change;
-            // Who shares a failure order is said with its first version: with others later, its parts would add up to more.
-            let stands = self.view(&name).filter(|known| known.body.is_some() && body.is_some());
-            let host = match stands.filter(|_| name.starts_with(post_mislay::FAILURE)) {
-                Some(known) => known.host.clone(),
-                None => host,
-            };
-            let sent = content(&host, body.as_deref());
-            let mut past = Vec::new();
-            if let Some(known) = self.view(&name) {
-                let own = (known.revision, content(&known.host, known.body.as_deref()));
-                if revision <= known.revision {
-                    // An older change, or the same once more: it has been overtaken and has no effect. Another content under
-                    // the version in force is a race that it has lost.
-                    if revision < known.revision || own == (revision, sent) {
-                        continue;
-                    }
-                    let text = format!(
-                        "{name}: version {:08x} is in force, {revision:08x} was sent",
-                        known.revision
+            let known = self.view(&change.name);
+            match known.map_or(Standing::Newer, |known| versions::standing(known, &change)) {
+                Standing::Known => continue,
+                Standing::Taken => return Err(conflict(&change)),
+                Standing::Forgotten => return Err(Told::Forgotten),
+                Standing::PassedOver => {
+                    entries.extend(
+                        known.map(|known| (change.name.clone(), versions::with_record(known, &change))),
                     );
-                    return Err(Told::Conflict(text));
+                    continue;
                 }
-                past = known.past.clone();
-                past.push(own);
-                past.drain(..past.len().saturating_sub(PAST));
+                Standing::Newer => {}
             }
+            let history = known.map_or_else(Vec::new, |known| versions::history_after(&change.name, known));
+            let host = self.host_of(&change);
+            let Change { name, revision, body, .. } = change;
             let fact = body.as_deref().map(|body| post_items::fact(&name, &host, body));
             let fact = fact.transpose().map_err(|invalid| Told::Invalid(invalid.0))?;
             facts.insert(name.clone(), fact);
-            entries.push((name, Entry { revision, host, body, past, ..Entry::default() }));
+            entries.push((name, Entry { revision, host, body, history, ..Entry::default() }));
         }
         let standing = self.facts.iter().filter(|(name, _)| !facts.contains_key(*name));
         let changed = facts.iter().filter_map(|(name, fact)| Some((name, fact.as_ref()?)));
@@ -229,20 +234,32 @@
         Ok(entries)
     }
 
-    pub(crate) fn answer_done(&mut self, _now: Millis, ticket: Ticket, reads: bool) {
-        match ticket.origin {
-            Origin::Registry(_) if reads => self.answer_items(ticket),
-            Origin::Seat(..) if reads => {
+    /// The host that a change writes. Who shares a failure order is said with its first version: with others later, its parts would
+    /// add up to more.
+    fn host_of(&self, change: &Change) -> String {
+        let stands = self.view(&change.name).filter(|known| known.body.is_some() && change.body.is_some());
+        match stands.filter(|_| change.name.starts_with(post_mislay::FAILURE)) {
+            Some(known) => known.host.clone(),
+            None => change.host.clone(),
+        }
+    }
+
+    /// Tells a caller what its call came to, now that what it rests on is chosen.
+    pub(crate) fn reply(&mut self, ticket: Ticket, reply: Reply) {
+        match (reply, &ticket.origin) {
+            (Reply::Done, _) => self.answer(ticket, Told::Done),
+            (Reply::Refusal(told), _) => self.answer(ticket, told),
+            (Reply::Read, Origin::Registry(_)) => self.answer_items(ticket),
+            (Reply::Read, Origin::Seat(..)) => {
                 let digest = self.digest.clone();
                 self.answer(ticket, Told::Fresh(digest));
             }
-            _ => self.answer(ticket, Told::Done),
         }
     }
 
     fn answer_items(&mut self, ticket: Ticket) {
         let standing = self.chosen().filter(|(name, entry)| *name != SEATS && entry.body.is_some());
-        let standing = standing.map(|(name, entry)| (name.clone(), entry.clone())).collect();
+        let standing = standing.map(|(name, entry)| (name.clone(), versions::published(entry))).collect();
         self.answer(ticket, Told::Items(standing));
     }
 
@@ -257,3 +274,8 @@
         }
     }
 }
+
+fn conflict(change: &Change) -> Told {
+    let Change { name, revision, .. } = change;
+    Told::Conflict(format!("{name}: version {revision:08x} was given to another content"))
+}
--- a/post/book/src/lib.rs
+++ b/post/book/src/lib.rs
@@ -26,6 +26,7 @@
 mod calls;
 mod chair;
 mod seat;
+pub mod versions;
 mod writer;
 
 pub use calls::Origin;
@@ -35,6 +36,7 @@
 use post_words::depot::{Entry, Epoch, Named, Seat, Seats, Stamp, Told, Word};
 use std::collections::{BTreeMap, BTreeSet};
 use writer::Turn;
+pub use writer::{OUT_OF_CONTACT, UNTAKEN};
 
 /// Milliseconds of a clock that never goes back.
 pub type Millis = f64;
@@ -142,6 +144,8 @@
     leaving: bool,
     turn: Turn,
     peers: BTreeMap<Host, Peer>,
+    /// When the last word of any kind came from each seat.
+    contact: BTreeMap<Host, Millis>,
     /// Machines without a seat that would take one, and when they were last heard.
     strangers: BTreeMap<Host, (Seat, Millis)>,
     calls: calls::Calls,
@@ -201,6 +205,7 @@
             leaving: false,
             turn: Turn::Idle,
             peers: BTreeMap::new(),
+            contact: BTreeMap::new(),
             strangers: BTreeMap::new(),
             calls: calls::Calls::new(place.life),
             round: 0,
@@ -254,7 +259,7 @@
     /// All that is chosen, for a registry that begins to listen.
     pub fn all(&self) -> Vec<Named> {
         let chosen = self.chosen().filter(|(name, _)| *name != SEATS);
-        chosen.map(|(name, entry)| (name.clone(), entry.clone())).collect()
+        chosen.map(|(name, entry)| (name.clone(), versions::published(entry))).collect()
     }
 
     /// The entries that are chosen, the list of seats among them.
@@ -412,6 +417,9 @@
 
     /// A word from another store.
     pub fn word(&mut self, now: Millis, from: Host, word: Word) {
+        if self.is_seat(from) {
+            self.contact.insert(from, now);
+        }
         match word {
             Word::Announce(seat) => self.on_announce(now, from, seat),
             Word::Beat { seats, promised, votes, leaving, digest } => {
--- a/post/book/src/seat.rs
+++ b/post/book/src/seat.rs
@@ -1,7 +1,7 @@
 //! What a seat takes: promises, writes, what others hold as chosen.
 
 use crate::writer::Turn;
-use crate::{Book, Item, Out, SEATS};
+use crate::{Book, Item, Out, SEATS, versions};
 use post_words::Host;
 use post_words::depot::{Entry, Epoch, Named, Stamp, Word};
 
@@ -173,7 +173,7 @@
             let seats = self.seats.clone();
             self.out.push(Out::Seats(seats));
         } else {
-            self.news.push((name, entry));
+            self.news.push((name, versions::published(&entry)));
         }
     }
 
--- a/post/book/src/writer.rs
+++ b/post/book/src/writer.rs
@@ -3,7 +3,7 @@
 //! Any seat may ask for the turn; two who ask at once are told apart by their epochs. Who has it decides calls by its own
 //! view, and may: nothing else can be taken by a quorum until another has asked a quorum.
 
-use crate::calls::{Origin, Ticket};
+use crate::calls::{Origin, Reply, Ticket};
 use crate::{BEAT, Book, Millis, Out};
 use post_words::Host;
 use post_words::depot::{Ask, Entry, Epoch, Named, Stamp, Told, Word};
@@ -13,6 +13,10 @@
 const ASKING: Millis = 700.0;
 /// A write that is not taken by all is sent again after this.
 const AGAIN: Millis = 500.0;
+/// A writer that has heard no word of a quorum for this long ends its turn: four beats, and some.
+pub const OUT_OF_CONTACT: Millis = 2000.0;
+/// One whose write is not taken for this long does so too, whatever it hears: its own words may not arrive.
+pub const UNTAKEN: Millis = 2500.0;
 
 /// Whether this store writes.
 #[derive(Clone, Debug)]
@@ -51,7 +55,9 @@
 struct Flight {
     entries: Vec<Named>,
     taken: BTreeSet<Host>,
-    tickets: Vec<(Ticket, bool)>,
+    /// Who is told what when it is chosen.
+    owed: Vec<(Ticket, Reply)>,
+    begun: Millis,
     sent: Millis,
 }
 
@@ -127,9 +133,9 @@
         found.map(|(name, entry)| (name.clone(), Entry { stamp, ..entry.clone() })).collect()
     }
 
-    /// Has entries taken by all seats; their stamps are set here. The tickets are answered once they are chosen; `true` marks
-    /// a reader's.
-    pub(crate) fn write(&mut self, now: Millis, mut entries: Vec<Named>, tickets: Vec<(Ticket, bool)>) {
+    /// Has entries taken by all seats; their stamps are set here. Callers are answered once they are chosen. A write of nothing is a
+    /// round of contact: once it is chosen, no other store can have begun a turn before it was sent.
+    pub(crate) fn write(&mut self, now: Millis, mut entries: Vec<Named>, owed: Vec<(Ticket, Reply)>) {
         let me = self.place.me.host;
         let Turn::Holding(holding) = &mut self.turn else { return };
         let stamp = Stamp { epoch: holding.epoch, turn: holding.next };
@@ -138,7 +144,8 @@
         if entries.iter().any(|(name, _)| name == crate::SEATS) {
             holding.reseating = Some(stamp.turn);
         }
-        let flight = Flight { entries: entries.clone(), taken: BTreeSet::from([me]), tickets, sent: now };
+        let taken = BTreeSet::from([me]);
+        let flight = Flight { entries: entries.clone(), taken, owed, begun: now, sent: now };
         holding.flights.insert(stamp.turn, flight);
         let chosen = holding.chosen;
         self.take(stamp, entries.clone());
@@ -157,13 +164,10 @@
         }
     }
 
-    /// A ticket that needs nothing written is answered with the newest write that is out, or at once.
-    pub(crate) fn ride(&mut self, now: Millis, ticket: Ticket) {
-        let Turn::Holding(holding) = &mut self.turn else { return };
-        match holding.flights.values_mut().next_back() {
-            Some(flight) => flight.tickets.push((ticket, false)),
-            None => self.answer_done(now, ticket, false),
-        }
+    /// Answers a call that needs nothing written, after a round of contact with a quorum under this turn. Nothing that a writer says
+    /// rests on its own view alone: cut off, it would confirm or refuse by what is no longer so.
+    fn confirm(&mut self, now: Millis, ticket: Ticket, reply: Reply) {
+        self.write(now, Vec::new(), vec![(ticket, reply)]);
     }
 
     pub(crate) fn on_accepted(&mut self, now: Millis, from: Host, stamp: Stamp) {
@@ -200,8 +204,8 @@
                     self.send(host, Word::Chosen(stamp));
                 }
             }
-            for (ticket, reads) in flight.tickets {
-                self.answer_done(now, ticket, reads);
+            for (ticket, reply) in flight.owed {
+                self.reply(ticket, reply);
             }
             if reseated {
                 let seats = self.seats.seats.len();
@@ -230,14 +234,32 @@
         if epoch <= mine {
             return;
         }
+        self.end_turn(&format!("by={}", epoch.seat));
+    }
+
+    /// Ends the turn, or gives up asking for one. What is out may still be chosen, or not: its callers have no clear answer.
+    fn end_turn(&mut self, why: &str) {
         if let Turn::Holding(holding) = std::mem::replace(&mut self.turn, Turn::Idle) {
-            self.log("writer-ended", format!("round={} by={}", holding.epoch.round, epoch.seat));
-            for (ticket, _) in holding.flights.into_values().flat_map(|flight| flight.tickets) {
+            self.log("writer-ended", format!("round={} {why}", holding.epoch.round));
+            for (ticket, _) in holding.flights.into_values().flat_map(|flight| flight.owed) {
                 self.answer_unclear(ticket);
             }
         }
     }
 
+    /// Why a writer has to end its turn by itself, if it has to.
+    fn out_of_contact(&self, now: Millis) -> Option<&'static str> {
+        let Turn::Holding(holding) = &self.turn else { return None };
+        let heard = |host: &Host| self.contact.get(host).is_some_and(|at| now - at < OUT_OF_CONTACT);
+        // Itself included; its turn began with words of a quorum.
+        let contact = 1 + self.others().iter().filter(|host| heard(host)).count();
+        if contact < self.quorum() {
+            return Some("out-of-contact");
+        }
+        let oldest = holding.flights.values().next()?;
+        (now - oldest.begun >= UNTAKEN).then_some("not-taken")
+    }
+
     /// A seat lacks the first write of the turn, or what is chosen since before it: it gets both, and all that is out.
     pub(crate) fn on_behind(&mut self, from: Host, epoch: Epoch, theirs: &[u64]) {
         let Turn::Holding(holding) = &self.turn else { return };
@@ -255,6 +277,9 @@
     }
 
     pub(crate) fn writer_tick(&mut self, now: Millis) {
+        if let Some(why) = self.out_of_contact(now) {
+            self.end_turn(why);
+        }
         let others = self.others();
         match &mut self.turn {
             Turn::Idle => {}
@@ -294,25 +319,26 @@
             return self.wait(now, ticket, ask);
         }
         match ask {
-            Ask::Read => self.write(now, Vec::new(), vec![(ticket, true)]),
+            Ask::Read => self.confirm(now, ticket, Reply::Read),
             Ask::Note(name, text) => {
                 let name = format!("m:{name}");
                 let revision = self.view(&name).map_or(0, |entry| entry.revision) + 1;
                 let entry = Entry { revision, body: Some(text), ..Entry::default() };
-                self.write(now, vec![(name, entry)], vec![(ticket, false)]);
+                self.write(now, vec![(name, entry)], vec![(ticket, Reply::Done)]);
             }
             Ask::Step(seen, records) => {
                 let all = self.items.keys().filter_map(|name| Some((name.as_str(), self.view(name)?)));
                 if post_shutter::seen(all) != seen {
                     // Something that had a say in it has changed since it was decided: this is the fence.
-                    return self.answer(ticket, Told::Conflict("decided from an older view".into()));
+                    let told = Told::Conflict("decided from an older view".into());
+                    return self.confirm(now, ticket, Reply::Refusal(told));
                 }
                 let entry = |(name, body): (String, Option<String>)| {
                     let revision = self.view(&name).map_or(0, |entry| entry.revision) + 1;
                     (name, Entry { revision, body, ..Entry::default() })
                 };
                 let entries = records.into_iter().map(entry).collect();
-                self.write(now, entries, vec![(ticket, false)]);
+                self.write(now, entries, vec![(ticket, Reply::Done)]);
             }
             Ask::Evacuate(zone, on, seen) => {
                 let name = format!("e:{zone}");
@@ -325,12 +351,12 @@
                 // Also where it stands already: an order that was held up and came before this one must find another version.
                 let body = on.then(|| "{}".to_owned());
                 let entry = Entry { revision: revision + 1, body, ..Entry::default() };
-                self.write(now, vec![(name, entry)], vec![(ticket, false)]);
+                self.write(now, vec![(name, entry)], vec![(ticket, Reply::Done)]);
             }
             Ask::Change(changes) => match self.entries_of(changes) {
-                Ok(entries) if entries.is_empty() => self.ride(now, ticket),
-                Ok(entries) => self.write(now, entries, vec![(ticket, false)]),
-                Err(told) => self.answer(ticket, told),
+                Ok(entries) if entries.is_empty() => self.confirm(now, ticket, Reply::Done),
+                Ok(entries) => self.write(now, entries, vec![(ticket, Reply::Done)]),
+                Err(told) => self.confirm(now, ticket, Reply::Refusal(told)),
             },
         }
     }
--- a/post/book/tests/schedules.rs
+++ b/post/book/tests/schedules.rs
@@ -6,13 +6,7 @@
 
 use post_words::depot::{Ask, Change, Epoch, Seat, Seats, Stamp, Told, Word};
 use proptest::prelude::*;
-use world::{Mutant, World, change, service};
-
-fn ready(world: &mut World) {
-    let id = world.call(1, Ask::Change(vec![service(), change(0, 1, 0, 0)]));
-    world.run(1500.0);
-    assert_eq!(world.told(id), Some(Told::Done), "the first call is taken");
-}
+use world::{Mutant, World, change, ready};
 
 /// A minute of calls and faults, then everything comes back and is read everywhere.
 fn play(seed: u64, mutant: Mutant) -> World {
--- a/post/book/tests/world/mod.rs
+++ b/post/book/tests/world/mod.rs
@@ -274,6 +274,10 @@
         call.told = Some(told);
     }
 
+    pub fn is_writer(&self, n: usize) -> bool {
+        self.nodes[n].book.as_ref().is_some_and(Book::is_writer)
+    }
+
     /// The one who writes, if one does.
     pub fn writer(&self) -> Option<usize> {
         (0..self.len()).find(|n| self.nodes[*n].book.as_ref().is_some_and(Book::is_writer))
@@ -449,3 +453,10 @@
     let body = Some(r#"{"healthCheckPath":"/health"}"#.into());
     Change { name: "s:s".into(), revision: 1, host: String::new(), body }
 }
+
+/// Has the stores take their first call.
+pub fn ready(world: &mut World) {
+    let id = world.call(1, Ask::Change(vec![service(), change(0, 1, 0, 0)]));
+    world.run(1500.0);
+    assert_eq!(world.told(id), Some(Told::Done), "the first call is taken");
+}
--- a/post/courier/src/lib.rs
+++ b/post/courier/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod held;
 mod mislaid;
 mod proxy;
+pub mod registry_choice;
 mod services;
 mod session;
 mod speech;
--- a/post/courier/src/proxy.rs
+++ b/post/courier/src/proxy.rs
@@ -398,7 +398,7 @@
                 let known = self.trail.borrow().recall(self.now(), id);
                 self.send(&Up::Recalled(question, known));
             }
-            Down::Beat(_) => {}
+            Down::Beat { .. } => {}
         }
     }
 
--- /dev/null
+++ b/post/courier/tests/registry_choice.rs
@@ -0,0 +1,56 @@
+//! Which registry a proxy goes by, while registries fail and are cut off.
+
+use post_courier::registry_choice::{FAILED, LOOK, RegistryChoice};
+use post_words::Host;
+use post_words::news::CONTACT_LEASE;
+
+const ALL: [Host; 4] = [Host(1), Host(2), Host(3), Host(4)];
+
+#[test]
+fn the_nearest_that_has_not_failed_goes_first_and_then_the_one_that_failed_first() {
+    let mut choice = RegistryChoice::default();
+    assert_eq!(choice.next(0.0, &ALL), Some(Host(1)));
+    for (at, host) in [(10.0, 1), (20.0, 3), (30.0, 2)] {
+        choice.failed(at, Host(host));
+    }
+    assert_eq!(choice.next(40.0, &ALL), Some(Host(4)));
+    choice.failed(50.0, Host(4));
+    assert_eq!(choice.next(60.0, &ALL), Some(Host(1)));
+    assert_eq!(choice.next(20.0 + FAILED, &ALL), Some(Host(1)), "thought of again");
+    assert!(choice.has_failed(20.0 + FAILED, Host(2)) && !choice.has_failed(20.0 + FAILED, Host(3)));
+}
+
+/// The operators' day: all others start again while one is cut off, so each of them has failed; the proxy has its session with the
+/// one that is cut off, and must not stay with it because nobody else is thought of.
+#[test]
+fn a_proxy_whose_registry_is_out_of_contact_looks_at_those_that_failed_too() {
+    let mut choice = RegistryChoice::default();
+    for (at, host) in [(100.0, 2), (200.0, 3), (300.0, 4)] {
+        choice.failed(at, Host(host));
+    }
+    choice.heard_beat(400.0, 100.0);
+    assert_eq!(choice.alternatives(500.0, Host(1), &ALL), [], "in contact");
+    let late = 400.0 + CONTACT_LEASE;
+    choice.heard_beat(late, CONTACT_LEASE + 200.0);
+    assert_eq!(choice.alternatives(late, Host(1), &ALL), [Host(2), Host(3)]);
+    assert_eq!(choice.alternatives(late + LOOK - 1.0, Host(1), &ALL), [], "not at each beat");
+    choice.failed(late, Host(2));
+    assert_eq!(choice.alternatives(late + LOOK, Host(1), &ALL), [Host(3), Host(4)]);
+}
+
+#[test]
+fn a_registry_without_contact_does_not_renew_the_lease() {
+    let mut choice = RegistryChoice::default();
+    assert_eq!(choice.contact_age(0.0), None);
+    choice.heard_beat(0.0, 0.0);
+    for beat in 1..20 {
+        let now = f64::from(beat) * 400.0;
+        choice.heard_beat(now, now);
+        assert_eq!(choice.contact_age(now), Some(now));
+        assert_eq!(choice.is_out_of_contact(now), now > CONTACT_LEASE);
+    }
+    // One that has contact does, also by a beat that was on its way for a while; an older word takes nothing back.
+    choice.heard_beat(8000.0, 300.0);
+    choice.heard_beat(8010.0, 7000.0);
+    assert_eq!(choice.contact_age(8010.0), Some(310.0));
+}
--- a/post/diorama/src/proxy.rs
+++ b/post/diorama/src/proxy.rs
@@ -2,15 +2,15 @@
 
 use crate::Millis;
 use post_courier::held::{Held, Place};
+use post_courier::registry_choice::RegistryChoice;
 use post_units::{Admission, Cache, Comer, Terms};
 use post_words::Host;
 use post_words::news::{Down, Member, Up};
 use std::collections::BTreeMap;
 
-/// As the program has it: beats, silence, and how long a registry that failed is not thought of.
+/// As the program has it: beats and silence.
 const BEAT: Millis = 400.0;
 const SILENT: Millis = 1500.0;
-const FAILED: Millis = 6000.0;
 /// A request waits for a block at most so long.
 const WAITS: Millis = 150.0;
 
@@ -28,7 +28,7 @@
     pub(crate) session: Option<(usize, u64)>,
     heard: Millis,
     beat_at: Millis,
-    failed: BTreeMap<usize, Millis>,
+    choice: RegistryChoice,
     /// The newest version of each item that this life has held.
     seen: BTreeMap<String, u64>,
     waiting: BTreeMap<u64, String>,
@@ -56,7 +56,7 @@
             session: None,
             heard: 0.0,
             beat_at: 0.0,
-            failed: BTreeMap::new(),
+            choice: RegistryChoice::default(),
             seen: BTreeMap::new(),
             waiting: BTreeMap::new(),
             next: 0,
@@ -75,7 +75,7 @@
         self.held = Held::new(place(self.host, &self.zone, &self.region, &self.zones));
         self.cache = Cache::new(now, post_words::mix(u64::from(self.host.0) ^ self.life << 32));
         (self.session, self.beat_at) = (None, now);
-        self.failed.clear();
+        self.choice = RegistryChoice::default();
         self.seen.clear();
         self.waiting.clear();
     }
@@ -99,17 +99,23 @@
     /// The session is over, and its registry not thought of for a while.
     pub(crate) fn lost(&mut self, now: Millis) {
         if let Some((core, _)) = self.session.take() {
-            self.failed.insert(core, now);
+            self.choice.failed(now, core_host(core));
         }
     }
 
-    /// Whether a core machine may be dialled.
-    pub(crate) fn thinks_of(&self, core: usize, now: Millis) -> bool {
-        self.failed.get(&core).is_none_or(|at| now - at >= FAILED)
+    /// The core machine to dial; `cores` are all that are known, the nearest first.
+    pub(crate) fn next_core(&mut self, now: Millis, cores: &[usize]) -> Option<usize> {
+        let hosts: Vec<Host> = cores.iter().map(|core| core_host(*core)).collect();
+        let next = self.choice.next(now, &hosts)?;
+        cores.iter().copied().find(|core| core_host(*core) == next)
     }
 
-    pub(crate) fn failed_at(&self, core: usize) -> Millis {
-        self.failed.get(&core).copied().unwrap_or(f64::MIN)
+    /// Core machines to look at in place of the session's, which is out of contact.
+    pub(crate) fn alternatives(&mut self, now: Millis, cores: &[usize]) -> Vec<usize> {
+        let Some((current, _)) = self.session else { return Vec::new() };
+        let hosts: Vec<Host> = cores.iter().map(|core| core_host(*core)).collect();
+        let chosen = self.choice.alternatives(now, core_host(current), &hosts);
+        cores.iter().copied().filter(|core| chosen.contains(&core_host(*core))).collect()
     }
 
     pub(crate) fn dialled(&mut self, now: Millis, core: usize, life: u64) -> Up {
@@ -118,7 +124,7 @@
     }
 
     pub(crate) fn dial_failed(&mut self, now: Millis, core: usize) {
-        self.failed.insert(core, now);
+        self.choice.failed(now, core_host(core));
     }
 
     /// A word of the session's registry.
@@ -150,8 +156,8 @@
                 self.cache.grant(now, grant.clone(), out, &mut told);
                 self.told(told);
             }
-            Down::Beat(true) => self.lost(now),
-            Down::Beat(false) | Down::Registries(_) | Down::Time(..) | Down::Recall(..) => {}
+            Down::Beat { contact_age } => self.choice.heard_beat(now, f64::from(*contact_age)),
+            Down::Registries(_) | Down::Time(..) | Down::Recall(..) => {}
         }
         if !was && self.held.is_ready() {
             out.push(self.beat(now));
@@ -229,6 +235,11 @@
     }
 }
 
+/// The address of a core machine.
+fn core_host(core: usize) -> Host {
+    Host(core as u32 + 1)
+}
+
 fn place(host: Host, zone: &str, region: &str, zones: &BTreeMap<String, String>) -> Place {
     Place { me: host, zone: zone.to_owned(), region: region.to_owned(), zones: zones.clone(), lag: 500.0 }
 }
--- a/post/diorama/src/world.rs
+++ b/post/diorama/src/world.rs
@@ -542,20 +542,19 @@
         }
     }
 
-    /// A proxy without a session dials the nearest core machine that it has not given up on.
-    fn dial(&mut self, p: usize) {
-        let now = self.now;
+    /// Core machines, the nearest to a proxy first.
+    fn nearest_cores(&self, p: usize) -> Vec<usize> {
         let proxy = &self.proxies[p];
         let far = |core: &Core| (core.seat.zone != proxy.zone, core.seat.region != proxy.region);
-        let thinks = |n: &usize| proxy.thinks_of(*n, now);
-        let all = || 0..self.cores.len();
-        let near = all().filter(thinks).min_by_key(|n| (far(&self.cores[*n]), *n));
-        // If all have failed, the one that did so first.
-        let Some(n) =
-            near.or_else(|| all().min_by(|a, b| proxy.failed_at(*a).total_cmp(&proxy.failed_at(*b))))
-        else {
-            return;
-        };
+        let mut cores: Vec<usize> = (0..self.cores.len()).collect();
+        cores.sort_by_key(|n| (far(&self.cores[*n]), *n));
+        cores
+    }
+
+    /// A proxy without a session dials a core machine.
+    fn dial(&mut self, p: usize) {
+        let (now, cores) = (self.now, self.nearest_cores(p));
+        let Some(n) = self.proxies[p].next_core(now, &cores) else { return };
         if self.cores[n].round.is_none() || self.cut_proxies.contains(&p) {
             self.proxies[p].dial_failed(now, n);
             return;
@@ -564,6 +563,15 @@
         self.up(p, vec![hello]);
     }
 
+    /// A proxy whose registry is out of contact leaves it for another that it reaches.
+    fn look_elsewhere(&mut self, p: usize) {
+        let (now, cores) = (self.now, self.nearest_cores(p));
+        let others = self.proxies[p].alternatives(now, &cores);
+        if others.iter().any(|n| self.cores[*n].round.is_some()) && !self.cut_proxies.contains(&p) {
+            self.proxies[p].lost(now);
+        }
+    }
+
     fn arrives(&mut self, sent: Sent) {
         let to_core = !matches!(sent.event, Event::Down(..));
         if let Some(until) = self.frozen.get(&sent.to).filter(|until| to_core && **until > self.now) {
@@ -607,6 +615,9 @@
                     let mut ups = Vec::new();
                     self.proxies[to].word(self.now, &word, &mut ups);
                     self.up(to, ups);
+                    if matches!(*word, Down::Beat { .. }) {
+                        self.look_elsewhere(to);
+                    }
                 }
             }
         }
--- a/post/diorama/tests/long.rs
+++ b/post/diorama/tests/long.rs
@@ -1,6 +1,7 @@
 //! What takes long in virtual time: an hour in which nothing may pile up, and how soon changes are everywhere.
 //! `WORLD_MINUTES` is how long the soak is; the whole hour is played by `WORLD_MINUTES=60`.
 
+use post_book::versions::HISTORY;
 use post_diorama::{APPLY, Chance, Config, Fault, World};
 
 fn number(name: &str, usual: u64) -> u64 {
@@ -27,6 +28,18 @@
 fn nothing_piles_up_over_a_long_time() {
     let config = Config { proxies: 6, tenants: 2, routes: 4, rate: 20.0, ..Config::default() };
     let (mut world, mut chance) = (World::new(3, config), Chance::new(7));
+    // What is remembered of each item is bounded by a number of versions: filled first, so that any growth after it shows.
+    for _ in 0..3 * HISTORY * 4 {
+        world.operate();
+        world.run(700.0);
+    }
+    // Registries begin anew, with empty feeds.
+    for core in 0..6 {
+        world.fault(Fault::KillCore(core));
+        world.run(500.0);
+        world.fault(Fault::StartCore(core));
+        world.run(4000.0);
+    }
     let stretches = number("WORLD_MINUTES", 8) * 4;
     let mut sizes = Vec::new();
     for at in 0..stretches {
--- a/post/postmaster/src/calls.rs
+++ b/post/postmaster/src/calls.rs
@@ -143,6 +143,10 @@
         Told::Items(items) => Ok(Some(items)),
         Told::Invalid(text) => Err(Failure::new(Kind::Invalid, text)),
         Told::Conflict(text) => Err(Failure::new(Kind::Conflict, text)),
+        Told::Forgotten => {
+            let text = "older than the versions that are remembered: without effect, and not known whether it was ever taken";
+            Err(Failure::new(Kind::Unclear, text))
+        }
         Told::Fresh(_) | Told::Unclear => {
             Err(Failure::new(Kind::Unclear, "no quorum of stores has answered"))
         }
--- a/post/rounds/src/lib.rs
+++ b/post/rounds/src/lib.rs
@@ -12,6 +12,7 @@
 //!
 //! Carries out [`Round::outs`] after each input. `now` never goes back. Words to one registry go out in order or not at all.
 
+mod contact;
 pub mod duties;
 mod failures;
 pub mod feed;
@@ -207,6 +208,7 @@
             ("registries_heard", alive.to_string()),
             ("copy_fresh", self.fresh.to_string()),
             ("cut_off", self.is_cut(now).to_string()),
+            ("contact_age_ms", format!("{:.0}", self.contact_age(now))),
             ("items", self.items.entries().len().to_string()),
             ("listing", self.listing.stamp.0.to_string()),
             ("backends", self.listing.backends.len().to_string()),
--- a/post/rounds/src/news.rs
+++ b/post/rounds/src/news.rs
@@ -8,11 +8,6 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-/// A copy that was behind for so long is not only about to hear the newest.
-const DOUBT: Millis = 1500.0;
-/// A registry without seats is taken for one that waits to be founded for so long.
-const SEATLESS: Millis = 4000.0;
-
 /// Whether two readings of the list say the same. How long a backend stays cold runs down by itself: that it is says enough,
 /// as long as it does not grow.
 pub(crate) fn alike(one: &[Backend], other: &[Backend]) -> bool {
@@ -117,16 +112,6 @@
         self.fresh = fresh;
     }
 
-    /// Whether this registry hears fewer than most, or its store has not been as new as a quorum for longer than a change
-    /// takes to be chosen everywhere.
-    pub(crate) fn is_cut(&self, now: Millis) -> bool {
-        let heard = self.others().into_iter().filter(|host| self.alive(*host, now)).count();
-        // One that knows no seats may be waiting for the first founding; one whose store has forgotten everything and hears nobody
-        // must not keep its proxies either.
-        let young = now - self.born < if self.seats.seats.is_empty() { SEATLESS } else { DOUBT };
-        !young && (heard + 1 < self.majority() || !self.fresh && now - self.doubtful > DOUBT)
-    }
-
     pub(crate) fn whole(&self) -> Down {
         let entries =
             self.items.entries().iter().map(|(name, entry)| (name.clone(), entry.clone())).collect();
@@ -161,11 +146,11 @@
         if self.members.beat(from, ready, now) {
             self.beat_at = now;
         }
-        let cut = self.is_cut(now);
+        let contact_age = self.contact_age(now) as u32;
         if let Some(time) = self.hours.time(now) {
             self.out.push(Out::Down(from, Rc::new(Down::Time(time.earliest, time.latest))));
         }
-        self.out.push(Out::Down(from, Rc::new(Down::Beat(cut))));
+        self.out.push(Out::Down(from, Rc::new(Down::Beat { contact_age })));
         // News may be on its way: only what differs twice is sent again.
         let differs = items != self.items.sum();
         let again = self.members.differs(from, differs);
--- a/post/rounds/tests/registries.rs
+++ b/post/rounds/tests/registries.rs
@@ -6,7 +6,7 @@
 
 use post_rounds::{BEAT, SILENT, duties};
 use post_words::Host;
-use post_words::news::{Listing, Member, Up};
+use post_words::news::{CONTACT_LEASE, Down, Listing, Member, Up};
 use post_words::round::Word;
 use std::collections::BTreeSet;
 use world::{World, host};
@@ -142,6 +142,11 @@
     assert!(world.reads - calls <= 4);
 }
 
+/// Whether a word is a beat whose sender's contact has been lost for longer than proxies go by it.
+fn is_out_of_contact(word: &Down) -> bool {
+    matches!(word, Down::Beat { contact_age } if f64::from(*contact_age) > CONTACT_LEASE)
+}
+
 #[test]
 fn a_registry_that_is_cut_off_tells_its_proxies_to_look_elsewhere() {
     let mut world = World::new(6, 6);
@@ -152,7 +157,7 @@
             round.fresh(now, true);
             round.up(now, Host(100), Up::Beat { ready: true, items: 0, listing: (0, Host(0)), alone: 0 });
         });
-        world.downs.iter().any(|(.., word)| **word == post_words::news::Down::Beat(true))
+        world.downs.iter().any(|(.., word)| is_out_of_contact(word))
     };
     assert!(!told(&mut world));
     (1..6).for_each(|n| world.cut.extend([(0, n), (n, 0)]));
@@ -181,8 +186,10 @@
     let mut told = |now: f64| {
         round.tick(now);
         round.up(now, Host(100), Up::Beat { ready: true, items: 0, listing: (0, Host(0)), alone: 0 });
-        let beat = post_words::news::Down::Beat(true);
-        round.outs().iter().any(|out| matches!(out, post_rounds::Out::Down(_, word) if **word == beat))
+        round
+            .outs()
+            .iter()
+            .any(|out| matches!(out, post_rounds::Out::Down(_, word) if is_out_of_contact(word)))
     };
     assert!(!told(1000.0) && !told(2000.0) && !told(3000.0), "it may be about to be founded, or to learn");
     assert!(told(4100.0));
--- a/post/words/src/depot.rs
+++ b/post/words/src/depot.rs
@@ -33,8 +33,27 @@
     pub host: String,
     /// The item as it was sent; none when it was dropped.
     pub body: Option<String>,
-    /// Versions before this one and the hashes of what was sent: a call that arrives again is known by it.
-    pub past: Vec<(u64, u64)>,
+    /// Versions before this one that were given to a content, in rising order: a call that arrives again is known by it.
+    pub history: Vec<VersionRecord>,
+}
+
+/// A version number and the content that it was given to.
+#[derive(Clone, Copy, Debug, Decode, Encode, PartialEq, Eq, Hash)]
+pub struct VersionRecord {
+    /// The operator's number.
+    pub revision: u64,
+    /// The hash of what was sent under it.
+    pub content: u64,
+}
+
+/// A call that one store passes on to another. The life of the sender is part of it: an answer to a former life of a process is
+/// never taken for one to this life.
+#[derive(Clone, Copy, Debug, Decode, Encode, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId {
+    /// The sender's life.
+    pub life: u64,
+    /// The number of the call in that life.
+    pub number: u64,
 }
 
 /// An entry and its name.
@@ -83,6 +102,8 @@
     Invalid(String),
     /// Another version stands in its way.
     Conflict(String),
+    /// An older version than is remembered of its item: whether it was ever taken is not known. It has no effect.
+    Forgotten,
     /// Nothing is known of how it went or will go.
     Unclear,
 }
@@ -189,9 +210,9 @@
         pending: Vec<Named>,
     },
     /// A call that I took, for who writes.
-    Pass(u64, Ask),
+    Pass(CallId, Ask),
     /// How that went.
-    Passed(u64, Told),
+    Passed(CallId, Told),
 }
 
 /// From a registry to its machine's store.
--- a/post/words/src/news.rs
+++ b/post/words/src/news.rs
@@ -4,6 +4,10 @@
 use crate::depot::Named;
 use bitcode::{Decode, Encode};
 
+/// Contact with the majority of the core that is older than this, in ms, counts as lost: five beats of registries, of which one may be
+/// late by the longest way. A registry says how old its own is, and a proxy goes elsewhere.
+pub const CONTACT_LEASE: f64 = 1500.0;
+
 /// A proxy.
 #[derive(Clone, Debug, Decode, Encode, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Member {
@@ -141,8 +145,11 @@
     Recall(u64, u64),
     /// True time lies between these, in ms since 1970: what is drained is drained until a moment.
     Time(f64, f64),
-    /// Still here. `true`: cut off from most registries or from a quorum's copy; a session elsewhere would be better.
-    Beat(bool),
+    /// Still here.
+    Beat {
+        /// How long ago, in ms, the sender was last in contact with a majority of the core and held a copy as new as a quorum's.
+        contact_age: u32,
+    },
 }
 
 /// From proxy to proxy: one whose session is down asks a few others for what it lacks.
--- a/post/words/src/tests.rs
+++ b/post/words/src/tests.rs
@@ -1,17 +1,17 @@
 use super::*;
-use crate::depot::{Entry, Epoch, Stamp, Word};
+use crate::depot::{Entry, Epoch, Stamp, VersionRecord, Word};
 
 fn accept() -> Word {
     let stamp = Stamp { epoch: Epoch { round: 3, seat: Host(0x0a01_0023) }, turn: 2 };
-    let entry =
-        Entry { stamp, revision: 9, host: "h.example".into(), body: Some("{}".into()), past: vec![(7, 1)] };
+    let history = vec![VersionRecord { revision: 7, content: 1 }];
+    let entry = Entry { stamp, revision: 9, host: "h.example".into(), body: Some("{}".into()), history };
     Word::Accept { stamp, entries: vec![("r:a".into(), entry)], chosen: 1 }
 }
 
 #[test]
 fn the_bytes_of_a_word_stay_as_they_are() {
     // A change of these bytes needs a new VERSION.
-    assert_eq!(hash(&frame(&accept())), 3089595849037151213, "{:02x?}", frame(&accept()));
+    assert_eq!(hash(&frame(&accept())), 10918865902461279098, "{:02x?}", frame(&accept()));
 }
 
 #[test]
