--- a/post/book/src/calls.rs
+++ b/post/book/src/calls.rs
@@ -3,7 +3,7 @@
 use crate::versions::{self, Standing};
 use crate::writer::Turn;
 use crate::{Book, Millis, Out, SEATS};
-use post_items::Fact;
+use post_items::Changes;
 use post_words::Host;
 use post_words::depot::{Ask, CallId, Change, Entry, Named, Stamp, Told, Word};
 use std::collections::{BTreeMap, VecDeque};
@@ -215,7 +215,7 @@
     /// cannot be, none of them is.
     pub(crate) fn entries_of(&self, changes: Vec<Change>) -> Result<Vec<Named>, Told> {
         let mut entries = Vec::new();
-        let mut facts: BTreeMap<String, Option<Fact>> = BTreeMap::new();
+        let mut facts = Changes::new();
         for change in changes {
             let known = self.view(&change.name);
             match known.map_or(Standing::Newer, |known| versions::standing(known, &change)) {
@@ -238,10 +238,7 @@
             facts.insert(name.clone(), fact);
             entries.push((name, Entry { revision, host, body, history, ..Entry::default() }));
         }
-        let standing = self.facts.iter().filter(|(name, _)| !facts.contains_key(*name));
-        let changed = facts.iter().filter_map(|(name, fact)| Some((name, fact.as_ref()?)));
-        let all = standing.chain(changed).map(|(name, fact)| (name.as_str(), fact));
-        post_items::check_together(all).map_err(|invalid| Told::Invalid(invalid.0))?;
+        self.standing.check(&facts).map_err(|invalid| Told::Invalid(invalid.0))?;
         Ok(entries)
     }
 
--- a/post/book/src/lib.rs
+++ b/post/book/src/lib.rs
@@ -39,7 +39,7 @@
 
 pub use calls::Origin;
 
-use post_items::Fact;
+use post_items::Standing;
 use post_words::Host;
 use post_words::depot::{Entry, Epoch, Named, Seat, Seats, Stamp, Told, Word};
 use std::collections::{BTreeMap, BTreeSet};
@@ -161,7 +161,8 @@
     place: Place,
     vows: Vows,
     items: BTreeMap<String, Item>,
-    facts: BTreeMap<String, Fact>,
+    /// What the items say, by the newest word on each.
+    standing: Standing,
     /// Of the chosen entries.
     digest: u64,
     /// The chosen entries by their stamps.
@@ -232,7 +233,7 @@
         let mut book = Self {
             vows: vows.unwrap_or_default(),
             items,
-            facts: BTreeMap::new(),
+            standing: Standing::default(),
             digest: 0,
             by_stamp: BTreeSet::new(),
             pending: BTreeSet::new(),
@@ -388,10 +389,7 @@
     fn refact(&mut self, name: &str) {
         let entry = self.view(name).and_then(|e| Some((e.host.clone(), e.body.clone()?)));
         let fact = entry.and_then(|(host, body)| post_items::fact(name, &host, &body).ok());
-        match fact {
-            Some(fact) => drop(self.facts.insert(name.to_owned(), fact)),
-            None => drop(self.facts.remove(name)),
-        }
+        self.standing.set(name, fact);
     }
 
     /// Time passes; to be told every so often, at least each quarter of a [`BEAT`].
--- a/post/book/src/position.rs
+++ b/post/book/src/position.rs
@@ -74,6 +74,11 @@
         self.progress.position
     }
 
+    /// What is kept on disk beside items and promises.
+    pub fn progress(&self) -> Progress {
+        self.progress
+    }
+
     /// The copy is complete up to there.
     pub(crate) fn reach(&mut self, position: Stamp) {
         if position > self.progress.position {
--- a/post/depot/src/lib.rs
+++ b/post/depot/src/lib.rs
@@ -3,18 +3,19 @@
 
 mod diary;
 mod disk;
+mod store;
 
 use diary::Diary;
-use disk::Disk;
 use post_book::{Book, Origin, Out, Place};
 use post_host::link::{Peers, Writer, hear, split};
 use post_host::{link, spawn, start};
 use post_settings::{Port, Settings};
 use post_words::Host;
-use post_words::depot::{Order, Report, Seat, Word};
+use post_words::depot::{Order, Report, Seat, Told, Word};
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use store::Store;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
@@ -27,9 +28,11 @@
 /// A member that has to hand over first does so within this part of the grace period, or goes as it is.
 const HANDS_OVER: f64 = 0.8;
 
+/// A disk that took no write is tried again this often.
+const REOPEN: Duration = Duration::from_secs(1);
+
 struct Depot {
-    book: RefCell<Book>,
-    disk: Disk,
+    store: RefCell<Store>,
     /// What the registry of this machine saw happen.
     diary: RefCell<Diary>,
     peers: Peers,
@@ -44,7 +47,6 @@
     };
     let folder = settings.data.as_ref().ok_or_else(|| unusable("dataDirectory"))?;
     let host = Host::of(settings.ip).ok_or_else(|| unusable("ipAddress (IPv4)"))?;
-    let (disk, memory) = Disk::open(folder, settings.limits.disk)?;
     let life = post_words::mix(u64::from(std::process::id()) ^ start::life());
     let place = Place {
         me: Seat { host, zone: settings.zone.clone(), region: settings.region.clone() },
@@ -53,17 +55,19 @@
         tolerance: (settings.tolerance.machines, settings.tolerance.zones, settings.tolerance.regions),
         life: life >> 24,
     };
-    tracing::info!(event = "disk-read", items = memory.items.len(), blank = memory.vows.is_none());
+    let store = Store::open(place, folder, settings.limits.disk, 0.0)?;
     let others = start::listen(settings.own(Port::Depot)).await?;
     let grace = settings.bounds.grace;
     let depot = Rc::new(Depot {
-        book: RefCell::new(Book::new(place, memory, 0.0)),
-        disk,
+        store: RefCell::new(store),
         diary: RefCell::new(Diary::new(folder.join("events"))),
         peers: Peers::new(host, settings.own(Port::Depot).port()),
         registry: RefCell::default(),
         born: Instant::now(),
     });
+    if depot.store.borrow().book().is_none() {
+        spawn(depot.clone().reopen());
+    }
     let heard = depot.clone();
     hear(others, move |from, word: Word| heard.with(|book, now| book.word(now, from, word)));
     // The registry of this machine is the one caller; it listens, as it may start later or again.
@@ -99,17 +103,21 @@
 
 impl Depot {
     /// Gives the machine an input; what it writes is safe before anything of it is sent.
-    fn with(&self, input: impl FnOnce(&mut Book, f64)) {
+    fn with(self: &Rc<Self>, input: impl FnOnce(&mut Book, f64)) {
         let now = self.now();
-        let mut book = self.book.borrow_mut();
-        input(&mut book, now);
-        let writes = book.writes();
-        if let Err(error) = self.disk.write(&writes) {
-            // No promise may be made that is not on the disk; the next life starts from what is.
-            tracing::error!(event = "disk-failed", error);
-            std::process::exit(3);
+        let outs = self.store.borrow_mut().with(now, input);
+        match outs {
+            Ok(outs) => self.carry_out(outs),
+            Err(error) => {
+                tracing::error!(event = "disk-failed", error);
+                self.report(&Report::Fresh(false));
+                spawn(self.clone().reopen());
+            }
         }
-        for out in book.outs() {
+    }
+
+    fn carry_out(&self, outs: Vec<Out>) {
+        for out in outs {
             match out {
                 Out::Send(to, word) => self.peers.send(to, &word),
                 Out::Answer(id, told) => self.report(&Report::Answer(id, told)),
@@ -121,14 +129,38 @@
         }
     }
 
+    /// Until the disk takes writes again this store promises nothing and answers nothing; then it goes on from what is there.
+    async fn reopen(self: Rc<Self>) {
+        loop {
+            sleep(REOPEN).await;
+            let now = self.now();
+            let opened = self.store.borrow_mut().reopen(now);
+            match opened {
+                Ok(()) => break,
+                Err(error) => tracing::warn!(event = "disk-still-failing", error),
+            }
+        }
+        tracing::info!(event = "disk-back");
+        self.report_all();
+    }
+
+    /// Tells the registry all that this store holds.
+    fn report_all(&self) {
+        let reports = self.store.borrow().book().map(|book| {
+            let items = Report::Items { whole: true, entries: book.all() };
+            [Report::Seats(book.seats().clone()), items, Report::Fresh(book.is_fresh())]
+        });
+        reports.iter().flatten().for_each(|report| self.report(report));
+    }
+
     /// Tells the others, and goes when nothing is left to hand over: until then this member votes.
-    async fn leave(&self, grace: Duration) {
+    async fn leave(self: &Rc<Self>, grace: Duration) {
         let until = Instant::now() + grace.mul_f64(HANDS_OVER);
         self.with(|book, now| book.leave(now));
         sleep(FAREWELL).await;
         let mut said = None;
         loop {
-            let waits = self.book.borrow().waits_to_leave(self.now());
+            let waits = self.store.borrow().book().and_then(|book| book.waits_to_leave(self.now()));
             if waits.is_none() || Instant::now() >= until {
                 tracing::info!(event = "leaves", unfinished = waits);
                 return;
@@ -153,16 +185,13 @@
 
     async fn serve(self: Rc<Self>, stream: TcpStream) {
         let (mut reader, writer) = split(stream);
-        let (whole, seats, fresh) = {
-            let book = self.book.borrow();
-            (book.all(), book.seats().clone(), book.is_fresh())
-        };
         *self.registry.borrow_mut() = Some(writer);
-        self.report(&Report::Seats(seats));
-        self.report(&Report::Items { whole: true, entries: whole });
-        self.report(&Report::Fresh(fresh));
+        self.report_all();
         while let Ok(order) = reader.next::<Order>().await {
             match order {
+                Order::Call(id, _) if self.store.borrow().book().is_none() => {
+                    self.report(&Report::Answer(id, Told::Unclear));
+                }
                 Order::Call(id, ask) => self.with(|book, now| book.call(now, Origin::Registry(id), ask)),
                 // Nothing is promised of events: without them the store goes on.
                 Order::Keep(events) => {
--- a/post/items/src/lib.rs
+++ b/post/items/src/lib.rs
@@ -8,10 +8,12 @@
 mod fact;
 mod failures;
 mod maintenance;
+mod standing;
 mod table;
 
 pub use call::{lay_out, read_call};
 pub use fact::{Fact, Limits, Route, RouteKind, Service, Tenant, fact};
+pub use standing::{Changes, Standing};
 pub use table::Table;
 
 use post_shutter::order::MOST_ORDERS;
@@ -82,23 +84,16 @@
                 if let Some((service, _)) =
                     route.services.iter().find(|(s, _)| !services.contains(s.as_str()))
                 {
-                    return Err(Invalid(format!(
-                        "route {name}: there is no service {service}; add it in the same call"
-                    )));
+                    return Err(standing::no_service(name, service));
                 }
                 if let Some(other) = places.insert((&route.host, &route.prefix), name) {
-                    let (host, prefix) = (&route.host, &route.prefix);
-                    return Err(Invalid(format!(
-                        "routes {other} and {name} share {host} and {prefix}; change one of them"
-                    )));
+                    return Err(standing::shared_place(other, name, &route.host, &route.prefix));
                 }
             }
             Fact::Tenant(tenant) => {
                 for key in &tenant.keys {
                     if let Some(other) = keys.insert(key, name).filter(|other| *other != name) {
-                        return Err(Invalid(format!(
-                            "tenants {other} and {name} share a key; take it away from one"
-                        )));
+                        return Err(standing::shared_key(other, name));
                     }
                 }
             }
@@ -109,21 +104,14 @@
         }
     }
     if failures > post_mislay::MOST_ORDERS {
-        let most = post_mislay::MOST_ORDERS;
-        return Err(Invalid(format!("{failures} failure orders would stand, at most {most}: drop old ones")));
+        return Err(standing::too_many_failures(failures));
     }
     if orders.len() > MOST_ORDERS {
-        return Err(Invalid(format!(
-            "{} work orders would stand, at most {MOST_ORDERS}: drop old ones",
-            orders.len()
-        )));
+        return Err(standing::too_many_orders(orders.len()));
     }
     match orders.iter().find(|order| !contracts.contains(order.contract.as_str())) {
         None => Ok(()),
-        Some(order) => Err(Invalid(format!(
-            "order w:{}: there is no contract {}; add it in the same call, or drop the order first",
-            order.name, order.contract
-        ))),
+        Some(order) => Err(standing::no_contract(&order.name, &order.contract)),
     }
 }
 
--- /dev/null
+++ b/post/items/src/standing.rs
@@ -0,0 +1,215 @@
+//! The items that stand, with indexes by what they may not share: a call is checked by what it changes, whatever the number of items.
+//!
+//! The same rules as [`check_together`](crate::check_together), which looks at all items and is what the tests hold this against.
+
+use crate::{Fact, Invalid, MOST_ORDERS};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::hash::Hash;
+
+/// What a call makes of items: their new facts, none where one is dropped.
+pub type Changes = BTreeMap<String, Option<Fact>>;
+
+/// Names of items by something that they hold.
+#[derive(Clone, Debug)]
+struct Index<K>(HashMap<K, BTreeSet<String>>);
+
+impl<K> Default for Index<K> {
+    fn default() -> Self {
+        Self(HashMap::new())
+    }
+}
+
+impl<K: Hash + Eq> Index<K> {
+    fn add(&mut self, key: K, name: &str) {
+        self.0.entry(key).or_default().insert(name.to_owned());
+    }
+
+    fn remove(&mut self, key: &K, name: &str) {
+        let Some(names) = self.0.get_mut(key) else { return };
+        names.remove(name);
+        if names.is_empty() {
+            self.0.remove(key);
+        }
+    }
+
+    /// Somebody that holds it and is not among those that change.
+    fn holder(&self, key: &K, changes: &Changes) -> Option<&str> {
+        self.0.get(key)?.iter().find(|name| !changes.contains_key(*name)).map(String::as_str)
+    }
+}
+
+type Place = (String, String);
+
+/// The items that stand.
+#[derive(Clone, Debug, Default)]
+pub struct Standing {
+    facts: BTreeMap<String, Fact>,
+    places: Index<Place>,
+    keys: Index<String>,
+    /// Routes by the services that they name, orders by their contracts.
+    routes_of: Index<String>,
+    orders_of: Index<String>,
+    orders: usize,
+    failures: usize,
+}
+
+/// The names of services and contracts as items.
+fn service_item(service: &str) -> String {
+    format!("s:{service}")
+}
+
+fn contract_item(contract: &str) -> String {
+    format!("{}{contract}", post_shutter::CONTRACT)
+}
+
+impl Standing {
+    /// An item stands with this fact from now on, or no more.
+    pub fn set(&mut self, name: &str, fact: Option<Fact>) {
+        if let Some(old) = self.facts.remove(name) {
+            self.unindex(name, &old);
+        }
+        if let Some(fact) = fact {
+            self.index(name, &fact);
+            self.facts.insert(name.to_owned(), fact);
+        }
+    }
+
+    fn index(&mut self, name: &str, fact: &Fact) {
+        match fact {
+            Fact::Route(route) => {
+                self.places.add((route.host.clone(), route.prefix.clone()), name);
+                route.services.iter().for_each(|(service, _)| self.routes_of.add(service.clone(), name));
+            }
+            Fact::Tenant(tenant) => tenant.keys.iter().for_each(|key| self.keys.add(key.clone(), name)),
+            Fact::Order(order) => {
+                self.orders += 1;
+                self.orders_of.add(order.contract.clone(), name);
+            }
+            Fact::Failure(_) => self.failures += 1,
+            _ => {}
+        }
+    }
+
+    fn unindex(&mut self, name: &str, fact: &Fact) {
+        match fact {
+            Fact::Route(route) => {
+                self.places.remove(&(route.host.clone(), route.prefix.clone()), name);
+                route.services.iter().for_each(|(service, _)| self.routes_of.remove(service, name));
+            }
+            Fact::Tenant(tenant) => tenant.keys.iter().for_each(|key| self.keys.remove(key, name)),
+            Fact::Order(order) => {
+                self.orders -= 1;
+                self.orders_of.remove(&order.contract, name);
+            }
+            Fact::Failure(_) => self.failures -= 1,
+            _ => {}
+        }
+    }
+
+    fn stands_after(&self, name: &str, changes: &Changes) -> bool {
+        changes.get(name).map_or_else(|| self.facts.contains_key(name), Option::is_some)
+    }
+
+    /// Whether the items are in order together once a call has changed some of them. Each fact of the call is in order by itself.
+    ///
+    /// # Errors
+    /// When a route names a service that is not there, two routes share a place, two tenants a key, an order names a contract that is
+    /// not there, or there are too many orders.
+    pub fn check(&self, changes: &Changes) -> Result<(), Invalid> {
+        let (mut places, mut keys): (HashMap<Place, &str>, HashMap<&str, &str>) = Default::default();
+        for (name, fact) in changes.iter().filter_map(|(name, fact)| Some((name, fact.as_ref()?))) {
+            match fact {
+                Fact::Route(route) => {
+                    let missing =
+                        |(service, _): &&(String, f64)| !self.stands_after(&service_item(service), changes);
+                    if let Some((service, _)) = route.services.iter().find(missing) {
+                        return Err(no_service(name, service));
+                    }
+                    let place = (route.host.clone(), route.prefix.clone());
+                    let other = self.places.holder(&place, changes).or_else(|| places.get(&place).copied());
+                    if let Some(other) = other {
+                        return Err(shared_place(other, name, &route.host, &route.prefix));
+                    }
+                    places.insert(place, name);
+                }
+                Fact::Tenant(tenant) => {
+                    for key in &tenant.keys {
+                        let known = keys.get(key.as_str()).copied().filter(|other| other != name);
+                        if let Some(other) = self.keys.holder(key, changes).or(known) {
+                            return Err(shared_key(other, name));
+                        }
+                        keys.insert(key, name);
+                    }
+                }
+                Fact::Order(order) if !self.stands_after(&contract_item(&order.contract), changes) => {
+                    return Err(no_contract(&order.name, &order.contract));
+                }
+                _ => {}
+            }
+        }
+        self.check_dropped(changes)?;
+        self.check_numbers(changes)
+    }
+
+    /// Whether anything that stands needs what a call drops.
+    fn check_dropped(&self, changes: &Changes) -> Result<(), Invalid> {
+        for (name, _) in changes.iter().filter(|(_, fact)| fact.is_none()) {
+            if let Some(service) = name.strip_prefix("s:")
+                && let Some(route) = self.routes_of.holder(&service.to_owned(), changes)
+            {
+                return Err(no_service(route, service));
+            }
+            if let Some(contract) = name.strip_prefix(post_shutter::CONTRACT)
+                && let Some(order) = self.orders_of.holder(&contract.to_owned(), changes)
+            {
+                return Err(no_contract(order.strip_prefix(post_shutter::ORDER).unwrap_or(order), contract));
+            }
+        }
+        Ok(())
+    }
+
+    fn check_numbers(&self, changes: &Changes) -> Result<(), Invalid> {
+        let after = |now: usize, is: fn(&Fact) -> bool| {
+            let added = changes.values().flatten().filter(|fact| is(fact)).count();
+            let replaced =
+                changes.keys().filter_map(|name| self.facts.get(name)).filter(|fact| is(fact)).count();
+            now + added - replaced
+        };
+        let failures = after(self.failures, |fact| matches!(fact, Fact::Failure(_)));
+        if failures > post_mislay::MOST_ORDERS {
+            return Err(too_many_failures(failures));
+        }
+        let orders = after(self.orders, |fact| matches!(fact, Fact::Order(_)));
+        if orders > MOST_ORDERS {
+            return Err(too_many_orders(orders));
+        }
+        Ok(())
+    }
+}
+
+pub(crate) fn no_service(route: &str, service: &str) -> Invalid {
+    Invalid(format!("route {route}: there is no service {service}; add it in the same call"))
+}
+
+pub(crate) fn shared_place(other: &str, name: &str, host: &str, prefix: &str) -> Invalid {
+    Invalid(format!("routes {other} and {name} share {host} and {prefix}; change one of them"))
+}
+
+pub(crate) fn shared_key(other: &str, name: &str) -> Invalid {
+    Invalid(format!("tenants {other} and {name} share a key; take it away from one"))
+}
+
+pub(crate) fn no_contract(order: &str, contract: &str) -> Invalid {
+    Invalid(format!(
+        "order w:{order}: there is no contract {contract}; add it in the same call, or drop the order first"
+    ))
+}
+
+pub(crate) fn too_many_failures(failures: usize) -> Invalid {
+    let most = post_mislay::MOST_ORDERS;
+    Invalid(format!("{failures} failure orders would stand, at most {most}: drop old ones"))
+}
+
+pub(crate) fn too_many_orders(orders: usize) -> Invalid {
+    Invalid(format!("{orders} work orders would stand, at most {MOST_ORDERS}: drop old ones"))
+}
--- a/post/items/src/tests.rs
+++ b/post/items/src/tests.rs
@@ -201,3 +201,49 @@
     let all = FAILURE.replace("\"tenants\":[\"choir\"],", "\"everybody\":true,");
     assert!(facts_of(&all).is_ok());
 }
+
+/// An item that may stand in the way of others, and its fact; none to drop it.
+fn some_item() -> impl Strategy<Value = (String, Option<Fact>)> {
+    let route = (0..5_u8, 0..3_u8, 0..3_u8).prop_map(|(name, prefix, service)| {
+        let body = format!(
+            r#"{{"routeType":"upload","matchCriteria":{{"pathPrefix":"/{prefix}/"}},"action":{{"service":"{service}","timeout":"1s"}}}}"#
+        );
+        (format!("r:{name}"), Some(body))
+    });
+    let tenant = (0..4_u8, 0..4_u8, 0..4_u8).prop_map(|(name, one, two)| {
+        (format!("t:{name}"), Some(format!(r#"{{"apiKeys":["k{one}","k{two}"]}}"#)))
+    });
+    let service =
+        (0..3_u8).prop_map(|name| (format!("s:{name}"), Some(r#"{"healthCheckPath":"/health"}"#.to_owned())));
+    let dropped = prop_oneof![
+        (0..5_u8).prop_map(|n| format!("r:{n}")),
+        (0..4_u8).prop_map(|n| format!("t:{n}")),
+        (0..3_u8).prop_map(|n| format!("s:{n}"))
+    ];
+    let item = prop_oneof![3 => route, 2 => tenant, 3 => service, 2 => dropped.prop_map(|name| (name, None))];
+    item.prop_map(|(name, body)| {
+        let fact = body.map(|body| fact(&name, "h", &body).unwrap());
+        (name, fact)
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, cases: 2000, ..ProptestConfig::default() })]
+    /// A call is checked by what it changes as by all that there is after it.
+    #[test]
+    fn a_check_by_indexes_says_what_a_check_of_all_says(calls in prop::collection::vec(prop::collection::btree_map(0..6_u8, some_item(), 1..5), 1..16)) {
+        let (mut standing, mut all) = (Standing::default(), Changes::new());
+        for call in calls {
+            let changes: Changes = call.into_values().collect();
+            let mut after = all.clone();
+            after.extend(changes.clone());
+            let facts = after.iter().filter_map(|(name, fact)| Some((name.as_str(), fact.as_ref()?)));
+            let valid = check_together(facts).is_ok();
+            prop_assert_eq!(standing.check(&changes).is_ok(), valid, "{:?} after {:?}", changes, all);
+            if valid {
+                changes.into_iter().for_each(|(name, fact)| standing.set(&name, fact));
+                all = after;
+            }
+        }
+    }
+}
