Fences: the newest line of a machine is heard, an overtaken reading of the list is not told

Cause: what a former life of a process had sent could be taken after the new one's words; a reader that stood still told an old list under a higher number; the end of a store's former line took the new one from its registry. Change: of lines from one machine the newest alone is heard; a reading that another list overtook is made again; a registry lets go of its store's line only if that is the newest. The model checker has three more faults.

--- a/post/book/src/lib.rs
+++ b/post/book/src/lib.rs
@@ -466,7 +466,8 @@
 
     /// A word from another store.
     pub fn word(&mut self, now: Millis, from: Host, word: Word) {
-        if self.is_seat(from) {
+        // Only who writes, or asks to, goes by it.
+        if !matches!(self.turn, Turn::Idle) && self.is_seat(from) {
             self.contact.insert(from, now);
         }
         match word {
--- a/post/book/src/writer.rs
+++ b/post/book/src/writer.rs
@@ -70,6 +70,7 @@
         let me = self.place.me.host;
         let epoch = Epoch { round: self.round.max(self.vows.promised.round) + 1, seat: me };
         self.promise(epoch);
+        self.contact.clear();
         let found = self.pending().into_iter().collect();
         let (joined, promised) = (self.vows.joined, BTreeSet::from([me]));
         self.turn = Turn::Asking(Asking { epoch, since: now, joined, promised, found });
@@ -248,6 +249,7 @@
 
     /// Ends the turn, or gives up asking for one. What is out may still be chosen, or not: its callers have no clear answer.
     fn end_turn(&mut self, why: &str) {
+        self.contact.clear();
         if let Turn::Holding(holding) = std::mem::replace(&mut self.turn, Turn::Idle) {
             self.log("writer-ended", format!("round={} {why}", holding.epoch.round));
             for (ticket, _) in holding.flights.into_values().flat_map(|flight| flight.owed) {
--- a/post/host/src/link.rs
+++ b/post/host/src/link.rs
@@ -162,19 +162,31 @@
     }
 }
 
-/// Hears what others say on lines of [`Peers`], for as long as the program runs.
+/// Hears what others say on lines of [`Peers`], for as long as the program runs. Of lines from one machine only the newest is heard: what a
+/// former life of its process said, or what was held up on a line that it has given up, is not taken after it.
 pub fn hear<T: for<'a> bitcode::Decode<'a> + 'static>(
     listener: TcpListener, heard: impl Fn(Host, T) + 'static,
 ) {
     let heard = Rc::new(heard);
+    let newest: Rc<RefCell<HashMap<Host, u64>>> = Rc::default();
     accept(listener, move |stream| {
-        let heard = heard.clone();
+        let (heard, newest) = (heard.clone(), newest.clone());
         async move {
             let (input, _output) = stream.into_split();
             let mut reader = Reader(BufReader::new(input));
             let Ok(from) = reader.next::<Host>().await else { return };
+            let line = {
+                let mut newest = newest.borrow_mut();
+                let line = newest.entry(from).or_default();
+                *line += 1;
+                *line
+            };
             loop {
-                match reader.next::<T>().await {
+                let word = reader.next::<T>().await;
+                if newest.borrow().get(&from) != Some(&line) {
+                    return;
+                }
+                match word {
                     Ok(word) => heard(from, word),
                     Err(error) => {
                         if error.kind() == io::ErrorKind::InvalidData {
--- a/post/inspector/src/mutants.rs
+++ b/post/inspector/src/mutants.rs
@@ -3,7 +3,7 @@
 use crate::scenarios::Scenario;
 use post_book::{Memory, SEATS, Vows, Writes};
 use post_words::Host;
-use post_words::depot::{Ask, Word};
+use post_words::depot::{Ask, CallId, Chunk, Word};
 
 /// A fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -44,10 +44,16 @@
     ForgetsLastPromise,
     /// After a start, the seats are those that one machine sees.
     SeatsByWhoIsAlive,
+    /// A part of a snapshot comes without its entries, and counts as the whole.
+    EmptyChunk,
+    /// A learner is told nothing of what is chosen.
+    LessonWithoutChosen,
+    /// An answer to another call is taken for the one to this.
+    AnswersMixedUp,
 }
 
 /// All of them.
-pub const ALL: [Mutant; 18] = [
+pub const ALL: [Mutant; 21] = [
     Mutant::NoSync,
     Mutant::NoVows,
     Mutant::NoPending,
@@ -66,6 +72,9 @@
     Mutant::BlindEvacuation,
     Mutant::ForgetsLastPromise,
     Mutant::SeatsByWhoIsAlive,
+    Mutant::EmptyChunk,
+    Mutant::LessonWithoutChosen,
+    Mutant::AnswersMixedUp,
 ];
 
 impl Mutant {
@@ -76,7 +85,11 @@
             Self::NoSync | Self::NoPending | Self::ForgetsLastPromise | Self::SeatsByWhoIsAlive => {
                 (Scenario::Fence, None)
             }
-            Self::AmnesiacVotes | Self::LearnsFromOne => (Scenario::Amnesia, None),
+            Self::AmnesiacVotes | Self::LearnsFromOne | Self::LessonWithoutChosen => {
+                (Scenario::Amnesia, None)
+            }
+            Self::EmptyChunk => (Scenario::Reading, None),
+            Self::AnswersMixedUp => (Scenario::Everything, None),
             Self::RefusedIsPromise => (Scenario::Turns, None),
             Self::NoVows | Self::PromiseWithoutTaken | Self::JoinsBehind => (Scenario::Everything, None),
             Self::AcceptedCountsForAll | Self::ChosenEarly => (Scenario::Forgetting, None),
@@ -158,6 +171,16 @@
             (Self::JoinsBehind, Word::Begin { epoch, entries, digest, .. }) => {
                 Word::Begin { epoch, entries, digest, lacked: Some(Vec::new()) }
             }
+            (Self::EmptyChunk, Word::Chunk(chunk)) => {
+                Word::Chunk(Chunk { entries: Vec::new(), next: None, ..chunk })
+            }
+            (Self::LessonWithoutChosen, Word::Learned { promised, joined, more, pending, .. }) => {
+                Word::Learned { promised, joined, chosen: Vec::new(), more, pending }
+            }
+            (Self::AnswersMixedUp, Word::Passed(id, told)) => {
+                let other = |number| Word::Passed(CallId { number, ..id }, told.clone());
+                return (1..=id.number).map(|number| (from, other(number))).collect();
+            }
             (Self::BlindEvacuation, Word::Pass(id, Ask::Evacuate(zone, on, _))) => {
                 Word::Pass(id, Ask::Evacuate(zone, on, None))
             }
--- a/post/items/src/standing.rs
+++ b/post/items/src/standing.rs
@@ -4,22 +4,21 @@
 
 use crate::{Fact, Invalid, MOST_ORDERS};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::hash::Hash;
 
 /// What a call makes of items: their new facts, none where one is dropped.
 pub type Changes = BTreeMap<String, Option<Fact>>;
 
 /// Names of items by something that they hold.
 #[derive(Clone, Debug)]
-struct Index<K>(HashMap<K, BTreeSet<String>>);
+struct Index<K>(BTreeMap<K, BTreeSet<String>>);
 
 impl<K> Default for Index<K> {
     fn default() -> Self {
-        Self(HashMap::new())
+        Self(BTreeMap::new())
     }
 }
 
-impl<K: Hash + Eq> Index<K> {
+impl<K: Ord> Index<K> {
     fn add(&mut self, key: K, name: &str) {
         self.0.entry(key).or_default().insert(name.to_owned());
     }
--- a/post/postmaster/src/registry.rs
+++ b/post/postmaster/src/registry.rs
@@ -39,7 +39,7 @@
     pub round: RefCell<Round>,
     pub(crate) peers: Peers,
     pub(crate) sessions: RefCell<HashMap<Host, (u64, Writer)>>,
-    depot: RefCell<Option<Writer>>,
+    depot: RefCell<Option<(u64, Writer)>>,
     waiting: RefCell<HashMap<u64, oneshot::Sender<Told>>>,
     /// Readers of events here that wait for other registries, and for the store.
     pub(crate) readers: RefCell<HashMap<u64, mpsc::Sender<(Host, feed::Told)>>>,
@@ -259,7 +259,8 @@
 
     async fn hear_depot(self: Rc<Self>, stream: TcpStream) {
         let (mut reader, writer): (Reader, Writer) = split(stream);
-        *self.depot.borrow_mut() = Some(writer);
+        let line = self.number();
+        *self.depot.borrow_mut() = Some((line, writer));
         while let Ok(report) = reader.next::<Report>().await {
             match report {
                 Report::Answer(id, told) => {
@@ -279,6 +280,10 @@
                 Report::Seats(seats) => self.with(|round, now| round.seats(now, seats)),
             }
         }
+        // A store that has started anew may have dialled before the end of its former life was seen here.
+        if self.depot.borrow().as_ref().is_some_and(|(newest, _)| *newest != line) {
+            return;
+        }
         *self.depot.borrow_mut() = None;
         self.with(|round, now| round.fresh(now, false));
         // Nobody knows how these went.
@@ -294,7 +299,7 @@
     }
 
     pub(crate) fn tell_depot(&self, order: &Order) -> bool {
-        self.depot.borrow().as_ref().is_some_and(|depot| depot.send(order))
+        self.depot.borrow().as_ref().is_some_and(|(_, depot)| depot.send(order))
     }
 
     pub(crate) fn number(&self) -> u64 {
--- a/post/rounds/src/lib.rs
+++ b/post/rounds/src/lib.rs
@@ -123,6 +123,8 @@
     /// started again: a proxy that lived on would take none of them.
     highest: u64,
     read_at: Millis,
+    /// The newest list that was here when the reading under way began.
+    read_from: (u64, Host),
     beat_at: Millis,
     number: u64,
     /// How many proxies there were, by the store, and since when that has not been so.
@@ -162,6 +164,7 @@
             listing: Listing::default(),
             highest: 0,
             read_at: now,
+            read_from: (0, Host::default()),
             beat_at: now,
             number: 0,
             noted: 0.0,
@@ -429,12 +432,18 @@
         let none = self.listing.stamp.0 == 0 && now - self.born > NO_LIST;
         if holds || alone || none {
             self.read_at = now + if holds { READ } else { READ_ALONE };
+            self.read_from = self.listing.stamp;
             self.out.push(Out::ReadList);
         }
     }
 
-    /// The platform's list was read; none if that failed.
+    /// The platform's list was read; none if that failed. A reading that took so long that another registry's list came meanwhile is
+    /// older than that one, whatever number it would get: it is made again.
     pub fn list_read(&mut self, now: Millis, backends: Option<Vec<Backend>>) {
+        if self.listing.stamp != self.read_from {
+            self.read_at = now;
+            return;
+        }
         let Some(backends) = backends else {
             self.read_at = now + READ / 2.0;
             return;
--- a/post/rounds/tests/registries.rs
+++ b/post/rounds/tests/registries.rs
@@ -119,6 +119,28 @@
     assert_eq!(*world.nodes[0].as_ref().unwrap().listing(), newest);
 }
 
+/// A reader stood still while it read, and another registry has read since: its reading is old, though it would get a higher number.
+#[test]
+fn a_reading_of_the_list_that_was_overtaken_is_not_told() {
+    let mut world = World::new(2, 6);
+    world.run(9000.0);
+    let reader =
+        (0..6).find(|n| world.nodes[*n].as_ref().unwrap().held(world.now) & duties::LIST != 0).unwrap();
+    world.with(reader, |round, now| {
+        // A reading begins; before it ends a list of another registry comes.
+        round.tick(now + 2000.0);
+        assert!(round.outs().iter().any(|out| matches!(out, post_rounds::Out::ReadList)));
+        let newer = Listing { stamp: (round.listing().stamp.0 + 1, Host(99)), backends: Vec::new() };
+        round.word(now + 2010.0, host(1), Word::Listing(newer.clone()));
+        round.list_read(now + 2020.0, Some(vec![]));
+        round.outs();
+        assert_eq!(*round.listing(), newer);
+        // It reads again at once.
+        round.tick(now + 2050.0);
+        assert!(round.outs().iter().any(|out| matches!(out, post_rounds::Out::ReadList)));
+    });
+}
+
 #[test]
 fn a_proxy_that_outlived_all_registries_still_takes_their_lists() {
     let mut world = World::new(4, 6);
