--- a/post/inspector/src/world.rs
+++ b/post/inspector/src/world.rs
@@ -26,6 +26,9 @@
 /// Seats that are gone are given away, and whoever forgot has learned, within this.
 const SETTLED: Millis = 12_000.0;
 
+/// An empty machine has announced itself, fetched what there is and said so within this.
+const LEARNED: Millis = 700.0;
+
 /// A reader that is told that nothing is clear asks so often.
 const READS: usize = 3;
 
@@ -207,9 +210,10 @@
         let seat = Seat { host: Host(self.nodes.len() as u32 + 1), zone, region };
         let disk = Memory::default();
         self.nodes.push(Node { seat, disk, book: None, life: 0, clock, seen: BTreeMap::new() });
-        self.rest(span);
+        // The machine that is gone is not yet given up when the world begins, and the empty one has learned by then.
+        self.rest(span - LEARNED);
         self.start(self.nodes.len() - 1, false);
-        self.rest(2.0 * STEP);
+        self.rest(LEARNED);
         self
     }
 
