--- a/crates/life-check/src/lib.rs
+++ b/crates/life-check/src/lib.rs
@@ -5,7 +5,7 @@
 //! - [`properties`]: what must hold, in one file.
 //! - [`mutants`]: deliberate faults that the properties must catch.
 //! - [`trace`]: a story as text.
-//! - [`walk`]: stories that can be played over sockets.
+//! - [`fennelscale-demo`]: stories that can be played over sockets.
 //! - [`explore`]: runs the checker and tells what it found as a story.
 
 pub mod explore;
--- a/post/depot/src/main.rs
+++ /dev/null
@@ -1,5 +0,0 @@
-//! `depot`: see the library of this package.
-
-fn main() -> std::process::ExitCode {
-    post_depot::main()
-}
--- a/post/postmaster/src/main.rs
+++ /dev/null
@@ -1,5 +0,0 @@
-//! `postmaster`: see the library of this package.
-
-fn main() -> std::process::ExitCode {
-    post_postmaster::main()
-}
--- a/post/depot/src/diary.rs
+++ b/system/config-store/src/diary.rs
@@ -8,7 +8,7 @@
 //! and synced together. A record that does not check out ends its file; what stands behind it is cut off before the next is
 //! written.
 
-use post_words::feed::{At, Event, Told, Wanted};
+use fennelscale_messages::feed::{At, Event, Told, Wanted};
 use std::fs::{File, OpenOptions};
 use std::io::{self, Read as _, Seek as _, SeekFrom, Write as _};
 use std::path::PathBuf;
@@ -40,7 +40,7 @@
 fn record(event: &Event, bytes: &mut Vec<u8>) {
     let body = bitcode::encode(event);
     bytes.extend_from_slice(&(body.len() as u32).to_le_bytes());
-    bytes.extend_from_slice(&post_words::hash(&body).to_le_bytes());
+    bytes.extend_from_slice(&fennelscale_messages::hash(&body).to_le_bytes());
     bytes.extend_from_slice(&body);
 }
 
@@ -50,7 +50,7 @@
     let (length, sum) = head.split_at(4);
     let length = u32::from_le_bytes(length.try_into().ok()?) as usize;
     let body = rest.get(..length)?;
-    let right = post_words::hash(body).to_le_bytes() == sum;
+    let right = fennelscale_messages::hash(body).to_le_bytes() == sum;
     Some((bitcode::decode(body).ok().filter(|_| right)?, HEAD + length))
 }
 
@@ -177,7 +177,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use post_words::feed::Kind;
+    use fennelscale_messages::feed::Kind;
 
     fn event(life: u64, number: u64) -> Event {
         let (what, cause) = (format!("r:{}", number % 3), "by hand".to_owned());
--- a/post/depot/src/disk.rs
+++ b/system/config-store/src/disk.rs
@@ -7,8 +7,8 @@
 //! says hold a write in part. Journals are bounded by the
 //! machine's disk, which two programs share.
 
+use fennelscale_replication::{Item, Memory, Progress, Vows, Writes};
 use fjall::{Database, Keyspace, KeyspaceCreateOptions, PersistMode};
-use post_book::{Item, Memory, Progress, Vows, Writes};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io::{Read as _, Write as _};
@@ -45,7 +45,9 @@
 
 impl Sums {
     fn set(&mut self, name: &str, record: &[u8]) {
-        let share = post_words::mix(post_words::hash(name.as_bytes()) ^ post_words::hash(record));
+        let share = fennelscale_messages::mix(
+            fennelscale_messages::hash(name.as_bytes()) ^ fennelscale_messages::hash(record),
+        );
         self.digest ^= share ^ self.of.insert(name.to_owned(), share).unwrap_or(0);
     }
 }
@@ -108,14 +110,14 @@
 /// A value with its check sum before it.
 fn sealed<T: bitcode::Encode>(value: &T) -> Vec<u8> {
     let body = bitcode::encode(value);
-    let mut bytes = post_words::hash(&body).to_le_bytes().to_vec();
+    let mut bytes = fennelscale_messages::hash(&body).to_le_bytes().to_vec();
     bytes.extend_from_slice(&body);
     bytes
 }
 
 fn unsealed<T: for<'a> bitcode::Decode<'a>>(bytes: &[u8]) -> Option<T> {
     let (sum, body) = bytes.split_at_checked(8)?;
-    (post_words::hash(body).to_le_bytes() == sum).then(|| bitcode::decode(body).ok()).flatten()
+    (fennelscale_messages::hash(body).to_le_bytes() == sum).then(|| bitcode::decode(body).ok()).flatten()
 }
 
 /// The journal that is written to, below the store's folder.
--- a/post/depot/src/disk/tests.rs
+++ b/system/config-store/src/disk/tests.rs
@@ -1,8 +1,8 @@
 use super::*;
 use crate::store::Store;
-use post_book::{Book, Origin, Out};
-use post_words::Host;
-use post_words::depot::{Ask, Entry, Epoch, Stamp, Told};
+use fennelscale_messages::Host;
+use fennelscale_messages::depot::{Ask, Entry, Epoch, Stamp, Told};
+use fennelscale_replication::{Book, Origin, Out};
 use proptest::prelude::*;
 use rustix::process::{Resource, Rlimit, Signal, getrlimit, setrlimit};
 use std::collections::BTreeMap;
@@ -17,7 +17,7 @@
 
 #[test]
 fn what_was_written_is_there_at_the_next_start() {
-    let folder = std::env::temp_dir().join(format!("depot-{}", std::process::id()));
+    let folder = std::env::temp_dir().join(format!("config-store-{}", std::process::id()));
     let (disk, memory) = Disk::open(&folder, 256_000_000).unwrap();
     assert_eq!(memory, Memory::default());
     (1..8).for_each(|round| disk.write(&writes(round)).unwrap());
@@ -111,7 +111,7 @@
 
 #[test]
 fn files_without_a_digest_are_read_and_have_one_from_then_on() {
-    let folder = std::env::temp_dir().join(format!("depot-before-{}", std::process::id()));
+    let folder = std::env::temp_dir().join(format!("config-store-before-{}", std::process::id()));
     let (disk, _) = Disk::open(&folder, 256_000_000).unwrap();
     (1..4).for_each(|round| disk.write(&writes(round)).unwrap());
     disk.records.remove(DIGEST).unwrap();
@@ -131,7 +131,7 @@
 /// Power is lost after so many synced writes and before the next ones were: what a start finds.
 fn after_a_loss(synced: u64, open: u64, torn: &Torn) -> Memory {
     let run = RUNS.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-    let place = std::env::temp_dir().join(format!("depot-torn-{}-{run}", std::process::id()));
+    let place = std::env::temp_dir().join(format!("config-store-torn-{}-{run}", std::process::id()));
     let (folder, again) = (place.join("before"), place.join("after"));
     let (disk, _) = Disk::open(&folder, 256_000_000).unwrap();
     (1..=synced).for_each(|round| disk.write(&writes(round)).unwrap());
@@ -178,7 +178,7 @@
     let _enter = runtime.enter();
     let beyond = tokio::signal::unix::SignalKind::from_raw(Signal::XFSZ.as_raw());
     let _told = tokio::signal::unix::signal(beyond).unwrap();
-    let place = std::env::temp_dir().join(format!("depot-full-{}", std::process::id()));
+    let place = std::env::temp_dir().join(format!("config-store-full-{}", std::process::id()));
     let (mut room, mut failed) = (0, 0);
     loop {
         let folder = place.join(room.to_string());
@@ -214,7 +214,7 @@
     let _enter = runtime.enter();
     let beyond = tokio::signal::unix::SignalKind::from_raw(Signal::XFSZ.as_raw());
     let _told = tokio::signal::unix::signal(beyond).unwrap();
-    let place = std::env::temp_dir().join(format!("depot-starts-full-{}", std::process::id()));
+    let place = std::env::temp_dir().join(format!("config-store-starts-full-{}", std::process::id()));
     for torn in [false, true] {
         let folder = place.join(torn.to_string());
         let (disk, _) = Disk::open(&folder, 256_000_000).unwrap();
@@ -291,9 +291,15 @@
     let _enter = runtime.enter();
     let beyond = tokio::signal::unix::SignalKind::from_raw(Signal::XFSZ.as_raw());
     let _told = tokio::signal::unix::signal(beyond).unwrap();
-    let folder = std::env::temp_dir().join(format!("depot-suspended-{}", std::process::id()));
-    let me = post_words::depot::Seat { host: Host(1), zone: "z".into(), region: "r".into() };
-    let place = post_book::Place { me, seeds: vec![Host(1)], bootstrap: true, tolerance: (0, 0, 0), life: 1 };
+    let folder = std::env::temp_dir().join(format!("config-store-suspended-{}", std::process::id()));
+    let me = fennelscale_messages::depot::Seat { host: Host(1), zone: "z".into(), region: "r".into() };
+    let place = fennelscale_replication::Place {
+        me,
+        seeds: vec![Host(1)],
+        bootstrap: true,
+        tolerance: (0, 0, 0),
+        life: 1,
+    };
     let mut store = Store::open(place, &folder, 256_000_000, 0.0).unwrap();
     let mut now = 0.0;
     // It founds by itself.
--- a/post/depot/src/lib.rs
+++ b/system/config-store/src/lib.rs
@@ -1,4 +1,4 @@
-//! `depot`: the store of configuration (the field's term: a replicated configuration store). Every core machine runs one. It
+//! `fennelscale-config-store`: the store of configuration (the field's term: a replicated configuration store). Every core machine runs one. It
 //! holds a copy of every item on its disk, takes calls from its machine's registry, and tells that what is chosen.
 
 mod diary;
@@ -6,12 +6,12 @@
 mod store;
 
 use diary::Diary;
-use post_book::{Book, Origin, Out, Place};
-use post_host::link::{Peers, Writer, hear, split};
-use post_host::{link, spawn, start};
-use post_settings::{Port, Settings};
-use post_words::Host;
-use post_words::depot::{Order, Report, Seat, Told, Word};
+use fennelscale_host::link::{Peers, Writer, hear, split};
+use fennelscale_host::{link, spawn, start};
+use fennelscale_messages::Host;
+use fennelscale_messages::depot::{Order, Report, Seat, Told, Word};
+use fennelscale_node_settings::{Port, Settings};
+use fennelscale_replication::{Book, Origin, Out, Place};
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -19,7 +19,11 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
-post_host::program!("depot", " The store of configuration. FENNELSCALE_CONFIG names the settings file.", run);
+fennelscale_host::program!(
+    "fennelscale-config-store",
+    " The store of configuration. FENNELSCALE_CONFIG names the settings file.",
+    run
+);
 
 /// Time passes for the machine this often.
 const TICK: Duration = Duration::from_millis(100);
@@ -31,7 +35,7 @@
 /// A disk that took no write is tried again this often.
 const REOPEN: Duration = Duration::from_secs(1);
 
-struct Depot {
+struct ConfigStore {
     store: RefCell<Store>,
     /// What the registry of this machine saw happen.
     diary: RefCell<Diary>,
@@ -47,7 +51,7 @@
     };
     let folder = settings.data.as_ref().ok_or_else(|| unusable("dataDirectory"))?;
     let host = Host::of(settings.ip).ok_or_else(|| unusable("ipAddress (IPv4)"))?;
-    let life = post_words::mix(u64::from(std::process::id()) ^ start::life());
+    let life = fennelscale_messages::mix(u64::from(std::process::id()) ^ start::life());
     let place = Place {
         me: Seat { host, zone: settings.zone.clone(), region: settings.region.clone() },
         seeds: settings.seeds.iter().filter_map(|seed| Host::of(seed.ip())).collect(),
@@ -58,21 +62,21 @@
     let store = Store::open(place, folder, settings.limits.disk, 0.0)?;
     let others = start::listen(settings.own(Port::Depot)).await?;
     let grace = settings.bounds.grace;
-    let depot = Rc::new(Depot {
+    let store = Rc::new(ConfigStore {
         store: RefCell::new(store),
         diary: RefCell::new(Diary::new(folder.join("events"))),
         peers: Peers::new(host, settings.own(Port::Depot).port()),
         registry: RefCell::default(),
         born: Instant::now(),
     });
-    if depot.store.borrow().book().is_none() {
-        spawn(depot.clone().reopen());
+    if store.store.borrow().book().is_none() {
+        spawn(store.clone().reopen());
     }
-    let heard = depot.clone();
+    let heard = store.clone();
     hear(others, move |from, word: Word| heard.with(|book, now| book.word(now, from, word)));
     // The registry of this machine is the one caller; it listens, as it may start later or again.
     let at = settings.own(Port::Shelf);
-    let calls = depot.clone();
+    let calls = store.clone();
     spawn(async move {
         loop {
             if let Ok(stream) = link::dial(at).await {
@@ -81,7 +85,7 @@
             sleep(TICK).await;
         }
     });
-    let ticking = depot.clone();
+    let ticking = store.clone();
     spawn(async move {
         loop {
             sleep(TICK).await;
@@ -97,11 +101,11 @@
             }
         }
     }
-    depot.leave(grace).await;
+    store.leave(grace).await;
     Ok(())
 }
 
-impl Depot {
+impl ConfigStore {
     /// Gives the machine an input; what it writes is safe before anything of it is sent.
     fn with(self: &Rc<Self>, input: impl FnOnce(&mut Book, f64)) {
         let now = self.now();
--- a/post/depot/src/store.rs
+++ b/system/config-store/src/store.rs
@@ -5,7 +5,7 @@
 //! a write again, as after a kill.
 
 use crate::disk::{Disk, OpenError};
-use post_book::{Book, Out, Place, Writes};
+use fennelscale_replication::{Book, Out, Place, Writes};
 use std::path::{Path, PathBuf};
 
 /// A store.
--- a/post/items/src/call.rs
+++ b/system/config/src/call.rs
@@ -1,7 +1,7 @@
 //! Calls of the operator: read into changes, and all items laid out again.
 
 use crate::{Invalid, LIMITS, fact};
-use post_words::depot::{self, Change};
+use fennelscale_messages::depot::{self, Change};
 use sonic_rs::{JsonValueTrait, LazyValue};
 use std::collections::BTreeMap;
 use std::collections::hash_map::{Entry, HashMap};
--- a/post/items/src/fact.rs
+++ b/system/config/src/fact.rs
@@ -102,15 +102,15 @@
     /// A zone is to get nothing.
     Evacuation,
     /// Hours in which nodes may be drained.
-    Contract(Box<post_shutter::hours::Contract>),
+    Contract(Box<fennelscale_maintenance::hours::Contract>),
     /// Nodes that are to be drained in them.
-    Order(Box<post_shutter::order::Order>),
+    Order(Box<fennelscale_maintenance::order::Order>),
     /// Nodes that are drained now.
-    Drain(post_shutter::night::Drain),
+    Drain(fennelscale_maintenance::night::Drain),
     /// The record of an order's night.
     Night,
     /// Requests that are to be failed on purpose.
-    Failure(Box<post_mislay::Order>),
+    Failure(Box<fennelscale_fault_injection::Order>),
 }
 
 /// The longest time-out, in ms.
@@ -201,7 +201,7 @@
         }
         Some(("w:", name)) => maintenance::order(name, &item).map(|order| Fact::Order(Box::new(order))),
         Some(("d:", _)) => {
-            let drain = post_shutter::night::Drain::read(body);
+            let drain = fennelscale_maintenance::night::Drain::read(body);
             drain.map(Fact::Drain).ok_or_else(|| Invalid(format!("{name}: no drain")))
         }
         Some(("n:", _)) => Ok(Fact::Night),
--- a/post/items/src/failures.rs
+++ b/system/config/src/failures.rs
@@ -2,8 +2,8 @@
 
 use crate::Invalid;
 use crate::fact::Item;
+use fennelscale_fault_injection::{Order, State, What, Whom};
 use jiff::Timestamp;
-use post_mislay::{Order, State, What, Whom};
 use std::collections::BTreeSet;
 
 /// The longest time that an order holds a request, in ms.
--- a/post/items/src/lib.rs
+++ b/system/config/src/lib.rs
@@ -16,8 +16,8 @@
 pub use standing::{Changes, Standing};
 pub use table::Table;
 
-use post_shutter::order::MOST_ORDERS;
-use post_words::depot::{Entry, PARTS};
+use fennelscale_maintenance::order::MOST_ORDERS;
+use fennelscale_messages::depot::{Entry, PARTS};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// The name of the item that is there once.
@@ -36,15 +36,15 @@
 /// An entry in one number: two copies that hold the same are of the same sum.
 pub fn entry_hash((name, entry): (&str, &Entry)) -> u64 {
     let stamp = entry.stamp;
-    let of = post_words::hash(name.as_bytes());
-    let at = post_words::mix(stamp.epoch.round ^ u64::from(stamp.epoch.seat.0) << 32)
-        ^ post_words::mix(stamp.turn.wrapping_add(0x9e37_79b9_7f4a_7c15));
-    post_words::mix(of ^ at)
+    let of = fennelscale_messages::hash(name.as_bytes());
+    let at = fennelscale_messages::mix(stamp.epoch.round ^ u64::from(stamp.epoch.seat.0) << 32)
+        ^ fennelscale_messages::mix(stamp.turn.wrapping_add(0x9e37_79b9_7f4a_7c15));
+    fennelscale_messages::mix(of ^ at)
 }
 
 /// The part of a digest that a name is in.
 pub fn part(name: &str) -> usize {
-    (post_words::hash(name.as_bytes()) >> 40) as usize % PARTS
+    (fennelscale_messages::hash(name.as_bytes()) >> 40) as usize % PARTS
 }
 
 /// All entries in one number for each part.
@@ -58,8 +58,8 @@
 
 /// A hash of what was sent, by which a call that arrives again is known.
 pub fn content(host: &str, body: Option<&str>) -> u64 {
-    let body = body.map_or(1, |body| post_words::hash(body.as_bytes()));
-    post_words::mix(post_words::hash(host.as_bytes()) ^ body)
+    let body = body.map_or(1, |body| fennelscale_messages::hash(body.as_bytes()));
+    fennelscale_messages::mix(fennelscale_messages::hash(host.as_bytes()) ^ body)
 }
 
 /// Whether items that are each in order are so together.
@@ -103,7 +103,7 @@
             Fact::Service(_) | Fact::Limits(_) | Fact::Evacuation | Fact::Drain(_) | Fact::Night => {}
         }
     }
-    if failures > post_mislay::MOST_ORDERS {
+    if failures > fennelscale_fault_injection::MOST_ORDERS {
         return Err(standing::too_many_failures(failures));
     }
     if orders.len() > MOST_ORDERS {
--- a/post/items/src/maintenance.rs
+++ b/system/config/src/maintenance.rs
@@ -2,8 +2,8 @@
 
 use crate::Invalid;
 use crate::fact::Item;
-use post_shutter::hours::{self, Between, Contract, Rule};
-use post_shutter::order::{MOST_NODES, Most, Order, Wanted};
+use fennelscale_maintenance::hours::{self, Between, Contract, Rule};
+use fennelscale_maintenance::order::{MOST_NODES, Most, Order, Wanted};
 use sonic_rs::{JsonContainerTrait, JsonValueTrait, Value};
 use std::collections::BTreeMap;
 
--- a/post/items/src/table.rs
+++ b/system/config/src/table.rs
@@ -1,7 +1,7 @@
 //! The table that a proxy looks requests up in.
 
 use crate::{Fact, Limits, Route, Service, Tenant};
-use post_shutter::night::Drain;
+use fennelscale_maintenance::night::Drain;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 
@@ -20,7 +20,7 @@
     /// What each work order has drained.
     pub drains: BTreeMap<String, Drain>,
     /// Failure orders.
-    pub failures: BTreeMap<String, post_mislay::Order>,
+    pub failures: BTreeMap<String, fennelscale_fault_injection::Order>,
 }
 
 #[derive(Clone, Debug)]
--- a/post/walk/src/failures.rs
+++ b/system/demo/src/failures.rs
@@ -94,7 +94,7 @@
             let listed = Listed { id, service: (*service).into(), address, zone, state: "ready" };
             backend(&walk.outside, listed).await.map_err(io)?;
         }
-        for program in ["courier", "depot", "postmaster"] {
+        for program in ["fennelscale-proxy", "fennelscale-config-store", "fennelscale-registry"] {
             walk.machines.start(zone, program, true)?;
         }
     }
@@ -126,9 +126,9 @@
     // A proxy dies under the other order, and comes back into it.
     let killed = (seed % 2 == 1).then(|| mix(seed) as usize % ZONES.len());
     if let Some(zone) = killed {
-        walk.machines.signal(zone, "courier", Signal::KILL);
-        walk.machines.ended(zone, "courier").await;
-        walk.machines.start(zone, "courier", false)?;
+        walk.machines.signal(zone, "fennelscale-proxy", Signal::KILL);
+        walk.machines.ended(zone, "fennelscale-proxy").await;
+        walk.machines.start(zone, "fennelscale-proxy", false)?;
     }
     sleep(Duration::from_secs(LASTS - stop + BEHIND)).await;
     seen.over.set(true);
--- a/post/walk/src/machines.rs
+++ b/system/demo/src/machines.rs
@@ -14,7 +14,7 @@
 pub const PROXY: u8 = 2;
 /// A second proxy of a zone, where a deployment has one, and the name that it is started by.
 pub const SECOND: u8 = 3;
-pub const SECOND_PROXY: &str = "courier-2";
+pub const SECOND_PROXY: &str = "fennelscale-proxy-2";
 
 /// All machines.
 pub struct Machines {
@@ -72,7 +72,7 @@
 
     fn settings(&self, zone: usize, program: &str, bootstrap: bool) -> String {
         let (name, region) = ZONES[zone];
-        let core = !program.starts_with("courier");
+        let core = !program.starts_with("fennelscale-proxy");
         let machine = if program == SECOND_PROXY { SECOND } else { PROXY };
         let ip = self.ip(zone, if core { CORE } else { machine });
         let at = |port: u16| SocketAddr::new(ip.into(), self.base + port);
--- a/post/walk/src/main.rs
+++ b/system/demo/src/main.rs
@@ -1,4 +1,4 @@
-//! `walk`: the whole path on one machine in under a minute. Starts three core machines and three proxies as real processes on
+//! `fennelscale-demo`: the whole path on one machine in under a minute. Starts three core machines and three proxies as real processes on
 //! addresses of the loopback range, stand-ins for the platform, the backends, the operator and clients, and walks through what
 //! the system promises, with a core machine killed on the way. Ends with status 0 if every step held. `--nights` plays
 //! maintenance nights instead.
@@ -22,7 +22,7 @@
     logs: bool,
     #[options(
         no_short,
-        help = "after the changes keep everything running for so many seconds, to try telegraph on",
+        help = "after the changes keep everything running for so many seconds, to try fennelctl on",
         meta = "SECONDS"
     )]
     stay: u64,
@@ -34,7 +34,10 @@
     seed: u64,
     #[options(no_short, help = "play each night once more without orders, and compare the reads")]
     pairs: bool,
-    #[options(free, help = "a program to be: courier, postmaster or depot (used by walk itself)")]
+    #[options(
+        free,
+        help = "a program to be: fennelscale-proxy, fennelscale-registry or fennelscale-config-store (used by the demo itself)"
+    )]
     program: Option<String>,
 }
 
@@ -42,11 +45,13 @@
     let arguments = Arguments::parse_args_default_or_exit();
     match arguments.program.as_deref() {
         None => {}
-        Some("courier") => return post_courier::run_plain(),
-        Some("postmaster") => return post_postmaster::run_plain(),
-        Some("depot") => return post_depot::run_plain(),
+        Some("fennelscale-proxy") => return fennelscale_proxy::run_plain(),
+        Some("fennelscale-registry") => return fennelscale_registry::run_plain(),
+        Some("fennelscale-config-store") => return fennelscale_config_store::run_plain(),
         Some(other) => {
-            eprintln!("walk: {other}: there is no such program; courier, postmaster and depot are");
+            eprintln!(
+                "fennelscale-demo: {other}: there is no such program; fennelscale-proxy, fennelscale-registry and fennelscale-config-store are"
+            );
             return ExitCode::from(2);
         }
     }
--- a/post/walk/src/night.rs
+++ b/system/demo/src/night.rs
@@ -230,7 +230,7 @@
 }
 
 fn start_all(walk: &mut Walk, zone: usize, bootstrap: bool) -> Result<()> {
-    for program in ["courier", SECOND_PROXY, "depot", "postmaster"] {
+    for program in ["fennelscale-proxy", SECOND_PROXY, "fennelscale-config-store", "fennelscale-registry"] {
         walk.machines.start(zone, program, bootstrap)?;
     }
     Ok(())
@@ -332,8 +332,8 @@
 async fn faults(walk: &mut Walk, seed: u64, begun: Instant) -> Result<()> {
     let draw = |n: u64, most: u64| mix(seed ^ n << 40) % most;
     let mut events = vec![
-        (7000 + draw(1, 9000), draw(2, 3) as usize, vec!["depot", "postmaster"]),
-        (7000 + draw(3, 9000), draw(4, 3) as usize, vec!["courier"]),
+        (7000 + draw(1, 9000), draw(2, 3) as usize, vec!["fennelscale-config-store", "fennelscale-registry"]),
+        (7000 + draw(3, 9000), draw(4, 3) as usize, vec!["fennelscale-proxy"]),
     ];
     events.sort();
     for (at, zone, programs) in events {
--- a/post/walk/src/steps.rs
+++ b/system/demo/src/steps.rs
@@ -154,9 +154,9 @@
     }
     println!("three core machines and three proxies start, in no order");
     for zone in 0..ZONES.len() {
-        walk.machines.start(zone, "courier", true)?;
-        walk.machines.start(zone, "depot", true)?;
-        walk.machines.start(zone, "postmaster", true)?;
+        walk.machines.start(zone, "fennelscale-proxy", true)?;
+        walk.machines.start(zone, "fennelscale-config-store", true)?;
+        walk.machines.start(zone, "fennelscale-registry", true)?;
     }
     configuration(&mut walk).await?;
     requests(&mut walk).await?;
@@ -164,7 +164,7 @@
     if stay > 0 {
         let at: Vec<String> =
             (0..ZONES.len()).map(|zone| format!("--at {}", walk.machines.control(zone))).collect();
-        println!("for {stay} s: telegraph {} status", at.join(" "));
+        println!("for {stay} s: fennelctl {} status", at.join(" "));
         sleep(Duration::from_secs(stay)).await;
     }
     losses(&mut walk).await?;
@@ -307,9 +307,9 @@
 
 async fn losses(walk: &mut Walk) -> Result<()> {
     println!("a core machine is killed; the platform drains a backend");
-    walk.machines.signal(0, "depot", Signal::KILL);
-    walk.machines.signal(0, "postmaster", Signal::KILL);
-    for program in ["depot", "postmaster"] {
+    walk.machines.signal(0, "fennelscale-config-store", Signal::KILL);
+    walk.machines.signal(0, "fennelscale-registry", Signal::KILL);
+    for program in ["fennelscale-config-store", "fennelscale-registry"] {
         walk.machines.ended(0, program).await;
     }
     let (mut served, mut asked) = (0, 0);
@@ -324,8 +324,8 @@
     let reply = walk.until_clear(1, Method::PATCH, "/fennelscale/config", &change).await?;
     check(reply.status == 200, "two of three acknowledge a change")?;
     walk.until(0, "/after/x", Some("key-archive"), 200).await?;
-    walk.machines.start(0, "depot", false)?;
-    walk.machines.start(0, "postmaster", false)?;
+    walk.machines.start(0, "fennelscale-config-store", false)?;
+    walk.machines.start(0, "fennelscale-registry", false)?;
     let begun = Instant::now();
     let read = loop {
         match walk.operator(0, Method::GET, "/fennelscale/config", "").await {
@@ -360,7 +360,7 @@
     let to = SocketAddr::new(walk.machines.platform().ip(), walk.machines.platform().port() + 1);
     platform(&walk.outside, to).await.map_err(|error| miette!("stand-ins: {error}"))?;
     walk.machines.move_platform(to)?;
-    (0..ZONES.len()).for_each(|zone| walk.machines.signal(zone, "postmaster", Signal::HUP));
+    (0..ZONES.len()).for_each(|zone| walk.machines.signal(zone, "fennelscale-registry", Signal::HUP));
     let begun = Instant::now();
     while walk.outside.list_calls.borrow().get(&to).is_none_or(|calls| *calls < 2) {
         if begun.elapsed() > PATIENCE {
@@ -406,11 +406,11 @@
     // Events go to the disk once a second.
     sleep(Duration::from_millis(1300)).await;
     for zone in 0..ZONES.len() {
-        walk.machines.signal(zone, "postmaster", Signal::KILL);
-        walk.machines.ended(zone, "postmaster").await;
+        walk.machines.signal(zone, "fennelscale-registry", Signal::KILL);
+        walk.machines.ended(zone, "fennelscale-registry").await;
     }
     for zone in 0..ZONES.len() {
-        walk.machines.start(zone, "postmaster", false)?;
+        walk.machines.start(zone, "fennelscale-registry", false)?;
     }
     let begun = Instant::now();
     let path = format!("/fennelscale/events?after={cursor}&kind=call-refused");
@@ -447,7 +447,7 @@
         send(at, Method::POST, "/deposit/sleep-1200", &headers, "x".repeat(50_000)).await
     });
     sleep(Duration::from_millis(300)).await;
-    walk.machines.signal(1, "courier", Signal::TERM);
+    walk.machines.signal(1, "fennelscale-proxy", Signal::TERM);
     let begun = Instant::now();
     let path = format!("/fennelscale/resolve?name={HOST}&region=birch&zone=birch-a");
     loop {
@@ -463,7 +463,7 @@
     check(true, format!("the directory leaves it out after {:.2} s", begun.elapsed().as_secs_f64()))?;
     let reply = open.await.ok().flatten();
     check(reply.is_some_and(|r| r.status == 200), "its request is answered")?;
-    let status = walk.machines.ended(1, "courier").await;
+    let status = walk.machines.ended(1, "fennelscale-proxy").await;
     check(
         status == Some(0) && begun.elapsed() < Duration::from_secs(3),
         "it ends with status 0 within its grace period",
--- a/post/essay/src/figures.rs
+++ b/system/experiments/src/figures.rs
@@ -2,7 +2,7 @@
 
 use crate::Fault;
 use crate::play::{FIGURES, Set};
-use post_diorama::Chance;
+use fennelscale_simulation::Chance;
 use std::collections::BTreeMap;
 
 /// Samples that are drawn again for an interval.
--- a/post/essay/src/growth.rs
+++ b/system/experiments/src/growth.rs
@@ -1,6 +1,6 @@
 //! What grows with a deployment: bytes, time of the machines, what they hold.
 
-use post_diorama::{Config, World};
+use fennelscale_simulation::{Config, World};
 use serde::{Deserialize, Serialize};
 use std::time::Instant;
 
--- a/post/essay/src/lib.rs
+++ b/system/experiments/src/lib.rs
@@ -1,4 +1,4 @@
-//! The experiment tool (in the post an essay, a stamp's trial print): scenarios from a file are played in virtual time with many
+//! The experiment tool: scenarios from a file are played in virtual time with many
 //! seeds on all processors, figures get intervals and not single runs, two sets of runs are compared seed by seed, and a page
 //! shows them.
 //!
--- a/post/essay/src/page.rs
+++ b/system/experiments/src/page.rs
@@ -130,7 +130,7 @@
 /// When two sets share nothing, or a plot can't be drawn.
 pub fn page(one: &Set, other: Option<&Set>, sizes: &[Size]) -> Result<String, Fault> {
     let mut page =
-        format!("<!doctype html><meta charset=\"utf-8\"><title>essay</title><style>{STYLE}</style>\n");
+        format!("<!doctype html><meta charset=\"utf-8\"><title>experiments</title><style>{STYLE}</style>\n");
     let _ = write!(page, "<h1>{}", plain(&one.label));
     if let Some(other) = other {
         let _ = write!(page, " and {}", plain(&other.label));
--- a/post/essay/src/play.rs
+++ b/system/experiments/src/play.rs
@@ -2,7 +2,7 @@
 
 use crate::figures::mean_of;
 use crate::scenario::{Happens, Scenario};
-use post_diorama::World;
+use fennelscale_simulation::World;
 use rayon::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
--- a/post/essay/src/scenario.rs
+++ b/system/experiments/src/scenario.rs
@@ -1,7 +1,7 @@
 //! Scenarios: how large a world is, what is offered, what happens when.
 
 use crate::Fault;
-use post_diorama::{Config, World};
+use fennelscale_simulation::{Config, World};
 use serde::Deserialize;
 use std::collections::BTreeMap;
 
@@ -72,7 +72,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Happens {
     /// Something goes wrong, or right again.
-    Fault(post_diorama::Fault),
+    Fault(fennelscale_simulation::Fault),
     /// An operator changes a route.
     Change,
 }
@@ -111,7 +111,7 @@
 ];
 
 fn event(config: &Config, raw: &RawEvent) -> Result<Vec<Happens>, String> {
-    use post_diorama::Fault as F;
+    use fennelscale_simulation::Fault as F;
     let Config { cores, proxies, tenants, backends, .. } = *config;
     let each = |many: usize, what: &str, fault: &dyn Fn(usize) -> F| -> Result<Vec<Happens>, String> {
         if raw.of.is_empty() {
--- a/post/mislay/src/desk.rs
+++ b/system/fault-injection/src/desk.rs
@@ -2,7 +2,7 @@
 
 use crate::order::{Caller, Limits, Order, State, What};
 use crate::{MOST_ORDERS, Millis};
-use post_shutter::clock::Span;
+use fennelscale_maintenance::clock::Span;
 use std::collections::BTreeMap;
 
 /// Requests that are held at once by all orders together; more go their way untouched: they would take room from others.
--- a/post/mislay/src/order.rs
+++ b/system/fault-injection/src/order.rs
@@ -44,7 +44,7 @@
 
 /// A key as orders name it.
 pub fn fingerprint(key: &str) -> String {
-    format!("{:016x}", post_words::hash(key.as_bytes()))
+    format!("{:016x}", fennelscale_messages::hash(key.as_bytes()))
 }
 
 impl Whom {
@@ -67,7 +67,9 @@
 
     /// The same requests at every proxy and in every build.
     fn is_drawn(&self, order: &str, id: &str) -> bool {
-        let draw = post_words::mix(post_words::hash(order.as_bytes()) ^ post_words::hash(id.as_bytes()));
+        let draw = fennelscale_messages::mix(
+            fennelscale_messages::hash(order.as_bytes()) ^ fennelscale_messages::hash(id.as_bytes()),
+        );
         self.share >= 1.0 || ((draw >> 11) as f64 / (1_u64 << 53) as f64) < self.share
     }
 }
--- a/post/telegraph/src/config.rs
+++ b/system/fennelctl/src/config.rs
@@ -1,15 +1,15 @@
 //! Files that hold the body of a call: checked here by the rules that the store has, compared with what stands.
 
 use crate::gateway::{Asked, Gateways};
-use post_items::{Invalid, check_together, content, fact, read_call};
-use post_words::depot::Change;
+use fennelscale_config::{Invalid, check_together, content, fact, read_call};
+use fennelscale_messages::depot::Change;
 use std::collections::BTreeMap;
 use std::process::ExitCode;
 
 /// Reads a file.
 pub fn read(file: &str) -> Result<String, ExitCode> {
     std::fs::read_to_string(file).map_err(|error| {
-        eprintln!("telegraph: {file}: {error}");
+        eprintln!("fennelctl: {file}: {error}");
         ExitCode::from(2)
     })
 }
@@ -28,7 +28,7 @@
             ExitCode::SUCCESS
         }
         Err(invalid) => {
-            eprintln!("telegraph: {file}: {invalid}");
+            eprintln!("fennelctl: {file}: {invalid}");
             ExitCode::FAILURE
         }
     }
@@ -55,7 +55,7 @@
     let wanted = match read(file).map(|text| changes(&text)) {
         Ok(Ok(wanted)) => wanted,
         Ok(Err(invalid)) => {
-            eprintln!("telegraph: {file}: {invalid}");
+            eprintln!("fennelctl: {file}: {invalid}");
             return ExitCode::FAILURE;
         }
         Err(status) => return status,
@@ -67,7 +67,7 @@
     let standing = match read_call(format!("{{\"upsert\":{standing}}}").as_bytes()) {
         Ok(standing) => standing,
         Err(invalid) => {
-            eprintln!("telegraph: what stands cannot be read: {invalid}");
+            eprintln!("fennelctl: what stands cannot be read: {invalid}");
             return ExitCode::from(3);
         }
     };
--- a/post/telegraph/src/events.rs
+++ b/system/fennelctl/src/events.rs
@@ -117,7 +117,7 @@
         };
         if missed && !after.is_empty() {
             eprintln!(
-                "telegraph: events may be missing here: a registry ended, was replaced, or this was too long ago"
+                "fennelctl: events may be missing here: a registry ended, was replaced, or this was too long ago"
             );
         }
         for event in &list {
@@ -134,7 +134,7 @@
         }
         if !events.follow {
             if !gateways.json {
-                eprintln!("telegraph: to go on from here: --after {after}");
+                eprintln!("fennelctl: to go on from here: --after {after}");
             }
             return ExitCode::SUCCESS;
         }
@@ -193,7 +193,7 @@
         "backend-draining" => "it gets nothing new and never will under this id",
         "backend-gone" => "the platform's list no longer has it",
         "copy-doubtful" => "its proxies are sent to other registries",
-        "node-draining" | "node-out" => "a work order has it: telegraph maintenance explain",
+        "node-draining" | "node-out" => "a work order has it: fennelctl maintenance explain",
         "quota-spent" => "more was asked for than the window had: requests beyond it get 429",
         _ => "",
     }
@@ -289,7 +289,7 @@
         say!("  answered {status} after {}: {}", of("took"), of("why"));
     }
     if known.is_empty() {
-        eprintln!("telegraph: no proxy that answers remembers it: each keeps its last 2,048 requests");
+        eprintln!("fennelctl: no proxy that answers remembers it: each keeps its last 2,048 requests");
         return ExitCode::FAILURE;
     }
     ExitCode::SUCCESS
--- a/post/telegraph/src/failure.rs
+++ b/system/fennelctl/src/failure.rs
@@ -54,7 +54,7 @@
 pub async fn run(gateways: &Gateways, failure: Failure) -> ExitCode {
     match failure.command {
         None => {
-            eprintln!("telegraph: failure: one of dry, start, stop, report, fingerprint");
+            eprintln!("fennelctl: failure: one of dry, start, stop, report, fingerprint");
             ExitCode::from(2)
         }
         Some(Command::Dry(named)) => change(gateways, LIST, &named.order, "dry", None).await,
@@ -62,7 +62,7 @@
         Some(Command::Stop(named)) => change(gateways, LIST, &named.order, "stopped", None).await,
         Some(Command::Report(_)) => report(gateways).await,
         Some(Command::Fingerprint(key)) => {
-            say!("{}", post_mislay::fingerprint(&key.key));
+            say!("{}", fennelscale_fault_injection::fingerprint(&key.key));
             ExitCode::SUCCESS
         }
     }
--- a/post/telegraph/src/main.rs
+++ b/system/fennelctl/src/main.rs
@@ -1,4 +1,4 @@
-//! `telegraph`: the operators' tool (the field's term: a control client). Asks registries how they are and what happened, checks,
+//! `fennelctl`: the operators' tool (the field's term: a control client). Asks registries how they are and what happened, checks,
 //! compares, sends and shows configurations, empties zones and takes them back.
 //!
 //! Status: 0 done; 1 it was answered, and not with success (or a difference was found); 2 it could not be asked or the
@@ -99,13 +99,13 @@
         return config::check(&file.file);
     }
     if arguments.at.is_empty() {
-        eprintln!("telegraph: name a registry with --at ADDRESS, like --at 10.1.0.35:8688");
+        eprintln!("fennelctl: name a registry with --at ADDRESS, like --at 10.1.0.35:8688");
         return ExitCode::from(2);
     }
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => {
-            eprintln!("telegraph: {error}");
+            eprintln!("fennelctl: {error}");
             return ExitCode::from(2);
         }
     };
@@ -144,11 +144,11 @@
         Asked::Answered(status, body) => {
             let value: Value = sonic_rs::from_str(&body).unwrap_or_default();
             let text = |name: &str| value.get(name).and_then(|v| v.as_str()).unwrap_or_default().to_owned();
-            eprintln!("telegraph: {status} {}: {}; {}", text("error"), text("message"), text("help"));
+            eprintln!("fennelctl: {status} {}: {}; {}", text("error"), text("message"), text("help"));
             ExitCode::FAILURE
         }
         Asked::Unclear => {
-            eprintln!("telegraph: no gateway gave a clear answer: it may have happened or not; ask again");
+            eprintln!("fennelctl: no gateway gave a clear answer: it may have happened or not; ask again");
             ExitCode::from(3)
         }
     }
--- a/post/telegraph/src/maintenance.rs
+++ b/system/fennelctl/src/maintenance.rs
@@ -56,7 +56,7 @@
     match maintenance.command {
         None => {
             eprintln!(
-                "telegraph: maintenance: one of list, explain, rehearse, approve, start, pause, end, withdraw"
+                "fennelctl: maintenance: one of list, explain, rehearse, approve, start, pause, end, withdraw"
             );
             ExitCode::from(2)
         }
@@ -65,7 +65,7 @@
         Some(Command::Rehearse(file)) => rehearse(gateways, &file.file).await,
         Some(Command::Approve(named)) => {
             let Some(by) = &named.by else {
-                eprintln!("telegraph: approve: say who approves it with --by NAME");
+                eprintln!("fennelctl: approve: say who approves it with --by NAME");
                 return ExitCode::from(2);
             };
             change(gateways, LIST, &named.order, "approved", Some(by)).await
@@ -88,7 +88,7 @@
     let mut orders = items(&told, "orders");
     orders.retain(|order| only.is_none_or(|name| text(order, "name") == name));
     if let Some(name) = only.filter(|_| orders.is_empty()) {
-        eprintln!("telegraph: there is no order {name}");
+        eprintln!("fennelctl: there is no order {name}");
         return ExitCode::FAILURE;
     }
     if gateways.json {
--- a/post/telegraph/src/order.rs
+++ b/system/fennelctl/src/order.rs
@@ -37,7 +37,7 @@
         other => return print(other),
     };
     let Some(body) = changed(&standing, list, name, state, by) else {
-        eprintln!("telegraph: there is no order {name}");
+        eprintln!("fennelctl: there is no order {name}");
         return ExitCode::FAILURE;
     };
     print(gateways.clear("PATCH", "/fennelscale/config", &body).await)
--- a/post/host/src/link.rs
+++ b/system/host/src/link.rs
@@ -5,7 +5,7 @@
 //! not acknowledged within [`SILENCE`] ends its connection.
 
 use crate::spawn;
-use post_words::{Host, frame, length, read};
+use fennelscale_messages::{Host, frame, length, read};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
--- a/post/host/src/start.rs
+++ b/system/host/src/start.rs
@@ -1,6 +1,6 @@
 //! The start and the end of a program.
 
-use post_settings::{Fault, Settings};
+use fennelscale_node_settings::{Fault, Settings};
 use std::future::Future;
 use std::io::Write as _;
 use std::net::SocketAddr;
--- a/post/host/tests/link.rs
+++ b/system/host/tests/link.rs
@@ -1,7 +1,7 @@
 //! Lines between processes, on loopback.
 
-use post_host::link;
-use post_words::{Host, frame};
+use fennelscale_host::link;
+use fennelscale_messages::{Host, frame};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
--- a/post/shutter/src/clock.rs
+++ b/system/maintenance/src/clock.rs
@@ -9,7 +9,7 @@
 //! [`DISTRUST`].
 
 use crate::Millis;
-use post_words::Host;
+use fennelscale_messages::Host;
 use std::collections::BTreeMap;
 
 /// A clock in order is no more than this from true time, in ms.
--- a/post/shutter/src/lib.rs
+++ b/system/maintenance/src/lib.rs
@@ -22,7 +22,7 @@
 pub mod order;
 pub mod plan;
 
-use post_words::depot::Entry;
+use fennelscale_messages::depot::Entry;
 
 /// Milliseconds; of a steady clock or since 1970, as said where it stands.
 pub type Millis = f64;
@@ -46,6 +46,8 @@
 pub fn seen<'a>(entries: impl Iterator<Item = (&'a str, &'a Entry)>) -> u64 {
     entries.filter(|(name, _)| counts(name)).fold(0, |all, (name, entry)| {
         let stands = u64::from(entry.body.is_some());
-        all ^ post_words::mix(post_words::hash(name.as_bytes()) ^ (entry.revision << 1 | stands))
+        all ^ fennelscale_messages::mix(
+            fennelscale_messages::hash(name.as_bytes()) ^ (entry.revision << 1 | stands),
+        )
     })
 }
--- a/post/shutter/src/order.rs
+++ b/system/maintenance/src/order.rs
@@ -15,7 +15,7 @@
     /// A backend, by its id.
     Backend(String),
     /// A proxy, by its address.
-    Proxy(post_words::Host),
+    Proxy(fennelscale_messages::Host),
     /// A zone: its backends and its proxies.
     Zone(String),
 }
@@ -38,7 +38,7 @@
             ("backend", id) => Ok(Self::Backend(id.to_owned())),
             ("zone", zone) => Ok(Self::Zone(zone.to_owned())),
             ("proxy", at) => {
-                let ip = at.parse().ok().and_then(post_words::Host::of);
+                let ip = at.parse().ok().and_then(fennelscale_messages::Host::of);
                 ip.map(Self::Proxy).ok_or_else(wrong)
             }
             _ => Err(wrong()),
--- a/post/shutter/src/plan.rs
+++ b/system/maintenance/src/plan.rs
@@ -20,8 +20,8 @@
 use crate::hours::{Contract, Window};
 use crate::night::{Night, Phase, Step};
 use crate::order::{Node, Order, Wanted};
-use post_words::Host;
-use post_words::news::{Backend, Member};
+use fennelscale_messages::Host;
+use fennelscale_messages::news::{Backend, Member};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
--- a/post/rounds/benches/bytes.rs
+++ b/system/membership/benches/bytes.rs
@@ -1,12 +1,12 @@
 //! Bytes between processes a second while nothing fails, in virtual time, for small and large deployments: among registries, and from
-//! registries to proxies. `cargo bench -p post-rounds`.
+//! registries to proxies. `cargo bench -p fennelscale-membership`.
 
 #[allow(dead_code, reason = "each user of the world uses its part")]
 #[path = "../tests/world/mod.rs"]
 mod world;
 
-use post_words::Host;
-use post_words::news::{Member, Up};
+use fennelscale_messages::Host;
+use fennelscale_messages::news::{Member, Up};
 use world::World;
 
 fn main() {
--- a/post/rounds/src/contact.rs
+++ b/system/membership/src/contact.rs
@@ -2,7 +2,7 @@
 //! session with the beats, and a proxy goes elsewhere when it is too old.
 
 use crate::{Millis, Round};
-use post_words::news::CONTACT_LEASE;
+use fennelscale_messages::news::CONTACT_LEASE;
 
 /// A registry without seats is taken for one that waits to be founded for so long.
 const SEATLESS: Millis = 4000.0;
--- a/post/rounds/src/duties.rs
+++ b/system/membership/src/duties.rs
@@ -6,8 +6,8 @@
 //! share a seat. A seat that starts anew may have let a claim stand that it does not know of: it lets none stand for [`LEASE`].
 
 use crate::Millis;
-pub use post_units::{SHARDS, bit_of};
-use post_words::Host;
+use fennelscale_messages::Host;
+pub use fennelscale_quota_lease::{SHARDS, bit_of};
 use std::collections::BTreeMap;
 
 /// A claim that was let stand stays so long.
@@ -21,7 +21,7 @@
 
 /// Keys that a registry is the first for, among those that are there: each key goes to the highest draw.
 pub fn first_of(me: Host, others: &[Host]) -> u64 {
-    let draw = |host: Host, key: u64| post_words::mix(u64::from(host.0) << 8 ^ key);
+    let draw = |host: Host, key: u64| fennelscale_messages::mix(u64::from(host.0) << 8 ^ key);
     (0..=SHARDS)
         .filter(|key| others.iter().all(|o| draw(*o, *key) < draw(me, *key)))
         .fold(0, |all, key| all | 1 << key)
--- a/post/rounds/src/failures.rs
+++ b/system/membership/src/failures.rs
@@ -2,7 +2,7 @@
 
 use crate::feed::Kind;
 use crate::{Millis, Round};
-use post_words::Host;
+use fennelscale_messages::Host;
 use std::collections::BTreeMap;
 
 /// One order: of whom it names, of all others before its time and in it.
@@ -12,7 +12,7 @@
 pub(crate) type Told = BTreeMap<Host, (u64, Vec<Count>)>;
 
 /// The most orders that one proxy may tell of.
-const MOST: usize = post_mislay::MOST_ORDERS;
+const MOST: usize = fennelscale_fault_injection::MOST_ORDERS;
 
 impl Round {
     /// A proxy with a session here tells what it has counted in its life.
@@ -26,7 +26,7 @@
             let known =
                 before.iter().find(|(name, ..)| *name == order).map_or(0, |(_, [_, failed, _], _)| *failed);
             if failed > known {
-                let mark = post_words::mix(life ^ u64::from(from.0)) ^ failed;
+                let mark = fennelscale_messages::mix(life ^ u64::from(from.0)) ^ failed;
                 let cause =
                     format!("proxy {from}: {failed} failed of {named} that it names, {over} left untouched");
                 self.feed.note(now, Kind::FailureMet, &order, mark, cause);
--- a/post/rounds/src/feed.rs
+++ b/system/membership/src/feed.rs
@@ -9,7 +9,7 @@
 //! - Readers ask; nobody waits for them. A slow one costs nothing and is told what it missed.
 
 use crate::Millis;
-pub use post_words::feed::{At, Event, Kind, Told, VERSION, Wanted};
+pub use fennelscale_messages::feed::{At, Event, Kind, Told, VERSION, Wanted};
 use std::collections::VecDeque;
 
 /// Events that are kept.
@@ -59,7 +59,7 @@
 
     /// Something happened that only this registry saw.
     pub fn note_own(&mut self, at: Millis, kind: Kind, what: &str, cause: String) {
-        self.note(at, kind, what, post_words::mix(self.life ^ self.next), cause);
+        self.note(at, kind, what, fennelscale_messages::mix(self.life ^ self.next), cause);
     }
 
     /// A call was refused. A caller that sends nothing else must not push all other events out.
--- a/post/rounds/src/hours.rs
+++ b/system/membership/src/hours.rs
@@ -5,15 +5,15 @@
 
 use crate::feed::{Feed, Kind};
 use crate::{Millis, Out, Round, duties};
-use post_items::{Copied, Fact, fact};
-use post_shutter::clock::{Clock, Span};
-use post_shutter::hours::{Contract, told};
-use post_shutter::night::{Night, Phase};
-use post_shutter::order::{Node, Order, Wanted};
-use post_shutter::plan::{self, Next, Scene, Why};
-use post_shutter::{CONTRACT, DRAIN, NIGHT, ORDER, counts};
-use post_words::Host;
-use post_words::depot::{Entry, Named};
+use fennelscale_config::{Copied, Fact, fact};
+use fennelscale_maintenance::clock::{Clock, Span};
+use fennelscale_maintenance::hours::{Contract, told};
+use fennelscale_maintenance::night::{Night, Phase};
+use fennelscale_maintenance::order::{Node, Order, Wanted};
+use fennelscale_maintenance::plan::{self, Next, Scene, Why};
+use fennelscale_maintenance::{CONTRACT, DRAIN, NIGHT, ORDER, counts};
+use fennelscale_messages::Host;
+use fennelscale_messages::depot::{Entry, Named};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A step that has no answer is decided anew after this: the store's own patience is less.
@@ -101,7 +101,7 @@
                 Some(Fact::Order(order)) => drop(self.orders.insert(name.to_owned(), *order)),
                 _ => drop(self.orders.remove(name)),
             }
-        } else if name.starts_with(post_mislay::FAILURE) {
+        } else if name.starts_with(fennelscale_fault_injection::FAILURE) {
             match what() {
                 Some(Fact::Failure(order)) => self.failure(name, Some(&order)),
                 _ => self.failure(name, None),
@@ -109,9 +109,9 @@
         }
     }
 
-    fn failure(&mut self, name: &str, order: Option<&post_mislay::Order>) {
+    fn failure(&mut self, name: &str, order: Option<&fennelscale_fault_injection::Order>) {
         match order {
-            Some(order) if order.state != post_mislay::State::Stopped => {
+            Some(order) if order.state != fennelscale_fault_injection::State::Stopped => {
                 self.failures.insert(name.to_owned());
             }
             _ => drop(self.failures.remove(name)),
@@ -138,7 +138,7 @@
                     Phase::Serviced => Kind::NodeServiced,
                     Phase::Unserviced => Kind::NodeUnserviced,
                 };
-                let mark = post_words::hash(order.as_bytes()) ^ at as u64;
+                let mark = fennelscale_messages::hash(order.as_bytes()) ^ at as u64;
                 let cause = format!("order {order}, decided by {}: {}", step.by, step.why);
                 feed.note(now, kind, node, mark, cause);
             }
@@ -287,7 +287,7 @@
     fn step(&mut self, now: Millis, records: Vec<(String, Option<String>)>) {
         let items = self.items.entries().iter().filter(|(name, _)| counts(name));
         let all = items.chain(self.hours.records.entries());
-        let seen = post_shutter::seen(all.map(|(name, entry)| (name.as_str(), entry)));
+        let seen = fennelscale_maintenance::seen(all.map(|(name, entry)| (name.as_str(), entry)));
         self.hours.busy = Some(now);
         self.out.push(Out::Step(Write { seen, records }));
     }
--- a/post/rounds/src/lib.rs
+++ b/system/membership/src/lib.rs
@@ -24,15 +24,15 @@
 
 use duties::Duties;
 use feed::{Feed, Kind};
+use fennelscale_config::{Copied, Fact};
+use fennelscale_messages::Host;
+use fennelscale_messages::depot::{Entry, Seats};
+use fennelscale_messages::feed::{Event, Told, Wanted};
+use fennelscale_messages::news::{Backend, Down, Grant, Listing, Member, RegistryPlace, Up};
+use fennelscale_messages::round::Word;
+use fennelscale_quota_lease::{Ask, Counts, Relay, Sent, Terms};
 use hours::Hours;
 use members::Members;
-use post_items::{Copied, Fact};
-use post_units::{Ask, Counts, Relay, Sent, Terms};
-use post_words::Host;
-use post_words::depot::{Entry, Seats};
-use post_words::feed::{Event, Told, Wanted};
-use post_words::news::{Backend, Down, Grant, Listing, Member, Up};
-use post_words::round::Word;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
@@ -123,6 +123,8 @@
     /// started again: a proxy that lived on would take none of them.
     highest: u64,
     read_at: Millis,
+    /// The registries that were heard when proxies were told last.
+    told_heard: Vec<Host>,
     /// The newest list that was here when the reading under way began.
     read_from: (u64, Host),
     beat_at: Millis,
@@ -164,6 +166,7 @@
             listing: Listing::default(),
             highest: 0,
             read_at: now,
+            told_heard: Vec::new(),
             read_from: (0, Host::default()),
             beat_at: now,
             number: 0,
@@ -263,19 +266,26 @@
             self.feed.note(now, Kind::SeatsChanged, "seats", seats.version, hosts.join(" "));
         }
         self.seats = seats;
-        self.tell_registries();
+        self.tell_registries(now);
         self.beat_at = now;
     }
 
-    fn tell_registries(&mut self) {
-        self.tell(&Rc::new(self.registries()));
+    fn tell_registries(&mut self, now: Millis) {
+        self.told_heard = self.heard(now);
+        self.tell(&Rc::new(self.registries(now)));
     }
 
-    fn registries(&self) -> Down {
-        let mut all: Vec<_> =
-            self.seats.seats.iter().map(|s| (s.host, s.zone.clone(), s.region.clone())).collect();
-        if !all.iter().any(|(host, ..)| *host == self.me) {
-            all.push((self.me, self.zones.0.clone(), self.zones.1.clone()));
+    fn registries(&self, now: Millis) -> Down {
+        let place = |host: Host, zone: &str, region: &str| RegistryPlace {
+            host,
+            zone: zone.to_owned(),
+            region: region.to_owned(),
+            heard: host == self.me || self.alive(host, now),
+        };
+        let seats = self.seats.seats.iter().map(|seat| place(seat.host, &seat.zone, &seat.region));
+        let mut all: Vec<RegistryPlace> = seats.collect();
+        if !all.iter().any(|known| known.host == self.me) {
+            all.push(place(self.me, &self.zones.0, &self.zones.1));
         }
         Down::Registries(all)
     }
@@ -291,6 +301,9 @@
         if now >= self.beat_at {
             self.beat_at = now + BEAT;
             self.beat(now);
+            if self.heard(now) != self.told_heard {
+                self.tell_registries(now);
+            }
             self.counts.sweep(now);
             let known: BTreeSet<Host> = self.members.all(now).iter().map(|m| m.host).collect();
             self.ways.retain(|proxy, _| known.contains(proxy));
@@ -598,7 +611,9 @@
 
     /// The relay of this region for a tenant: the registry with the highest draw among those of the region that are heard.
     fn near(&self, now: Millis, tenant: &str) -> Host {
-        let draw = |host: &Host| post_words::mix(post_words::hash(tenant.as_bytes()) ^ u64::from(host.0));
+        let draw = |host: &Host| {
+            fennelscale_messages::mix(fennelscale_messages::hash(tenant.as_bytes()) ^ u64::from(host.0))
+        };
         let here = self.seats.seats.iter().filter(|seat| seat.region == self.zones.1).map(|seat| seat.host);
         let alive = here.filter(|host| *host == self.me || self.alive(*host, now));
         alive.max_by_key(draw).unwrap_or(self.me)
@@ -677,7 +692,7 @@
     /// What a tenant may use follows from its item; nothing when it is dropped or has no limit.
     fn set_terms(&mut self, name: &str, entry: &Entry) {
         let Some(tenant) = name.strip_prefix("t:") else { return };
-        let fact = entry.body.as_deref().map(|body| post_items::fact(name, &entry.host, body));
+        let fact = entry.body.as_deref().map(|body| fennelscale_config::fact(name, &entry.host, body));
         match fact {
             Some(Ok(Fact::Tenant(t))) if t.rate > 0.0 => {
                 self.terms.insert(tenant.to_owned(), Terms { rate: t.rate, burst: t.burst });
--- a/post/rounds/src/members.rs
+++ b/system/membership/src/members.rs
@@ -8,8 +8,8 @@
 //! its silence, and told to the other registries: whoever holds a count keeps as much back.
 
 use crate::{Millis, SILENT};
-use post_words::Host;
-use post_words::news::{Down, Member};
+use fennelscale_messages::Host;
+use fennelscale_messages::news::{Down, Member};
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -94,14 +94,16 @@
 
 fn roll_hash<'a>(members: impl Iterator<Item = &'a Member>, silent: &[Parted], alone: &[(Host, u64)]) -> u64 {
     let part = |(host, of): &Parted| u64::from(host.0) ^ u64::from(*of) << 32;
-    let hash = silent.iter().fold(1, |hash, silent| post_words::mix(hash ^ part(silent)));
-    let hash = alone
-        .iter()
-        .fold(hash, |hash, (host, keys)| post_words::mix(post_words::mix(hash ^ u64::from(host.0)) ^ keys));
+    let hash = silent.iter().fold(1, |hash, silent| fennelscale_messages::mix(hash ^ part(silent)));
+    let hash = alone.iter().fold(hash, |hash, (host, keys)| {
+        fennelscale_messages::mix(fennelscale_messages::mix(hash ^ u64::from(host.0)) ^ keys)
+    });
     members.fold(hash, |hash, m| {
         let text = format!("{}{:x}{}{}", m.host, m.life, m.port, m.ready);
-        let hash = post_words::mix(hash ^ post_words::hash(text.as_bytes()));
-        m.quiet.iter().fold(hash, |hash, node| post_words::mix(hash ^ post_words::hash(node.as_bytes())))
+        let hash = fennelscale_messages::mix(hash ^ fennelscale_messages::hash(text.as_bytes()));
+        m.quiet.iter().fold(hash, |hash, node| {
+            fennelscale_messages::mix(hash ^ fennelscale_messages::hash(node.as_bytes()))
+        })
     })
 }
 
--- a/post/rounds/src/news.rs
+++ b/system/membership/src/news.rs
@@ -2,9 +2,9 @@
 
 use crate::feed::Kind;
 use crate::{Millis, Out, Round};
-use post_words::Host;
-use post_words::depot::{Entry, Named};
-use post_words::news::{Backend, Down, Listing, Member};
+use fennelscale_messages::Host;
+use fennelscale_messages::depot::{Entry, Named};
+use fennelscale_messages::news::{Backend, Down, Listing, Member};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -28,7 +28,7 @@
             if name.strip_prefix("m:") == Some(crate::FLEET) {
                 self.noted = entry.body.as_deref().and_then(|body| body.parse().ok()).unwrap_or(0.0);
             }
-            if name.starts_with(post_shutter::NIGHT) {
+            if name.starts_with(fennelscale_maintenance::NIGHT) {
                 self.hours.record(now, &name, &entry, &mut self.feed);
                 continue;
             }
@@ -40,7 +40,7 @@
                 continue;
             }
             self.hours.item(&name, &entry);
-            if !name.starts_with(post_shutter::DRAIN) {
+            if !name.starts_with(fennelscale_maintenance::DRAIN) {
                 self.note_item(now, &name, &entry);
             }
             fresh.push((name, entry));
@@ -134,7 +134,7 @@
         if let Down::Members(_, count) = &members {
             self.members.tells(now, *count);
         }
-        let words = [self.registries(), self.whole(), Down::Listing(self.listing.clone()), members];
+        let words = [self.registries(now), self.whole(), Down::Listing(self.listing.clone()), members];
         self.out.extend(words.into_iter().map(|word| Out::Down(host, Rc::new(word))));
         // Others hear of it at once.
         self.beat_at = now;
--- a/post/rounds/src/quotas.rs
+++ b/system/membership/src/quotas.rs
@@ -2,7 +2,7 @@
 
 use crate::feed::Kind;
 use crate::{Millis, Round};
-use post_words::news::Grant;
+use fennelscale_messages::news::Grant;
 use std::collections::BTreeMap;
 
 /// When a tenant last got nothing of a window at hand, and of which window that was.
@@ -44,8 +44,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use post_words::Host;
-    use post_words::feed::Wanted;
+    use fennelscale_messages::Host;
+    use fennelscale_messages::feed::Wanted;
 
     fn told(round: &Round) -> Vec<(Kind, String)> {
         let told = round.feed().read(0.0, &Wanted { what: "t:".into(), ..Wanted::default() });
--- a/post/rounds/src/streams.rs
+++ b/system/membership/src/streams.rs
@@ -9,8 +9,8 @@
 //!   come after a newer one, and the mark at the end of the id tells.
 //! - A cursor is a place in each registry's feed ([`Cursor`]): it is as good at any other gateway, and after a start of all.
 
-use post_words::Host;
-use post_words::feed::{At, Event, Kind, Told};
+use fennelscale_messages::Host;
+use fennelscale_messages::feed::{At, Event, Kind, Told};
 use std::collections::hash_map::Entry;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::fmt;
@@ -189,7 +189,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use post_words::feed::Wanted;
+    use fennelscale_messages::feed::Wanted;
     use proptest::prelude::*;
 
     /// What one registry saw: of each thing versions in their order, some of them skipped, and things of its own.
--- a/post/words/src/news.rs
+++ b/system/messages/src/news.rs
@@ -121,6 +121,19 @@
     pub closed: bool,
 }
 
+/// A registry and where it is.
+#[derive(Clone, Debug, Decode, Encode, PartialEq, Eq)]
+pub struct RegistryPlace {
+    /// The machine.
+    pub host: Host,
+    /// Its zone.
+    pub zone: String,
+    /// Its region.
+    pub region: String,
+    /// The sender hears it: a proxy that has a session with the sender does not leave it for one that it does not hear.
+    pub heard: bool,
+}
+
 /// From a registry to a proxy.
 #[derive(Clone, Debug, Decode, Encode, PartialEq)]
 pub enum Down {
@@ -137,8 +150,8 @@
     Listing(Listing),
     /// All proxies, and how many there are for shares: those that are silent count for a while. 0: nobody knows yet.
     Members(Vec<Member>, u32),
-    /// The registries, this one's nearest first.
-    Registries(Vec<(Host, String, String)>),
+    /// The registries.
+    Registries(Vec<RegistryPlace>),
     /// Units.
     Grant(Grant),
     /// An operator asks for a request, by the hash of its id. The first number comes back with the answer.
--- a/post/inspector/src/lib.rs
+++ b/system/model-checker/src/lib.rs
@@ -1,6 +1,6 @@
-//! A model checker of the store (the post's inspector): the machine that `depot` runs, as it is, with hosts, disks, lines and
+//! A model checker of the store (the post's inspector): the machine that `fennelscale-config-store` runs, as it is, with hosts, disks, lines and
 //! clocks that may do anything at any time within their bounds. Every order of events is explored, where the drawn schedules of
-//! `post-book` and `post-diorama` look at many.
+//! `fennelscale-replication` and `fennelscale-simulation` look at many.
 //!
 //! - [`world`]: stores, lines, disks, callers, and all that may happen to them.
 //! - [`properties`]: what must hold, in one file.
--- a/post/inspector/src/mutants.rs
+++ b/system/model-checker/src/mutants.rs
@@ -1,9 +1,9 @@
 //! Deliberate faults, each a line in how a store is hosted or in what one says. Every one must be caught.
 
 use crate::scenarios::Scenario;
-use post_book::{Memory, SEATS, Vows, Writes};
-use post_words::Host;
-use post_words::depot::{Ask, CallId, Chunk, Word};
+use fennelscale_messages::Host;
+use fennelscale_messages::depot::{Ask, CallId, Chunk, Word};
+use fennelscale_replication::{Memory, SEATS, Vows, Writes};
 
 /// A fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
--- a/post/settings/src/lib.rs
+++ b/system/node-settings/src/lib.rs
@@ -115,7 +115,7 @@
     /// The figures of the rules.
     pub bounds: Bounds,
     /// What failure orders may do; without it none is taken or heeded.
-    pub failures: Option<post_mislay::Limits>,
+    pub failures: Option<fennelscale_fault_injection::Limits>,
 }
 
 impl Settings {
@@ -228,17 +228,17 @@
 }
 
 /// The table `failureOrders`, where there is one.
-fn failures(sheet: &Sheet) -> Result<Option<post_mislay::Limits>, Fault> {
+fn failures(sheet: &Sheet) -> Result<Option<fennelscale_fault_injection::Limits>, Fault> {
     const AT: &str = "/failureOrders";
     if !sheet.has(AT) {
         return Ok(None);
     }
     let kinds: Vec<String> = sheet.value("/failureOrders/kinds")?;
-    let names = post_mislay::What::NAMES;
+    let names = fennelscale_fault_injection::What::NAMES;
     if kinds.iter().any(|kind| !names.contains(&kind.as_str())) {
         return Err(sheet.fault("/failureOrders/kinds", format!("list some of {}", names.join(", "))));
     }
-    Ok(Some(post_mislay::Limits {
+    Ok(Some(fennelscale_fault_injection::Limits {
         most: sheet.value("/failureOrders/mostInAll")?,
         per_s: sheet.number("/failureOrders/mostPerS")?,
         longest: sheet.span("/failureOrders/longest")?,
--- a/post/settings/src/tests.rs
+++ b/system/node-settings/src/tests.rs
@@ -2,7 +2,7 @@
 
 const TEXT: &str = r#"
 nodeName = "core-a-1"
-role = "depot"
+role = "fennelscale-config-store"
 serves = ["control_plane"]
 ipAddress = "10.1.0.35"
 zone = "a"
--- a/post/courier/src/beside.rs
+++ b/system/proxy/src/beside.rs
@@ -5,10 +5,10 @@
 //! missing.
 
 use crate::proxy::Proxy;
-use post_host::link::{self, Reader, Writer, split};
-use post_host::spawn;
-use post_settings::Port;
-use post_words::news::{Beside, Down};
+use fennelscale_host::link::{self, Reader, Writer, split};
+use fennelscale_host::spawn;
+use fennelscale_messages::news::{Beside, Down};
+use fennelscale_node_settings::Port;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
--- a/post/courier/src/front.rs
+++ b/system/proxy/src/front.rs
@@ -8,10 +8,14 @@
 use bytes::Bytes;
 use doorcourse::{Arrival, RequestBound, RequestId};
 use fennelscale_admission::budget::Budget;
+use fennelscale_config::{Route, RouteKind, Tenant};
 use fennelscale_dataplane::back::backends::Message;
 use fennelscale_dataplane::engine::{Engine, Reply};
 use fennelscale_dataplane::front::door::Door;
 use fennelscale_dataplane::front::guest::{BUFFER, Guest, Tap};
+use fennelscale_fault_injection::{Caller, Verdict, What};
+use fennelscale_host::call::{Asked, failed};
+use fennelscale_host::error::{Failure, Kind};
 use fennelscale_settings::admission::Admission;
 use fennelscale_settings::units::Quantity;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -25,10 +29,6 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use life::inbound::Event;
-use post_host::call::{Asked, failed};
-use post_host::error::{Failure, Kind};
-use post_items::{Route, RouteKind, Tenant};
-use post_mislay::{Caller, Verdict, What};
 use std::cell::Cell;
 use std::pin::pin;
 use std::rc::Rc;
@@ -116,7 +116,7 @@
     /// A front side with its part of the descriptors.
     pub fn new(proxy: Rc<Proxy>, budget: Budget) -> Rc<Self> {
         let mut admission = Admission::neutral();
-        let idle = post_items::Limits::default().idle;
+        let idle = fennelscale_config::Limits::default().idle;
         admission.pace.request = Quantity::of(idle);
         admission.pace.head = Quantity::of(idle);
         let door = Door::new(admission, budget);
@@ -268,7 +268,7 @@
     async fn true_answer(&self, request: Request<Incoming>, guest: &Guest) -> Response<Full<Bytes>> {
         let mut last = request.headers().contains_key(TRANSFER_ENCODING) && !request.body().is_end_stream();
         let has_body = !request.body().is_end_stream();
-        let id = single(request.headers(), &REQUEST_ID).map(|id| post_words::hash(id.as_bytes()));
+        let id = single(request.headers(), &REQUEST_ID).map(|id| fennelscale_messages::hash(id.as_bytes()));
         let mut response = match self.take(request, guest).await {
             Ok(ticket) => {
                 guest.taken();
@@ -463,7 +463,7 @@
 /// A service by weight; the same for the same request, so that nothing depends on which proxy it came to.
 fn pick<'a>(services: &'a [(String, f64)], id: &HeaderValue) -> &'a str {
     let sum: f64 = services.iter().map(|(_, weight)| weight).sum();
-    let draw = (post_words::hash(id.as_bytes()) >> 11) as f64 / (1_u64 << 53) as f64;
+    let draw = (fennelscale_messages::hash(id.as_bytes()) >> 11) as f64 / (1_u64 << 53) as f64;
     let mut left = draw * sum;
     for (service, weight) in services.iter().filter(|(_, weight)| *weight > 0.0) {
         left -= weight;
--- a/post/courier/src/held.rs
+++ b/system/proxy/src/held.rs
@@ -1,13 +1,13 @@
 //! What this proxy holds of the system's news: items and the table made of them, the list of backends, the members.
 //! No I/O and no clock of its own: it is told the time.
 
-use post_items::{Copied, Table, fact};
-use post_shutter::clock::Span;
-use post_shutter::night::Drain;
-use post_shutter::order::Node;
-use post_words::Host;
-use post_words::depot::Named;
-use post_words::news::{Backend, Listing, Member};
+use fennelscale_config::{Copied, Table, fact};
+use fennelscale_maintenance::clock::Span;
+use fennelscale_maintenance::night::Drain;
+use fennelscale_maintenance::order::Node;
+use fennelscale_messages::Host;
+use fennelscale_messages::depot::Named;
+use fennelscale_messages::news::{Backend, Listing, Member};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Of a cold backend's rate so much is used: two proxies that both think it theirs stay within the rule.
@@ -107,13 +107,15 @@
 
     /// All items by parts of their names.
     pub fn digest(&self) -> Vec<u64> {
-        post_items::digest(self.items.entries())
+        fennelscale_config::digest(self.items.entries())
     }
 
     /// Items of the parts in which another copy holds something else.
     pub fn differing(&self, theirs: &[u64]) -> Vec<Named> {
         let own = self.digest();
-        let differs = |name: &str| theirs.get(post_items::part(name)) != own.get(post_items::part(name));
+        let differs = |name: &str| {
+            theirs.get(fennelscale_config::part(name)) != own.get(fennelscale_config::part(name))
+        };
         let items = self.items.entries().iter().filter(|(name, _)| differs(name));
         items.map(|(name, entry)| (name.clone(), entry.clone())).collect()
     }
@@ -257,10 +259,10 @@
     fn own<'a>(&self, backends: impl Iterator<Item = &'a Backend>) -> BTreeMap<&'a str, f64> {
         let here = |zone: &str| self.region(zone) == self.place.region;
         let mut near: Vec<&Backend> = backends.filter(|b| here(&b.zone) && self.takes(b)).collect();
-        let draw = |b: &Backend| post_words::hash(b.id.as_bytes());
+        let draw = |b: &Backend| fennelscale_messages::hash(b.id.as_bytes());
         near.sort_by_key(|b| (draw(b), &b.id));
         let proxies = self.members.iter().filter(|m| m.ready && m.region == self.place.region);
-        let turn = |b: &Backend, m: &Member| post_words::mix(draw(b) ^ u64::from(m.host.0));
+        let turn = |b: &Backend, m: &Member| fennelscale_messages::mix(draw(b) ^ u64::from(m.host.0));
         let mut own = BTreeMap::new();
         if near.len() >= proxies.clone().count() {
             let mut parts: Vec<(u32, &Member)> = proxies.map(|m| (0, m)).collect();
@@ -342,7 +344,9 @@
         if near.is_empty() {
             near = ready().map(|m| m.host).collect();
         }
-        let draw = |host: &Host| post_words::mix(post_words::hash(backend.id.as_bytes()) ^ u64::from(host.0));
+        let draw = |host: &Host| {
+            fennelscale_messages::mix(fennelscale_messages::hash(backend.id.as_bytes()) ^ u64::from(host.0))
+        };
         near.into_iter().max_by_key(draw) == Some(self.place.me)
     }
 
@@ -360,7 +364,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use post_words::depot::{Entry, Stamp};
+    use fennelscale_messages::depot::{Entry, Stamp};
 
     const ENDS: f64 = 1_800_000_000_000.0;
 
--- a/post/courier/src/mislaid.rs
+++ b/system/proxy/src/mislaid.rs
@@ -4,10 +4,10 @@
 
 use crate::proxy::Proxy;
 use bytes::Bytes;
+use fennelscale_fault_injection::{Met, What};
 use http_body_util::{BodyExt, Full};
 use hyper::Response;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use post_mislay::{Met, What};
 use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::pin::Pin;
--- a/post/courier/src/proxy.rs
+++ b/system/proxy/src/proxy.rs
@@ -7,17 +7,17 @@
 use crate::session;
 use crate::trail::Trail;
 use fennelscale_admission::budget::Budget;
+use fennelscale_config::Tenant;
 use fennelscale_dataplane::front::door::Door;
-use post_host::link::Writer;
-use post_host::start::{self, Signals};
-use post_host::{call, spawn};
-use post_items::Tenant;
-use post_mislay::{Caller, Desk, FAILURE, Sums, Verdict};
-use post_settings::{Port, Settings};
-use post_shutter::clock::Span;
-use post_units::{Admission, Cache, Comer, Terms, Timely};
-use post_words::Host;
-use post_words::news::{Beside, Down, Member, Up};
+use fennelscale_fault_injection::{Caller, Desk, FAILURE, Sums, Verdict};
+use fennelscale_host::link::Writer;
+use fennelscale_host::start::{self, Signals};
+use fennelscale_host::{call, spawn};
+use fennelscale_maintenance::clock::Span;
+use fennelscale_messages::Host;
+use fennelscale_messages::news::{Beside, Down, Member, RegistryPlace, Up};
+use fennelscale_node_settings::{Port, Settings};
+use fennelscale_quota_lease::{Admission, Cache, Comer, Terms, Timely};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -51,7 +51,7 @@
     waiting: RefCell<HashMap<u64, oneshot::Sender<Admission>>>,
     next: Cell<u64>,
     session: RefCell<Option<Writer>>,
-    registries: RefCell<Vec<(Host, String, String)>>,
+    registries: RefCell<Vec<RegistryPlace>>,
     /// Control addresses by the settings as they were read last.
     seeds: RefCell<Vec<SocketAddr>>,
     /// Drained nodes where nothing is at work, as the registry was told.
@@ -91,7 +91,7 @@
     let (trail, born) = (Rc::<RefCell<Trail>>::default(), Instant::now());
     let services = Services::new(&settings.zone, budget.backends, retry, life, trail.clone(), born);
     let grace = settings.bounds.grace;
-    let desk = Desk::new(settings.failures.clone(), post_mislay::proxy(host, life));
+    let desk = Desk::new(settings.failures.clone(), fennelscale_fault_injection::proxy(host, life));
     let proxy = Rc::new(Proxy {
         seeds: RefCell::new(settings.seeds.clone()),
         settings,
@@ -279,12 +279,14 @@
         }
     }
 
-    /// Whether a registry nearer than this one is known, besides those that are not thought of now.
+    /// Whether a registry nearer than this one is known, besides those that are not thought of now. One that this one does not hear
+    /// is cut off, or gone: it has nothing newer to tell.
     pub fn nearer(&self, than: Host, besides: impl Fn(Host) -> bool) -> bool {
         let known = self.registries.borrow();
+        let far = |place: &RegistryPlace| self.far(&place.zone, &place.region);
         // One that is not on the list may be anywhere.
-        let own = known.iter().find(|(host, ..)| *host == than).map_or(3, |(_, z, r)| self.far(z, r));
-        known.iter().any(|(host, z, r)| self.far(z, r) < own && !besides(*host))
+        let own = known.iter().find(|place| place.host == than).map_or(3, far);
+        known.iter().any(|place| place.heard && far(place) < own && !besides(place.host))
     }
 
     /// Registries to have a session with, the nearest first.
@@ -292,10 +294,10 @@
         let known = self.registries.borrow();
         let mut all: Vec<(u8, u64, Host)> = known
             .iter()
-            .map(|(host, z, r)| {
-                let far = self.far(z, r);
+            .map(|place| {
+                let far = self.far(&place.zone, &place.region);
                 // Proxies of a region do not all go to the same one.
-                (far, post_words::mix(u64::from(host.0) ^ self.life), *host)
+                (far, fennelscale_messages::mix(u64::from(place.host.0) ^ self.life), place.host)
             })
             .collect();
         all.sort_unstable();
--- a/post/courier/src/registry_choice.rs
+++ b/system/proxy/src/registry_choice.rs
@@ -10,8 +10,8 @@
 //! - A proxy that reaches no registry with contact serves on with what it has: its clients reach nobody else. It is not made ready by
 //!   such a registry.
 
-use post_words::Host;
-use post_words::news::CONTACT_LEASE;
+use fennelscale_messages::Host;
+use fennelscale_messages::news::CONTACT_LEASE;
 use std::collections::BTreeMap;
 
 /// Milliseconds of a clock that never goes back.
--- a/post/courier/src/services.rs
+++ b/system/proxy/src/services.rs
@@ -4,13 +4,13 @@
 use crate::speech::{Mesh, REQUEST_ID};
 use crate::trail::Trail;
 use doorcourse::{BackendEntry, BackendState, Class, Effect, Event, Group, Name, Plan, Reports, Settings};
+use fennelscale_config::{Route, RouteKind};
 use fennelscale_dataplane::back::backends::{Backends, Bounds};
 use fennelscale_dataplane::engine::{Counting, Engine, Report};
 use fennelscale_dataplane::task::spawn;
 use fennelscale_settings::list::{Host, List};
 use fennelscale_settings::upstream::{IdentityRule, Upstream};
 use fennelscale_wire::reuse::Reuse;
-use post_items::{Route, RouteKind};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::rc::Rc;
@@ -149,7 +149,7 @@
         let bounds = Bounds { most_open, largest_body: LARGEST, answer: ANSWER };
         let backends = Backends::new(CONNECT, IDLE, Reports::None, reuse, Rc::new(mesh), bounds);
         let seed = self.seed.get();
-        self.seed.set(post_words::mix(seed.wrapping_add(1)));
+        self.seed.set(fennelscale_messages::mix(seed.wrapping_add(1)));
         let counters = None::<fn(Duration, Rc<Report>) -> Rc<dyn Counting>>;
         let engine = match Engine::start(settings(&self.zone), seed, backends.clone(), counters) {
             Ok(engine) => engine,
--- a/post/courier/src/session.rs
+++ b/system/proxy/src/session.rs
@@ -2,10 +2,10 @@
 
 use crate::proxy::Proxy;
 use crate::registry_choice::RegistryChoice;
-use post_host::link::{self, split};
-use post_settings::Port;
-use post_words::Host;
-use post_words::news::{Down, Up};
+use fennelscale_host::link::{self, split};
+use fennelscale_messages::Host;
+use fennelscale_messages::news::{Down, Up};
+use fennelscale_node_settings::Port;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout_at};
--- a/post/courier/src/speech.rs
+++ b/system/proxy/src/speech.rs
@@ -42,7 +42,7 @@
             headers.clone_from(&message.headers);
         }
         let now = self.born.elapsed().as_secs_f64() * 1000.0;
-        self.trail.borrow_mut().attempt(now, post_words::hash(message.id.as_bytes()), backend);
+        self.trail.borrow_mut().attempt(now, fennelscale_messages::hash(message.id.as_bytes()), backend);
         if !message.headers.contains_key(HOST) {
             builder = builder.header(HOST, dial.to_string());
         }
@@ -62,7 +62,7 @@
                 _ => "served",
             };
             let status = head.status.as_u16();
-            self.trail.borrow_mut().answered(post_words::hash(id.as_bytes()), status, what);
+            self.trail.borrow_mut().answered(fennelscale_messages::hash(id.as_bytes()), status, what);
         }
         verdict
     }
--- a/post/courier/src/trail.rs
+++ b/system/proxy/src/trail.rs
@@ -4,7 +4,7 @@
 //! sent to and what that said, and how it ended. The last [`KEPT`] that ended are remembered.
 
 use doorcourse::Name;
-use post_items::{Route, Tenant};
+use fennelscale_config::{Route, Tenant};
 use std::collections::{HashMap, VecDeque};
 use std::fmt::Write as _;
 use std::rc::Rc;
@@ -126,7 +126,7 @@
     fn route() -> Rc<Route> {
         let body = r#"{"name":"a","routeType":"idempotent","revision":"0000000c","matchCriteria":{"pathPrefix":"/x/"},
             "action":{"service":"s","timeout":"1s"}}"#;
-        let Ok(post_items::Fact::Route(route)) = post_items::fact("r:a", "h", body) else {
+        let Ok(fennelscale_config::Fact::Route(route)) = fennelscale_config::fact("r:a", "h", body) else {
             panic!("no route")
         };
         Rc::from(route)
--- a/post/courier/tests/registry_choice.rs
+++ b/system/proxy/tests/registry_choice.rs
@@ -1,8 +1,8 @@
 //! Which registry a proxy goes by, while registries fail and are cut off.
 
-use post_courier::registry_choice::{FAILED, LOOK, RegistryChoice};
-use post_words::Host;
-use post_words::news::CONTACT_LEASE;
+use fennelscale_messages::Host;
+use fennelscale_messages::news::CONTACT_LEASE;
+use fennelscale_proxy::registry_choice::{FAILED, LOOK, RegistryChoice};
 
 const ALL: [Host; 4] = [Host(1), Host(2), Host(3), Host(4)];
 
--- a/post/units/src/cache.rs
+++ b/system/quota-lease/src/cache.rs
@@ -2,7 +2,7 @@
 
 use crate::counts::AHEAD;
 use crate::{Block, Millis, SILENT, SLICE, Terms, bit_of};
-use post_words::news::{Grant, Up};
+use fennelscale_messages::news::{Grant, Up};
 use std::collections::{BTreeMap, VecDeque};
 
 /// The weight of the newest demand.
@@ -132,7 +132,7 @@
         }
         let gateways = self.gateways;
         if !self.tenants.contains_key(name) {
-            let part = post_words::mix(self.seed ^ post_words::hash(name.as_bytes()));
+            let part = fennelscale_messages::mix(self.seed ^ fennelscale_messages::hash(name.as_bytes()));
             let part = (part >> 11) as f64 / (1_u64 << 53) as f64;
             self.tenants.insert(name.to_owned(), Tenant::new(now, terms, self.born, part));
         }
--- a/post/units/src/counts.rs
+++ b/system/quota-lease/src/counts.rs
@@ -1,8 +1,8 @@
 //! The window count of tenants, at whoever holds the duty.
 
 use crate::{Millis, SLICE, Terms};
-use post_words::Host;
-use post_words::news::Grant;
+use fennelscale_messages::Host;
+use fennelscale_messages::news::Grant;
 use std::collections::BTreeMap;
 
 /// A block takes at most this part of what is left, ...
--- a/post/units/src/lib.rs
+++ b/system/quota-lease/src/lib.rs
@@ -32,7 +32,7 @@
 
 /// The key that a tenant's count is under.
 pub fn bit_of(tenant: &str) -> u64 {
-    1 << (post_words::hash(tenant.as_bytes()) % SHARDS)
+    1 << (fennelscale_messages::hash(tenant.as_bytes()) % SHARDS)
 }
 
 /// A time or a span in milliseconds.
--- a/post/units/src/relay.rs
+++ b/system/quota-lease/src/relay.rs
@@ -7,8 +7,8 @@
 
 use crate::counts::AHEAD;
 use crate::{Block, Millis, Terms};
-use post_words::Host;
-use post_words::news::Grant;
+use fennelscale_messages::Host;
+use fennelscale_messages::news::Grant;
 use std::collections::{BTreeMap, VecDeque};
 
 /// A block holds the demand of this part of a window, as far as the window lasts.
--- a/post/units/src/tests.rs
+++ b/system/quota-lease/src/tests.rs
@@ -2,9 +2,9 @@
 //! proxies let in together is added up outside of them and held against the rule.
 
 use super::*;
-use post_words::Host;
-use post_words::mix;
-use post_words::news::{Grant, Up};
+use fennelscale_messages::Host;
+use fennelscale_messages::mix;
+use fennelscale_messages::news::{Grant, Up};
 use std::collections::VecDeque;
 
 const RATE: f64 = 100.0;
--- a/post/postmaster/src/calls.rs
+++ b/system/registry/src/calls.rs
@@ -4,15 +4,15 @@
 use crate::registry::Registry;
 use crate::requests::Request;
 use bytes::Bytes;
+use fennelscale_config::Fact;
+use fennelscale_host::call::{Asked, Call, Done, Json, Serves, handle};
+use fennelscale_host::error::{Failure, Kind};
+use fennelscale_maintenance::order::Node;
+use fennelscale_maintenance::plan::Why;
+use fennelscale_membership::hours::{NodeState, OrderState};
+use fennelscale_messages::depot::{Ask, Change, Entry, Told};
 use http_body_util::Full;
 use hyper::{Method, Response};
-use post_host::call::{Asked, Call, Done, Json, Serves, handle};
-use post_host::error::{Failure, Kind};
-use post_items::Fact;
-use post_rounds::hours::{NodeState, OrderState};
-use post_shutter::order::Node;
-use post_shutter::plan::Why;
-use post_words::depot::{Ask, Change, Entry, Told};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -61,7 +61,7 @@
             return None;
         }
         Some(method(asked, &[Method::PATCH, Method::GET]).and_then(|()| {
-            post_items::read_call(&asked.body).map(Self).map_err(|invalid| {
+            fennelscale_config::read_call(&asked.body).map(Self).map_err(|invalid| {
                 tracing::debug!(event = "invalid-call", body = %String::from_utf8_lossy(&asked.body));
                 Failure::new(Kind::Invalid, invalid.0)
             })
@@ -103,7 +103,7 @@
     const FORM: &'static str = "POST /fennelscale/maintenance";
     fn read(asked: &Asked) -> Option<Result<Self, Failure>> {
         (asked.path == MAINTENANCE && asked.method == Method::POST).then(|| {
-            let changes = post_items::read_call(&asked.body).map(Self);
+            let changes = fennelscale_config::read_call(&asked.body).map(Self);
             changes.map_err(|invalid| Failure::new(Kind::Invalid, invalid.0))
         })
     }
@@ -137,7 +137,7 @@
     }
 }
 
-fn told(told: Told) -> Result<Option<Vec<post_words::depot::Named>>, Failure> {
+fn told(told: Told) -> Result<Option<Vec<fennelscale_messages::depot::Named>>, Failure> {
     match told {
         Told::Done => Ok(None),
         Told::Items(items) => Ok(Some(items)),
@@ -169,8 +169,10 @@
 
 /// What stands in the way of a call's work orders for good. A call without any costs nothing.
 fn rehearse(registry: &Rc<Registry>, changes: &[Change]) -> Vec<(String, Node, Why)> {
-    let maintenance =
-        |name: &str| name.starts_with(post_shutter::CONTRACT) || name.starts_with(post_shutter::ORDER);
+    let maintenance = |name: &str| {
+        name.starts_with(fennelscale_maintenance::CONTRACT)
+            || name.starts_with(fennelscale_maintenance::ORDER)
+    };
     let named = changes.iter().filter(|change| maintenance(&change.name)).map(|change| {
         let Change { name, revision, host, body } = change.clone();
         (name, Entry { revision, host, body, ..Entry::default() })
@@ -185,8 +187,11 @@
 /// Sees that the failure orders of a call are within what the settings allow, and writes beside each which proxies share it. The
 /// store keeps to those that stand there already.
 fn share_failures(registry: &Rc<Registry>, changes: &mut [Change]) -> Result<(), Failure> {
-    for change in changes.iter_mut().filter(|change| change.name.starts_with(post_mislay::FAILURE)) {
-        let fact = change.body.as_deref().map(|body| post_items::fact(&change.name, &change.host, body));
+    for change in
+        changes.iter_mut().filter(|change| change.name.starts_with(fennelscale_fault_injection::FAILURE))
+    {
+        let fact =
+            change.body.as_deref().map(|body| fennelscale_config::fact(&change.name, &change.host, body));
         let Some(Ok(Fact::Failure(order))) = fact else { continue };
         let invalid =
             |text: String| Failure::new(Kind::Invalid, format!("failure order {}: {text}", order.name));
@@ -200,7 +205,8 @@
             let text = format!("most.inAll: one for each of {} proxies at least is wanted", members.len());
             return Err(invalid(text));
         }
-        let lives: Vec<String> = members.iter().map(|m| post_mislay::proxy(m.host, m.life)).collect();
+        let lives: Vec<String> =
+            members.iter().map(|m| fennelscale_fault_injection::proxy(m.host, m.life)).collect();
         change.host = lives.join(" ");
     }
     Ok(())
@@ -277,7 +283,7 @@
 impl Serves<GetConfig> for Rc<Registry> {
     async fn serve(&self, _: GetConfig) -> Result<Json, Failure> {
         let items = told(self.ask(Ask::Read).await)?.unwrap_or_default();
-        Ok(Json(post_items::lay_out(items.iter().map(|(name, entry)| (name.as_str(), entry)))))
+        Ok(Json(fennelscale_config::lay_out(items.iter().map(|(name, entry)| (name.as_str(), entry)))))
     }
 }
 
@@ -316,7 +322,7 @@
         if members.is_empty() {
             return Err(Failure::new(Kind::NoRoom, "no proxy takes clients now"));
         }
-        let address = |m: &post_words::news::Member| format!("\"{}:{}\"", m.host, m.port);
+        let address = |m: &fennelscale_messages::news::Member| format!("\"{}:{}\"", m.host, m.port);
         let addresses: Vec<String> = members.iter().take(MOST).map(address).collect();
         let ttl = TTL.min(self.settings.borrow().bounds.ttl_most).as_millis();
         Ok(Json(format!("{{\"addresses\":[{}],\"ttl\":\"{ttl}ms\"}}", addresses.join(","))))
--- a/post/postmaster/src/events.rs
+++ b/system/registry/src/events.rs
@@ -2,15 +2,15 @@
 
 use crate::calls::{method, quoted};
 use crate::registry::Registry;
+use fennelscale_host::call::{Asked, Call, Json, Serves};
+use fennelscale_host::error::{Failure, Kind};
+use fennelscale_membership::feed::{self, Event};
+use fennelscale_membership::streams::{self, Cursor, Joined};
+use fennelscale_messages::Host;
+use fennelscale_messages::depot::Order;
+use fennelscale_messages::feed::{At, Told, Wanted};
+use fennelscale_messages::round::Word;
 use hyper::Method;
-use post_host::call::{Asked, Call, Json, Serves};
-use post_host::error::{Failure, Kind};
-use post_rounds::feed::{self, Event};
-use post_rounds::streams::{self, Cursor, Joined};
-use post_words::Host;
-use post_words::depot::Order;
-use post_words::feed::{At, Told, Wanted};
-use post_words::round::Word;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
--- a/post/postmaster/src/lib.rs
+++ b/system/registry/src/lib.rs
@@ -1,4 +1,4 @@
-//! `postmaster`: the registry (the field's term: service registry with membership and leases). Every core machine runs one. It
+//! `fennelscale-registry`: the registry (the field's term: service registry with membership and leases). Every core machine runs one. It
 //! holds the sessions of proxies, reads the platform's list where that duty is its own, counts tenants' windows, answers
 //! where clients should go, and takes the outside calls for itself and for the store beside it.
 
@@ -8,8 +8,8 @@
 mod registry;
 mod requests;
 
-post_host::program!(
-    "postmaster",
+fennelscale_host::program!(
+    "fennelscale-registry",
     " The registry. FENNELSCALE_CONFIG names the settings file.",
     registry::run
 );
--- a/post/postmaster/src/list.rs
+++ b/system/registry/src/list.rs
@@ -2,10 +2,10 @@
 
 use bytes::Bytes;
 use fennelscale_dataplane::back::link::Link;
+use fennelscale_messages::news::Backend;
+use fennelscale_node_settings::Settings;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
-use post_settings::Settings;
-use post_words::news::Backend;
 use sonic_rs::{JsonContainerTrait, JsonValueTrait, Value};
 use std::collections::BTreeMap;
 use std::time::Duration;
--- /dev/null
+++ b/system/registry/src/main.rs
@@ -0,0 +1,5 @@
+//! `fennelscale-registry`: see the library of this package.
+
+fn main() -> std::process::ExitCode {
+    fennelscale_registry::main()
+}
--- a/post/postmaster/src/registry.rs
+++ b/system/registry/src/registry.rs
@@ -2,16 +2,16 @@
 
 use crate::calls;
 use crate::list;
-use post_host::link::{self, Peers, Reader, Writer, hear, split};
-use post_host::start::Signals;
-use post_host::{call, spawn, start};
-use post_rounds::{Out, Round};
-use post_settings::{Port, Settings};
-use post_words::Host;
-use post_words::depot::{Ask, Order, Report, Told};
-use post_words::feed;
-use post_words::news::Up;
-use post_words::round::Word;
+use fennelscale_host::link::{self, Peers, Reader, Writer, hear, split};
+use fennelscale_host::start::Signals;
+use fennelscale_host::{call, spawn, start};
+use fennelscale_membership::{Out, Round};
+use fennelscale_messages::Host;
+use fennelscale_messages::depot::{Ask, Order, Report, Told};
+use fennelscale_messages::feed;
+use fennelscale_messages::news::Up;
+use fennelscale_messages::round::Word;
+use fennelscale_node_settings::{Port, Settings};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -156,7 +156,7 @@
 
     fn carry_out(self: &Rc<Self>, outs: Vec<Out>) {
         // One word goes to many proxies: its frame is made once.
-        let mut framed: Option<(*const post_words::news::Down, Rc<Vec<u8>>)> = None;
+        let mut framed: Option<(*const fennelscale_messages::news::Down, Rc<Vec<u8>>)> = None;
         for out in outs {
             match out {
                 Out::Send(to, word) => self.peers.send(to, &word),
@@ -166,7 +166,7 @@
                         Some((known, frame)) if std::ptr::eq(*known, at) && Rc::strong_count(&word) > 1 => {
                             frame.clone()
                         }
-                        _ => Rc::new(post_words::frame(&*word)),
+                        _ => Rc::new(fennelscale_messages::frame(&*word)),
                     };
                     if let Some((_, writer)) = self.sessions.borrow().get(&to) {
                         writer.send_frame(&frame);
@@ -185,7 +185,7 @@
                 Out::Note(proxies) => {
                     let registry = self.clone();
                     spawn(async move {
-                        let ask = Ask::Note(post_rounds::FLEET.to_owned(), proxies.to_string());
+                        let ask = Ask::Note(fennelscale_membership::FLEET.to_owned(), proxies.to_string());
                         let told = registry.ask(ask).await;
                         tracing::info!(event = "fleet-noted", proxies, done = told == Told::Done);
                     });
--- a/post/postmaster/src/requests.rs
+++ b/system/registry/src/requests.rs
@@ -2,12 +2,12 @@
 
 use crate::calls::method;
 use crate::registry::{Known, Registry};
+use fennelscale_host::call::{Asked, Call, Json, Serves};
+use fennelscale_host::error::{Failure, Kind};
+use fennelscale_messages::Host;
+use fennelscale_messages::news::Down;
+use fennelscale_messages::round::Word;
 use hyper::Method;
-use post_host::call::{Asked, Call, Json, Serves};
-use post_host::error::{Failure, Kind};
-use post_words::Host;
-use post_words::news::Down;
-use post_words::round::Word;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -40,7 +40,7 @@
 
 impl Serves<Request> for Rc<Registry> {
     async fn serve(&self, Request(id): Request) -> Result<Json, Failure> {
-        let known = self.request(post_words::hash(id.as_bytes())).await;
+        let known = self.request(fennelscale_messages::hash(id.as_bytes())).await;
         let lines: Vec<String> = known
             .iter()
             .map(|(host, known)| format!("{{\"proxy\":\"{host}\",\"course\":{known}}}"))
--- a/post/book/src/calls.rs
+++ b/system/replication/src/calls.rs
@@ -3,9 +3,9 @@
 use crate::versions::{self, Standing};
 use crate::writer::Turn;
 use crate::{Book, Millis, Out, SEATS};
-use post_items::Changes;
-use post_words::Host;
-use post_words::depot::{Ask, CallId, Change, Entry, Named, Stamp, Told, Word};
+use fennelscale_config::Changes;
+use fennelscale_messages::Host;
+use fennelscale_messages::depot::{Ask, CallId, Change, Entry, Named, Stamp, Told, Word};
 use std::collections::{BTreeMap, VecDeque};
 
 /// A call that was passed on and not answered is taken up here after this: the way there and back, twice.
@@ -233,7 +233,7 @@
             let history = known.map_or_else(Vec::new, |known| versions::history_after(&change.name, known));
             let host = self.host_of(&change);
             let Change { name, revision, body, .. } = change;
-            let fact = body.as_deref().map(|body| post_items::fact(&name, &host, body));
+            let fact = body.as_deref().map(|body| fennelscale_config::fact(&name, &host, body));
             let fact = fact.transpose().map_err(|invalid| Told::Invalid(invalid.0))?;
             facts.insert(name.clone(), fact);
             entries.push((name, Entry { revision, host, body, history, ..Entry::default() }));
@@ -246,7 +246,7 @@
     /// add up to more.
     fn host_of(&self, change: &Change) -> String {
         let stands = self.view(&change.name).filter(|known| known.body.is_some() && change.body.is_some());
-        match stands.filter(|_| change.name.starts_with(post_mislay::FAILURE)) {
+        match stands.filter(|_| change.name.starts_with(fennelscale_fault_injection::FAILURE)) {
             Some(known) => known.host.clone(),
             None => change.host.clone(),
         }
--- a/post/book/src/catch_up.rs
+++ b/system/replication/src/catch_up.rs
@@ -5,8 +5,8 @@
 //! the asker is complete up to the lowest of these once the last name is through. What is chosen meanwhile is the next transfer's.
 
 use crate::{Book, Millis, SEATS};
-use post_words::Host;
-use post_words::depot::{Chunk, Entry, Named, Stamp, Word};
+use fennelscale_messages::Host;
+use fennelscale_messages::depot::{Chunk, Entry, Named, Stamp, Word};
 use std::ops::Bound;
 
 /// A chunk holds entries of about this many bytes; an entry that is longer goes alone. Small beside a beat's period on any link, and
--- a/post/book/src/founding.rs
+++ b/system/replication/src/founding.rs
@@ -8,7 +8,7 @@
 
 use crate::membership::to_text;
 use crate::{Book, Millis, SEATS};
-use post_words::depot::{Entry, Epoch, Seat, Stamp};
+use fennelscale_messages::depot::{Entry, Epoch, Seat, Stamp};
 
 /// The founder waits so long for the others: all machines start together, and nothing is asked of them for seconds.
 const FOUND: Millis = 1800.0;
--- a/post/book/src/lib.rs
+++ b/system/replication/src/lib.rs
@@ -39,9 +39,9 @@
 
 pub use calls::Origin;
 
-use post_items::Standing;
-use post_words::Host;
-use post_words::depot::{Entry, Epoch, Named, Seat, Seats, Stamp, Told, Word};
+use fennelscale_config::Standing;
+use fennelscale_messages::Host;
+use fennelscale_messages::depot::{Entry, Epoch, Named, Seat, Seats, Stamp, Told, Word};
 use std::collections::{BTreeMap, BTreeSet};
 use writer::Turn;
 pub use writer::{OUT_OF_CONTACT, UNTAKEN};
@@ -286,7 +286,7 @@
             self.refact(name);
             let item = &self.items[name];
             if let Some(entry) = &item.chosen {
-                self.digest ^= post_items::entry_hash((name, entry));
+                self.digest ^= fennelscale_config::entry_hash((name, entry));
                 self.by_stamp.insert((entry.stamp, name.clone()));
             }
             if item.pending.is_some() {
@@ -388,7 +388,7 @@
 
     fn refact(&mut self, name: &str) {
         let entry = self.view(name).and_then(|e| Some((e.host.clone(), e.body.clone()?)));
-        let fact = entry.and_then(|(host, body)| post_items::fact(name, &host, &body).ok());
+        let fact = entry.and_then(|(host, body)| fennelscale_config::fact(name, &host, &body).ok());
         self.standing.set(name, fact);
     }
 
--- a/post/book/src/membership.rs
+++ b/system/replication/src/membership.rs
@@ -13,8 +13,8 @@
 
 use crate::writer::Turn;
 use crate::{BEAT, Book, Millis, SEATS, SILENT};
-use post_words::Host;
-use post_words::depot::{Entry, Epoch, Named, Seat, Seats, Stamp, Word};
+use fennelscale_messages::Host;
+use fennelscale_messages::depot::{Entry, Epoch, Named, Seat, Seats, Stamp, Word};
 
 /// A seat that was silent for this long may be given to a machine that waits for it in the same zone. Longer than a kill and
 /// the start after it; an old machine that comes back later is a learner.
@@ -119,7 +119,7 @@
         hosts.dedup();
         hosts.into_iter().for_each(|host| self.announce_to(host));
         if !others.is_empty() {
-            let at = post_words::mix(self.place.life ^ now.to_bits()) % others.len() as u64;
+            let at = fennelscale_messages::mix(self.place.life ^ now.to_bits()) % others.len() as u64;
             self.begin_transfer(now, others[at as usize]);
         }
     }
--- a/post/book/src/position.rs
+++ b/system/replication/src/position.rs
@@ -13,7 +13,7 @@
 
 use crate::Book;
 use crate::founding::Founding;
-use post_words::depot::{Epoch, Stamp};
+use fennelscale_messages::depot::{Epoch, Stamp};
 use std::collections::BTreeSet;
 
 /// What is kept on disk beside items and promises.
--- a/post/book/src/seat.rs
+++ b/system/replication/src/seat.rs
@@ -2,8 +2,8 @@
 
 use crate::position::Contiguous;
 use crate::{Book, Out, SEATS, versions};
-use post_words::Host;
-use post_words::depot::{Entry, Epoch, Named, Stamp, Word};
+use fennelscale_messages::Host;
+use fennelscale_messages::depot::{Entry, Epoch, Named, Stamp, Word};
 
 impl Book {
     fn touch(&mut self, name: &str) {
@@ -156,10 +156,10 @@
         let item = self.items.entry(name.clone()).or_default();
         debug_assert!(item.chosen.as_ref().is_none_or(|c| c.stamp <= entry.stamp), "{name} goes back");
         if let Some(old) = &item.chosen {
-            self.digest ^= post_items::entry_hash((&name, old));
+            self.digest ^= fennelscale_config::entry_hash((&name, old));
             self.by_stamp.remove(&(old.stamp, name.clone()));
         }
-        self.digest ^= post_items::entry_hash((&name, &entry));
+        self.digest ^= fennelscale_config::entry_hash((&name, &entry));
         self.by_stamp.insert((entry.stamp, name.clone()));
         item.chosen = Some(entry.clone());
         if item.pending.as_ref().is_some_and(|p| p.stamp <= entry.stamp) {
--- a/post/book/src/versions.rs
+++ b/system/replication/src/versions.rs
@@ -8,7 +8,7 @@
 //! - Both hold for the last [`HISTORY`] versions of each item. What is older cannot be told from another content any more: it has no
 //!   clear answer, and no effect.
 
-use post_words::depot::{Change, Entry, VersionRecord};
+use fennelscale_messages::depot::{Change, Entry, VersionRecord};
 
 /// Versions of one item that are remembered, besides the one that it has. An operator gives up on a call within seconds; in these no
 /// item has so many versions. Costs 16 bytes a version and item.
@@ -31,8 +31,8 @@
 
 /// The hash by which a change that arrives again is known. Who shares a failure order is the registry's to say, not the sender's.
 pub fn content_of(name: &str, host: &str, body: Option<&str>) -> u64 {
-    let host = if name.starts_with(post_mislay::FAILURE) { "" } else { host };
-    post_items::content(host, body)
+    let host = if name.starts_with(fennelscale_fault_injection::FAILURE) { "" } else { host };
+    fennelscale_config::content(host, body)
 }
 
 fn own_record(name: &str, entry: &Entry) -> VersionRecord {
--- a/post/book/src/writer.rs
+++ b/system/replication/src/writer.rs
@@ -5,8 +5,8 @@
 
 use crate::calls::{Origin, Reply, Ticket};
 use crate::{BEAT, Book, Millis, Out};
-use post_words::Host;
-use post_words::depot::{Ask, Entry, Epoch, Named, Stamp, Told, Word};
+use fennelscale_messages::Host;
+use fennelscale_messages::depot::{Ask, Entry, Epoch, Named, Stamp, Told, Word};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Asking for the turn is given up after this; guards against quorums that are not there.
@@ -342,7 +342,7 @@
             }
             Ask::Step(seen, records) => {
                 let all = self.items.keys().filter_map(|name| Some((name.as_str(), self.view(name)?)));
-                if post_shutter::seen(all) != seen {
+                if fennelscale_maintenance::seen(all) != seen {
                     // Something that had a say in it has changed since it was decided: this is the fence.
                     let told = Told::Conflict("decided from an older view".into());
                     return self.confirm(now, ticket, Reply::Refusal(told));
--- a/post/diorama/src/core.rs
+++ b/system/simulation/src/core.rs
@@ -1,10 +1,10 @@
 //! A core machine: a store and a registry that share a disk and an address.
 
 use crate::Millis;
-use post_book::{Book, Memory, Origin, Out, Place};
-use post_rounds::Round;
-use post_words::Host;
-use post_words::depot::{Ask, Seat, Told, Word};
+use fennelscale_membership::Round;
+use fennelscale_messages::Host;
+use fennelscale_messages::depot::{Ask, Seat, Told, Word};
+use fennelscale_replication::{Book, Memory, Origin, Out, Place};
 
 /// A store reads its disk and has dialled its registry after this, in ms.
 const JOINS: Millis = 250.0;
@@ -53,7 +53,7 @@
             return;
         }
         self.lives += 1;
-        let life = post_words::mix(u64::from(self.seat.host.0) << 32 ^ self.lives) >> 24;
+        let life = fennelscale_messages::mix(u64::from(self.seat.host.0) << 32 ^ self.lives) >> 24;
         let place =
             Place { me: self.seat.clone(), seeds: seeds.to_vec(), bootstrap, tolerance: (1, 1, 1), life };
         let book = Book::new(place, self.disk.clone(), now);
--- a/post/diorama/src/proxy.rs
+++ b/system/simulation/src/proxy.rs
@@ -1,11 +1,11 @@
 //! A proxy: what it holds of the news, its lease cache, its session.
 
 use crate::Millis;
-use post_courier::held::{Held, Place};
-use post_courier::registry_choice::RegistryChoice;
-use post_units::{Admission, Cache, Comer, Terms};
-use post_words::Host;
-use post_words::news::{Down, Member, Up};
+use fennelscale_messages::Host;
+use fennelscale_messages::news::{Down, Member, Up};
+use fennelscale_proxy::held::{Held, Place};
+use fennelscale_proxy::registry_choice::RegistryChoice;
+use fennelscale_quota_lease::{Admission, Cache, Comer, Terms};
 use std::collections::BTreeMap;
 
 /// As the program has it: beats and silence.
@@ -73,7 +73,7 @@
         self.life += 1;
         self.up = true;
         self.held = Held::new(place(self.host, &self.zone, &self.region, &self.zones));
-        self.cache = Cache::new(now, post_words::mix(u64::from(self.host.0) ^ self.life << 32));
+        self.cache = Cache::new(now, fennelscale_messages::mix(u64::from(self.host.0) ^ self.life << 32));
         (self.session, self.beat_at) = (None, now);
         self.choice = RegistryChoice::default();
         self.seen.clear();
--- a/post/diorama/src/world.rs
+++ b/system/simulation/src/world.rs
@@ -3,11 +3,11 @@
 use crate::core::{Core, Does};
 use crate::proxy::Proxy;
 use crate::{APPLY, CONTACT, Chance, DRAIN, Millis, QUOTA};
-use post_rounds::{Out, Round};
-use post_words::Host;
-use post_words::depot::{Ask, Change, Told, Word as StoreWord};
-use post_words::news::{Backend, Down, Up};
-use post_words::round::Word;
+use fennelscale_membership::{Out, Round};
+use fennelscale_messages::Host;
+use fennelscale_messages::depot::{Ask, Change, Told, Word as StoreWord};
+use fennelscale_messages::news::{Backend, Down, Up};
+use fennelscale_messages::round::Word;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
@@ -415,7 +415,7 @@
     }
 
     fn size<T: bitcode::Encode>(&self, word: &T) -> usize {
-        if self.config.measure { post_words::frame(word).len() } else { 0 }
+        if self.config.measure { fennelscale_messages::frame(word).len() } else { 0 }
     }
 
     fn way(&mut self, near: bool) -> Millis {
@@ -500,8 +500,8 @@
                     self.registry(n, Box::new(|round, now| round.list_read(now, Some(backends))));
                 }
                 Out::Note(proxies) => {
-                    let (id, does) =
-                        self.cores[n].ask(now, Ask::Note(post_rounds::FLEET.to_owned(), proxies.to_string()));
+                    let (id, does) = self.cores[n]
+                        .ask(now, Ask::Note(fennelscale_membership::FLEET.to_owned(), proxies.to_string()));
                     self.steps.insert((n, id));
                     self.store(n, does);
                 }
--- a/post/diorama/tests/hard.rs
+++ b/system/simulation/tests/hard.rs
@@ -1,7 +1,7 @@
 //! Hard cases by name: what is to be borne and is rarely drawn.
 
-use post_diorama::{Chance, Config, Fault, World};
-use post_rounds::duties::bit_of;
+use fennelscale_membership::duties::bit_of;
+use fennelscale_simulation::{Chance, Config, Fault, World};
 
 fn regions(n: usize) -> [usize; 2] {
     [n % 3, n % 3 + 3]
--- a/post/diorama/tests/schedules.rs
+++ b/system/simulation/tests/schedules.rs
@@ -1,6 +1,6 @@
 //! Drawn schedules of the whole system. `WORLD_SEEDS` is how many, `WORLD_FIRST` the first of them.
 
-use post_diorama::{Chance, Config, Fault, World};
+use fennelscale_simulation::{Chance, Config, Fault, World};
 use rayon::prelude::*;
 
 fn seeds(usual: u64) -> std::ops::Range<u64> {
