--- a/system/model-checker/tests/exhaustive.rs
+++ b/system/model-checker/tests/exhaustive.rs
@@ -1,9 +1,9 @@
 //! Every order of events at CI's bounds, and ways by chance that go deeper: nothing breaks a property, and each deliberate fault does.
 //! `INSPECTOR_WALKS` is how many ways by chance of each world, `INSPECTOR_SEED` where they begin.
 
-use post_inspector::explore::{Found, System, explore, tell, walk};
-use post_inspector::mutants::{self, Mutant};
-use post_inspector::scenarios;
+use fennelscale_model_checker::explore::{Found, System, explore, tell, walk};
+use fennelscale_model_checker::mutants::{self, Mutant};
+use fennelscale_model_checker::scenarios;
 
 const THREADS: usize = 2;
 /// Of states in which something is still to happen, one of so many is left in peace as well.
