--- a/system/experiments/src/lib.rs
+++ b/system/experiments/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! A set of runs is a file, so two builds are compared by letting each write its own.
 
+pub mod capacity;
 pub mod figures;
 pub mod growth;
 pub mod page;
--- a/system/experiments/src/main.rs
+++ b/system/experiments/src/main.rs
@@ -2,7 +2,7 @@
 //! or a file can't be.
 
 use fennelscale_experiments::play::Set;
-use fennelscale_experiments::{Fault, figures, growth, page, play, scenario};
+use fennelscale_experiments::{Fault, capacity, figures, growth, page, play, scenario};
 use gumdrop::Options;
 use miette::{Result, miette};
 use serde::Serialize;
@@ -37,6 +37,20 @@
     Growth(Growth),
     #[options(help = "write a page with plots")]
     Page(Page),
+    #[options(help = "measure what each role holds, sends and spends at several sizes")]
+    Capacity(Capacity),
+}
+
+#[derive(Debug, Options)]
+struct Capacity {
+    #[options(help = "show this and end")]
+    help: bool,
+    #[options(
+        no_short,
+        help = "only the memory of a store or a gateway with so many items",
+        meta = "ROLE:ITEMS"
+    )]
+    memory: Option<String>,
 }
 
 #[derive(Debug, Options)]
@@ -174,6 +188,48 @@
     Ok(true)
 }
 
+/// A role and a number of items, as they are given to a process that measures its own memory.
+fn role_of(text: &str) -> Option<(capacity::Role, usize)> {
+    let (role, items) = text.split_once(':')?;
+    let role = match role {
+        "store" => capacity::Role::Store,
+        "gateway" => capacity::Role::Gateway,
+        _ => return None,
+    };
+    Some((role, items.parse().ok()?))
+}
+
+/// Memory is measured in a process of its own.
+fn grown(role: capacity::Role, items: usize) -> Option<f64> {
+    let name = if role == capacity::Role::Store { "store" } else { "gateway" };
+    let of = format!("{name}:{items}");
+    let mut command = std::process::Command::new(std::env::current_exe().ok()?);
+    let output = command.args(["capacity", "--memory", &of]).output().ok()?;
+    String::from_utf8(output.stdout).ok()?.trim().parse().ok()
+}
+
+fn measure(asked: &Capacity) -> Result<bool> {
+    if let Some(of) = &asked.memory {
+        let help = "like store:2000 or gateway:2000";
+        let (role, items) = role_of(of).ok_or_else(|| miette!(help = help, "--memory: {of}"))?;
+        say!("{}", capacity::memory(role, items));
+        return Ok(true);
+    }
+    for capacity::Measure { what, of, points, line } in capacity::measures(&capacity::all(grown)) {
+        say!("{what}");
+        for (size, value) in points {
+            say!("  {size:8.0} {of}: {value:16.1}");
+        }
+        say!(
+            "  {:.1} + {:.4} for each, off by {:.0} in 100 at most",
+            line.from,
+            line.slope,
+            line.off * 100.0
+        );
+    }
+    Ok(true)
+}
+
 fn write(asked: &Page) -> Result<bool> {
     let one: Set = of_file(&asked.one)?;
     let beside: Option<Set> = asked.beside.as_deref().map(of_file).transpose()?;
@@ -190,6 +246,7 @@
         Some(Command::Compare(asked)) => compared(asked),
         Some(Command::Growth(asked)) => grow(asked),
         Some(Command::Page(asked)) => write(asked),
+        Some(Command::Capacity(asked)) => measure(asked),
         None => Err(miette!(
             help = "fennelscale-experiments --help",
             "one of run, compare, growth, page is wanted"
--- a/system/model-checker/tests/exhaustive.rs
+++ b/system/model-checker/tests/exhaustive.rs
@@ -33,6 +33,10 @@
         let system = System { scenario, mutant: None, settled: SETTLED };
         holds(system, &explore(system, THREADS, Some(number("INSPECTOR_STATES", 30_000) as usize)));
     }
+    for (scenario, states) in scenarios::FAR {
+        let system = System { scenario, mutant: None, settled: SETTLED };
+        holds(system, &explore(system, THREADS, Some(states)));
+    }
 }
 
 #[test]
