Store: a disk that comes back empty while the process lives is one that was lost

Found by reading the change again: a store that is suspended at a full disk starts its state machine anew with the settings of its process; at the first start these say bootstrap, and on an empty disk in place of the old one it would have taken a seat of the first list without having learned. Once a write has come to the disk the first start is over. Test: a_store_whose_disk_is_full_is_suspended_and_goes_on_when_there_is_room, which fails without the line.

--- a/system/config-store/src/disk/tests.rs
+++ b/system/config-store/src/disk/tests.rs
@@ -323,7 +323,19 @@
     assert_eq!((book.position(), book.is_voting(), book.item("m:n")), (position, true, None));
     let outs = note(&mut store, now + 2100.0, "kept").unwrap();
     assert!(outs.contains(&Out::Answer(1, Told::Done)), "{outs:?}");
+    // Another disk in its place, an empty one: the life that was there at the first start founds nothing on it.
+    limit(Some(0));
+    assert!(note(&mut store, now + 2200.0, "lost").is_err());
+    limit(None);
+    std::fs::rename(&folder, folder.with_extension("kept")).unwrap();
+    store.reopen(now + 3000.0).unwrap();
+    for tick in 0..100 {
+        store.with(now + 3000.0 + 100.0 * f64::from(tick), Book::tick).unwrap();
+    }
+    assert!(!store.book().unwrap().is_voting());
     drop(store);
+    std::fs::remove_dir_all(&folder).unwrap();
+    std::fs::rename(folder.with_extension("kept"), &folder).unwrap();
     assert!(Disk::open(&folder, 256_000_000).unwrap().1.items.contains_key("m:n"));
     std::fs::remove_dir_all(&folder).unwrap();
 }
--- a/system/config-store/src/store.rs
+++ b/system/config-store/src/store.rs
@@ -55,6 +55,8 @@
             self.running = None;
             return Err(error);
         }
+        // What the first start asks for is on the disk by now. A disk that comes back empty later is one that was lost.
+        self.place.bootstrap = false;
         Ok(book.outs())
     }
 
