--- a/system/config-store/src/disk/tests.rs
+++ b/system/config-store/src/disk/tests.rs
@@ -173,11 +173,6 @@
 }
 
 fn full_at_each_byte() {
-    // Whoever writes beyond the limit is told so by an error once the signal has somewhere to go.
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build().unwrap();
-    let _enter = runtime.enter();
-    let beyond = tokio::signal::unix::SignalKind::from_raw(Signal::XFSZ.as_raw());
-    let _told = tokio::signal::unix::signal(beyond).unwrap();
     let place = std::env::temp_dir().join(format!("config-store-full-{}", std::process::id()));
     let (mut room, mut failed) = (0, 0);
     loop {
@@ -210,10 +205,6 @@
 
 /// A process on a full disk: neither a start nor a torn end there makes it forget what the files hold.
 fn starts_on_a_full_disk() {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build().unwrap();
-    let _enter = runtime.enter();
-    let beyond = tokio::signal::unix::SignalKind::from_raw(Signal::XFSZ.as_raw());
-    let _told = tokio::signal::unix::signal(beyond).unwrap();
     let place = std::env::temp_dir().join(format!("config-store-starts-full-{}", std::process::id()));
     for torn in [false, true] {
         let folder = place.join(torn.to_string());
@@ -244,14 +235,19 @@
 
 #[test]
 fn a_store_that_starts_on_a_full_disk_forgets_nothing() {
-    if std::env::var_os(ALONE).is_some() {
-        return starts_on_a_full_disk();
-    }
-    run_alone("disk::tests::a_store_that_starts_on_a_full_disk_forgets_nothing");
+    play_alone("disk::tests::a_store_that_starts_on_a_full_disk_forgets_nothing", starts_on_a_full_disk);
 }
 
-/// Plays a test in a process of its own.
-fn run_alone(name: &str) {
+/// Plays a test in a process of its own, in which whoever writes beyond the limit is told so by an error.
+fn play_alone(name: &str, play: fn()) {
+    if std::env::var_os(ALONE).is_some() {
+        // The signal needs somewhere to go.
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build().unwrap();
+        let _enter = runtime.enter();
+        let beyond = tokio::signal::unix::SignalKind::from_raw(Signal::XFSZ.as_raw());
+        let _told = tokio::signal::unix::signal(beyond).unwrap();
+        return play();
+    }
     let me = std::env::current_exe().unwrap();
     let run = std::process::Command::new(me).args(["--exact", name]).env(ALONE, "1").output().unwrap();
     let said = String::from_utf8_lossy(&run.stdout);
@@ -260,10 +256,10 @@
 
 #[test]
 fn a_disk_that_is_full_at_any_byte_of_a_write_fails_it_and_takes_nothing_back() {
-    if std::env::var_os(ALONE).is_some() {
-        return full_at_each_byte();
-    }
-    run_alone("disk::tests::a_disk_that_is_full_at_any_byte_of_a_write_fails_it_and_takes_nothing_back");
+    play_alone(
+        "disk::tests::a_disk_that_is_full_at_any_byte_of_a_write_fails_it_and_takes_nothing_back",
+        full_at_each_byte,
+    );
 }
 
 /// What the disk held after so many writes.
@@ -287,10 +283,6 @@
 
 /// A store whose disk takes no writes for a while: it says nothing then, and goes on from what was synced.
 fn suspends_and_goes_on() {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build().unwrap();
-    let _enter = runtime.enter();
-    let beyond = tokio::signal::unix::SignalKind::from_raw(Signal::XFSZ.as_raw());
-    let _told = tokio::signal::unix::signal(beyond).unwrap();
     let folder = std::env::temp_dir().join(format!("config-store-suspended-{}", std::process::id()));
     let me = fennelscale_messages::depot::Seat { host: Host(1), zone: "z".into(), region: "r".into() };
     let place = fennelscale_replication::Place {
@@ -342,8 +334,8 @@
 
 #[test]
 fn a_store_whose_disk_is_full_is_suspended_and_goes_on_when_there_is_room() {
-    if std::env::var_os(ALONE).is_some() {
-        return suspends_and_goes_on();
-    }
-    run_alone("disk::tests::a_store_whose_disk_is_full_is_suspended_and_goes_on_when_there_is_room");
+    play_alone(
+        "disk::tests::a_store_whose_disk_is_full_is_suspended_and_goes_on_when_there_is_room",
+        suspends_and_goes_on,
+    );
 }
