--- a/crates/dataplane/src/engine.rs
+++ b/crates/dataplane/src/engine.rs
@@ -8,7 +8,7 @@
 use crate::observe;
 use crate::task::spawn;
 use doorcourse::{
-    Action, Arrival, Event, Gateway, Millis, Name, Outcome, RequestId, Settings, SettingsError,
+    Action, Arrival, Event, Gateway, Millis, Name, Outcome, RequestId, SendCounts, Settings, SettingsError,
 };
 use fennelscale_quota::Partition;
 use life::core::{Answered, Core, Effect, Ended};
@@ -64,6 +64,8 @@
     stops: RefCell<HashMap<RequestId, oneshot::Sender<()>>>,
     events: RefCell<VecDeque<Event>>,
     running: Cell<bool>,
+    /// How many attempts ended in each way, for metrics.
+    ends: RefCell<HashMap<Outcome, u64>>,
     me: Weak<Self>,
 }
 
@@ -98,6 +100,7 @@
                 stops: RefCell::default(),
                 events: RefCell::default(),
                 running: Cell::new(false),
+                ends: RefCell::default(),
                 me: me.clone(),
             }
         });
@@ -145,6 +148,21 @@
         self.core.borrow().open_requests()
     }
 
+    /// How many requests were sent, by what was known of their backends.
+    pub fn sends(&self) -> SendCounts {
+        self.core.borrow().gateway().sends()
+    }
+
+    /// How many attempts ended in each way.
+    pub fn ends(&self) -> HashMap<Outcome, u64> {
+        self.ends.borrow().clone()
+    }
+
+    /// Requests that are held because no backend may be sent one.
+    pub fn held(&self) -> usize {
+        self.core.borrow().gateway().held()
+    }
+
     /// Takes in an event. What it leads to may bring further events at once; these wait in line, so the
     /// decisions are never asked while they are being carried out.
     pub fn post(&self, event: Event) {
@@ -277,6 +295,7 @@
         let End { outcome, answer, load } = end;
         let outcome = faults::outcome(outcome);
         self.stops.borrow_mut().remove(&id);
+        *self.ends.borrow_mut().entry(outcome).or_default() += 1;
         let ended = Ended { id, number, backend, outcome, latency, load };
         self.run(answer, |core, now, out, answers| core.attempt_ended(now, ended, out, answers));
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,4 +47,4 @@
 
 pub use interface::*;
 pub use logic::Gateway;
-pub use mesh::{BackendTerms, MeshTerms, RequestBound};
+pub use mesh::{BackendTerms, MeshTerms, RequestBound, SendCounts};
--- a/src/logic/view.rs
+++ b/src/logic/view.rs
@@ -3,6 +3,7 @@
 
 use super::{Backend, Counter, Customer, Gateway, Request};
 use crate::interface::Millis;
+use crate::mesh::SendCounts;
 use fennelscale_quota::{Health, Slice};
 use std::hash::{Hash, Hasher};
 
@@ -22,6 +23,16 @@
         (self.backends.values().map(|b| b.out).sum(), self.customers.values().map(|c| c.open).sum())
     }
 
+    /// How many requests were sent, by what was known of their backends.
+    pub fn sends(&self) -> SendCounts {
+        self.mesh.sends()
+    }
+
+    /// Requests that are held because no backend may be sent one.
+    pub fn held(&self) -> usize {
+        self.queue.len()
+    }
+
     /// Whether a counter was ever found silent.
     pub fn was_silent(&self) -> bool {
         self.counters.iter().any(|counter| counter.health.silent_at > 0.0)
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -75,6 +75,18 @@
     pub bytes: u32,
 }
 
+/// How many requests were sent to backends, by what was known of the backend at the moment of the choice. For metrics only:
+/// nothing is decided by it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SendCounts {
+    /// To backends whose terms say that they are warm.
+    pub warm: u64,
+    /// To backends whose terms say that they are cold.
+    pub cold: u64,
+    /// To backends of which no terms were told, though terms of others were.
+    pub without_terms: u64,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Known {
     terms: BackendTerms,
@@ -90,9 +102,15 @@
     terms: MeshTerms,
     backends: BTreeMap<Name, Known>,
     repeats: f64,
+    sends: SendCounts,
 }
 
 impl Mesh {
+    /// How many requests were sent so far.
+    pub(crate) fn sends(&self) -> SendCounts {
+        self.sends
+    }
+
     pub(crate) fn told(&mut self, now: Millis, terms: MeshTerms, backends: Vec<(Name, BackendTerms)>) {
         if self.terms.retry_ratio == 0.0 {
             self.repeats = terms.retry_slack * SLACK_SHARE / terms.gateways.max(1.0);
@@ -154,10 +172,15 @@
         if again {
             self.repeats -= 1.0;
         }
-        if let Some(known) = self.backends.get_mut(name)
-            && now < known.terms.cold_until
-        {
-            (known.tokens, known.at) = (Self::tokens(known, now) - 1.0, now);
+        let told = !self.backends.is_empty();
+        match self.backends.get_mut(name) {
+            Some(known) if now < known.terms.cold_until => {
+                (known.tokens, known.at) = (Self::tokens(known, now) - 1.0, now);
+                self.sends.cold += 1;
+            }
+            Some(_) => self.sends.warm += 1,
+            None if told => self.sends.without_terms += 1,
+            None => {}
         }
     }
 
@@ -181,7 +204,8 @@
 
 impl Hash for Mesh {
     fn hash<H: Hasher>(&self, state: &mut H) {
-        let Self { terms, backends, repeats } = self;
+        // Counts for metrics are no part of the state that decides.
+        let Self { terms, backends, repeats, sends: _ } = self;
         let MeshTerms { gateways, retry_ratio, retry_slack, usual } = terms;
         [*gateways, *retry_ratio, *retry_slack, *usual, *repeats].map(f64::to_bits).hash(state);
         for (name, Known { terms, latency, tokens, at }) in backends {
--- a/system/proxy/src/lib.rs
+++ b/system/proxy/src/lib.rs
@@ -5,6 +5,7 @@
 mod front;
 mod heads;
 pub mod held;
+mod metrics;
 mod mislaid;
 mod proxy;
 pub mod registry_choice;
@@ -13,8 +14,36 @@
 mod speech;
 mod trail;
 
-fennelscale_host::program!(
-    "fennelscale-proxy",
-    " The proxy. FENNELSCALE_CONFIG names the settings file.",
-    proxy::run
-);
+use fennelscale_host::start;
+use std::process::ExitCode;
+
+/// The name by which the program speaks of itself.
+const NAME: &str = "fennelscale-proxy";
+
+/// The proxy. FENNELSCALE_CONFIG names the settings file.
+#[derive(Debug, gumdrop::Options)]
+struct Arguments {
+    #[options(help = "show this and end")]
+    help: bool,
+    #[options(no_short, help = "only check the settings file")]
+    check: bool,
+    #[options(no_short, help = "log single steps too")]
+    verbose: bool,
+    #[options(no_short, help = "tell own figures at this port of the machine, path /metrics", meta = "PORT")]
+    metrics_port: Option<u16>,
+}
+
+/// Runs the program by its arguments.
+pub fn main() -> ExitCode {
+    let arguments = <Arguments as gumdrop::Options>::parse_args_default_or_exit();
+    if arguments.check {
+        return start::check(NAME);
+    }
+    let port = arguments.metrics_port;
+    start::run(NAME, arguments.verbose, |settings, signals| proxy::run(settings, signals, port))
+}
+
+/// Runs the program with a settings file and usual arguments, for programs that are several in one.
+pub fn run_plain() -> ExitCode {
+    start::run(NAME, false, |settings, signals| proxy::run(settings, signals, None))
+}
--- /dev/null
+++ b/system/proxy/src/metrics.rs
@@ -0,0 +1,137 @@
+//! The proxy's own figures in the text format of OpenMetrics, at `/metrics` of the port that the command line names.
+//!
+//! Counters are read from where they are counted at the moment of a scrape; nothing is counted here.
+
+use crate::held::Held;
+use crate::services::{Service, Services};
+use bytes::Bytes;
+use doorcourse::Outcome;
+use fennelscale_host::call::Asked;
+use http_body_util::Full;
+use hyper::Response;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+use std::sync::atomic::Ordering;
+
+/// Where figures are asked for.
+const PATH: &str = "/metrics";
+/// The media type of OpenMetrics text.
+const OPEN_METRICS: HeaderValue =
+    HeaderValue::from_static("application/openmetrics-text; version=1.0.0; charset=utf-8");
+
+#[derive(Clone, Debug, EncodeLabelSet, Hash, PartialEq, Eq)]
+struct ServiceLabel {
+    service: String,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Hash, PartialEq, Eq)]
+struct SendLabels {
+    service: String,
+    backend_state: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Hash, PartialEq, Eq)]
+struct EndLabels {
+    service: String,
+    outcome: &'static str,
+}
+
+/// All figures of one proxy.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    sends: Family<SendLabels, Counter>,
+    ends: Family<EndLabels, Counter>,
+    misdirected: Family<ServiceLabel, Counter>,
+    held: Family<ServiceLabel, Gauge>,
+    listing: Gauge,
+    members: Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("fennelscale_proxy");
+        let (sends, ends, misdirected) =
+            (Family::default(), Family::default(), Family::<ServiceLabel, Counter>::default());
+        let (held, listing, members) =
+            (Family::<ServiceLabel, Gauge>::default(), Gauge::default(), Gauge::default());
+        registry.register(
+            "backend_sends",
+            "Requests sent, by what was known of the backend when it was chosen",
+            sends.clone(),
+        );
+        registry.register("attempt_ends", "Attempts that ended, by outcome", ends.clone());
+        registry.register(
+            "misdirected",
+            "Answers 421: another backend listens at the address",
+            misdirected.clone(),
+        );
+        registry.register("held_requests", "Requests held because no backend may be sent one", held.clone());
+        registry.register("listing_stamp", "Number of the list of backends that is in use", listing.clone());
+        registry.register("members_ready", "Proxies that are known and take clients", members.clone());
+        Self { registry, sends, ends, misdirected, held, listing, members }
+    }
+}
+
+impl Metrics {
+    /// All figures as of now.
+    pub fn render(&self, services: &Services, held: &Held) -> String {
+        services.each(|name, service| self.read_service(name, service));
+        self.listing.set(i64::try_from(held.listing.stamp.0).unwrap_or(i64::MAX));
+        self.members.set(held.members.iter().filter(|member| member.ready).count() as i64);
+        let mut text = String::new();
+        match encode(&mut text, &self.registry) {
+            Ok(()) => text,
+            Err(error) => {
+                tracing::warn!(event = "metrics-failed", error = %error);
+                String::new()
+            }
+        }
+    }
+
+    fn read_service(&self, name: &str, service: &Service) {
+        let label = ServiceLabel { service: name.to_owned() };
+        let figures = service.figures();
+        let sends = figures.sends;
+        for (backend_state, count) in
+            [("warm", sends.warm), ("cold", sends.cold), ("without_terms", sends.without_terms)]
+        {
+            let labels = SendLabels { service: name.to_owned(), backend_state };
+            self.sends.get_or_create(&labels).inner().store(count, Ordering::Relaxed);
+        }
+        for (outcome, count) in service.engine.ends() {
+            let labels = EndLabels { service: name.to_owned(), outcome: outcome_name(outcome) };
+            self.ends.get_or_create(&labels).inner().store(count, Ordering::Relaxed);
+        }
+        self.misdirected.get_or_create(&label).inner().store(figures.misdirected, Ordering::Relaxed);
+        self.held.get_or_create(&label).set(service.engine.held() as i64);
+    }
+}
+
+fn outcome_name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Served => "served",
+        Outcome::Error => "error",
+        Outcome::Full => "full",
+        Outcome::TimedOut => "timed_out",
+        Outcome::ConnectFailed => "connect_failed",
+        Outcome::Broken => "broken",
+        Outcome::CalledOff => "called_off",
+        Outcome::NeverSent => "never_sent",
+    }
+}
+
+/// The answer to whoever asks for figures; none for another path.
+pub fn answer(asked: &Asked, text: impl FnOnce() -> String) -> Option<Response<Full<Bytes>>> {
+    if asked.path != PATH {
+        return None;
+    }
+    let mut response = Response::new(Full::from(text()));
+    response.headers_mut().insert(CONTENT_TYPE, OPEN_METRICS);
+    Some(response)
+}
--- a/system/proxy/src/proxy.rs
+++ b/system/proxy/src/proxy.rs
@@ -3,6 +3,7 @@
 use crate::beside;
 use crate::front::Front;
 use crate::held::{Held, Place};
+use crate::metrics::{self, Metrics};
 use crate::services::Services;
 use crate::session;
 use crate::trail::Trail;
@@ -30,6 +31,8 @@
 const TICK: Duration = Duration::from_millis(40);
 /// What the decisions know is brought up to date at least this often while anything runs out by itself.
 const UPDATE: Duration = Duration::from_millis(250);
+/// Sends that are out of the ordinary are logged this often, while there are any.
+const REPORT: Duration = Duration::from_secs(1);
 /// What was counted of failure orders is told this often, in ms.
 const TELL: f64 = 1000.0;
 /// Descriptors for all but clients and backends: sessions, readiness, logs.
@@ -67,8 +70,11 @@
     born: Instant,
 }
 
-/// Runs the proxy until it is told to end.
-pub async fn run(settings: Settings, mut signals: Signals) -> miette::Result<()> {
+/// Runs the proxy until it is told to end. Its own figures are told at `metrics_port`, if one is given.
+///
+/// # Errors
+/// When a setting that proxies need is missing or an address cannot be listened at.
+pub async fn run(settings: Settings, mut signals: Signals, metrics_port: Option<u16>) -> miette::Result<()> {
     let missing = |field: &str| {
         miette::miette!(help = "the proxy runs on machines that have it", "settings field {field} is missing")
     };
@@ -78,6 +84,10 @@
     let clients = start::listen(frontend).await?;
     let readiness = start::listen(readiness).await?;
     let besides = start::listen(settings.own(Port::Courier)).await?;
+    let scrapes = match metrics_port {
+        Some(port) => Some(start::listen(SocketAddr::new(settings.ip, port)).await?),
+        None => None,
+    };
     let budget = Budget::divide(settings.limits.descriptors.saturating_sub(OTHERS), 0, 0, 0);
     let place = Place {
         me: host,
@@ -121,14 +131,25 @@
         let ready = of.is_ready();
         async move { crate::front::readiness(&asked, ready) }
     });
+    if let Some(listener) = scrapes {
+        let (of, metrics) = (proxy.clone(), Rc::new(Metrics::default()));
+        call::listen(listener, move |asked| {
+            let answer = metrics::answer(&asked, || metrics.render(&of.services, &of.held.borrow()));
+            async move { answer }
+        });
+    }
     let ticking = proxy.clone();
     spawn(async move {
-        let mut updated = Instant::now();
+        let (mut updated, mut reported) = (Instant::now(), Instant::now());
         loop {
             sleep(TICK).await;
             ticking.tick();
             ticking.keep_hours();
             ticking.tell_met();
+            if reported.elapsed() >= REPORT {
+                reported = Instant::now();
+                ticking.services.report_unusual_sends();
+            }
             if updated.elapsed() >= UPDATE && ticking.held.borrow().changes() {
                 updated = Instant::now();
                 ticking.update();
--- a/system/proxy/src/services.rs
+++ b/system/proxy/src/services.rs
@@ -3,7 +3,9 @@
 use crate::held::{Held, Known};
 use crate::speech::{Mesh, REQUEST_ID};
 use crate::trail::Trail;
-use doorcourse::{BackendEntry, BackendState, Class, Effect, Event, Group, Name, Plan, Reports, Settings};
+use doorcourse::{
+    BackendEntry, BackendState, Class, Effect, Event, Group, Name, Plan, Reports, SendCounts, Settings,
+};
 use fennelscale_config::{Route, RouteKind};
 use fennelscale_dataplane::back::backends::{Backends, Bounds};
 use fennelscale_dataplane::engine::{Counting, Engine, Report};
@@ -40,6 +42,17 @@
     backends: Rc<Backends>,
     classes: RefCell<HashSet<String>>,
     seq: Cell<u64>,
+    misdirected: Rc<Cell<u64>>,
+    reported: Cell<BackendFigures>,
+}
+
+/// What a service's backends were sent, as far as it is out of the ordinary.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct BackendFigures {
+    /// Requests sent, by what was known of the backend.
+    pub sends: SendCounts,
+    /// Answers that said that another backend listens at the address (421).
+    pub misdirected: u64,
 }
 
 /// All services.
@@ -145,7 +158,9 @@
         let identity = IdentityRule { header: REQUEST_ID.as_str().to_owned(), required: true };
         let reuse = Reuse::new(&Upstream { identity: Some(identity), ..Upstream::default() });
         let most_open = (self.connections / parts).max(16);
-        let mesh = Mesh { health, trail: self.trail.clone(), born: self.born };
+        let misdirected = Rc::<Cell<u64>>::default();
+        let mesh =
+            Mesh { health, trail: self.trail.clone(), born: self.born, misdirected: misdirected.clone() };
         let bounds = Bounds { most_open, largest_body: LARGEST, answer: ANSWER };
         let backends = Backends::new(CONNECT, IDLE, Reports::None, reuse, Rc::new(mesh), bounds);
         let seed = self.seed.get();
@@ -159,11 +174,53 @@
             }
         };
         spawn(backends.clone().keep_tidy());
-        Some(Rc::new(Service { engine, backends, classes: RefCell::default(), seq: Cell::new(0) }))
+        Some(Rc::new(Service {
+            engine,
+            backends,
+            classes: RefCell::default(),
+            seq: Cell::new(0),
+            misdirected,
+            reported: Cell::default(),
+        }))
+    }
+
+    /// Calls `visit` with each service and its name.
+    pub fn each(&self, mut visit: impl FnMut(&str, &Service)) {
+        for (name, service) in self.all.borrow().iter() {
+            visit(name, service);
+        }
+    }
+
+    /// Logs what was sent to cold backends, to backends without terms, and to addresses that have changed hands since this was
+    /// called last; nothing where there was none of it.
+    pub fn report_unusual_sends(&self) {
+        self.each(|name, service| {
+            let figures = service.figures();
+            let before = service.reported.replace(figures);
+            let cold = figures.sends.cold - before.sends.cold;
+            let without_terms = figures.sends.without_terms - before.sends.without_terms;
+            let misdirected = figures.misdirected - before.misdirected;
+            if cold + without_terms + misdirected > 0 {
+                let held = service.engine.held();
+                tracing::info!(
+                    event = "unusual-sends",
+                    service = name,
+                    cold,
+                    without_terms,
+                    misdirected,
+                    held
+                );
+            }
+        });
     }
 }
 
 impl Service {
+    /// What its backends were sent so far.
+    pub fn figures(&self) -> BackendFigures {
+        BackendFigures { sends: self.engine.sends(), misdirected: self.misdirected.get() }
+    }
+
     fn tell(&self, now: f64, held: &mut Held, name: &str, (ratio, slack): (f64, f64)) {
         // Each engine has a clock of its own: it began at another moment, and the time of day may have jumped between.
         let shift = self.engine.now() - now;
