--- a/system/proxy/src/lib.rs
+++ b/system/proxy/src/lib.rs
@@ -14,6 +14,8 @@
 mod speech;
 mod trail;
 
+pub use proxy::run;
+
 use fennelscale_host::start;
 use std::process::ExitCode;
 
--- /dev/null
+++ b/tests/mesh.rs
@@ -0,0 +1,99 @@
+//! A gateway that is told terms of its backends: which of them it may choose, and when.
+
+mod helper;
+use doorcourse::*;
+use helper::*;
+
+const PLAN: &str = "unlimited";
+const SLOTS: f64 = 2.0;
+
+fn mesh_settings() -> Settings {
+    let mut settings = Settings { gateways: 1, counter: false, ..settings() };
+    settings.plans.push(Plan { name: PLAN.into(), rate: 0.0, burst: 0.0, ..settings.plans[0].clone() });
+    settings
+}
+
+fn warm() -> BackendTerms {
+    BackendTerms { slots: SLOTS, sharers: 1.0, own: true, way: 1.0, ..BackendTerms::default() }
+}
+
+/// Cold for longer than any test lasts; `cold_per_s` is what this gateway may send it.
+fn cold(cold_per_s: f64) -> BackendTerms {
+    BackendTerms { cold_until: 1e9, cold_per_s, ..warm() }
+}
+
+fn mesh_terms() -> MeshTerms {
+    MeshTerms { gateways: 1.0, retry_ratio: 0.2, retry_slack: 60.0, usual: 100.0 }
+}
+
+fn tell_list(door: &mut Door, names: &[&str]) -> Vec<Action> {
+    let list = names.iter().map(|name| backend(name, BackendState::Ready, None)).collect();
+    door.tell(Event::BackendList(list))
+}
+
+fn tell_terms(door: &mut Door, terms: &[(&str, BackendTerms)]) -> Vec<Action> {
+    let terms = terms.iter().map(|(name, terms)| (Name::from(*name), *terms)).collect();
+    door.tell(Event::Mesh(mesh_terms(), terms))
+}
+
+fn sent_to(actions: &[Action], name: &str) -> usize {
+    let to = |action: &&Action| matches!(action, Action::Send { backend, .. } if &**backend == name);
+    actions.iter().filter(to).count()
+}
+
+/// A gateway whose only backend `a1` is full, with requests held.
+fn overloaded() -> Door {
+    let mut door = Door::new(mesh_settings(), &["a1"]);
+    tell_terms(&mut door, &[("a1", warm())]);
+    for id in 1..=6 {
+        door.ask(id, "c", PLAN, "safe");
+    }
+    assert!(door.gateway.held() > 0, "requests are held");
+    door
+}
+
+#[test]
+fn a_backend_gets_nothing_before_its_terms_are_told() {
+    let mut door = overloaded();
+    let did = tell_list(&mut door, &["a1", "a2"]);
+    assert_eq!(sent_to(&did, "a2"), 0, "nothing is known of it but that it is there");
+    let did = tell_terms(&mut door, &[("a1", warm()), ("a2", cold(0.0))]);
+    assert_eq!(sent_to(&did, "a2"), 0, "it is cold, and another gateway's to send to");
+    let did = tell_terms(&mut door, &[("a1", warm()), ("a2", warm())]);
+    assert!(sent_to(&did, "a2") > 0, "what is held goes there once the terms allow it");
+    assert_eq!(door.gateway.sends().without_terms, 0);
+}
+
+/// Ends all that was sent to a backend as served; how many that were.
+fn serve(door: &mut Door, actions: &[Action], name: &str) -> usize {
+    let to = |action: &Action| match action {
+        Action::Send { id, backend, .. } if &**backend == name => Some(*id),
+        _ => None,
+    };
+    let ids: Vec<RequestId> = actions.iter().filter_map(to).collect();
+    for id in &ids {
+        let next = door.end(*id, 0, &name.into(), Outcome::Served);
+        assert_eq!(sent_to(&next, name), 0, "one at a time, however many are held");
+    }
+    ids.len()
+}
+
+#[test]
+fn a_cold_backend_gets_its_rate_from_its_owner_however_much_is_held() {
+    let mut door = Door::new(mesh_settings(), &["a1", "a2"]);
+    let both = [("a1", warm()), ("a2", cold(5.0))];
+    tell_terms(&mut door, &both);
+    let (begun, mut id, mut sent) = (door.now, 0, 0);
+    while door.now < begun + 1000.0 {
+        id += 1;
+        let asked = door.ask(id, "c", PLAN, "safe");
+        sent += serve(&mut door, &asked, "a2");
+        let passed = door.pass(10.0, &[]);
+        sent += serve(&mut door, &passed, "a2");
+        // Whenever news comes, nothing begins anew.
+        let told = tell_terms(&mut door, &both);
+        sent += serve(&mut door, &told, "a2");
+    }
+    assert!((4..=6).contains(&sent), "{sent} in a second at 5 a second");
+    assert!(door.gateway.held() > 0, "requests were held all the time");
+}
