Backends and their terms are one event; a backend without terms is sent nothing

A backend that had just come back cold looked like the best choice of all, by every proxy at once. Now Event::Mesh carries both and is applied whole before anything is chosen, and once terms were told a backend without terms is sent nothing. The gateway in service is told no terms and decides as before.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -337,8 +337,9 @@
     },
     /// Accounts are counted on these counters; how each that was there is stays known.
     Counters(fennelscale_quota::Partition),
-    /// What is known of the backends beyond the list, of each that is on it, and of the gateways.
-    Mesh(MeshTerms, Vec<(Name, BackendTerms)>),
+    /// The whole list of backends, each with its terms, and what is known of the gateways. It is one event, so that nothing is
+    /// chosen between the list and the terms: from the first one on, a backend without terms is sent nothing.
+    Mesh(MeshTerms, Vec<(BackendEntry, BackendTerms)>),
     /// A class beyond those of the settings; one of a name that is there takes its place.
     Class(Class),
     /// The gateway is about to end: no more requests come.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -14,7 +14,7 @@
 use crate::check::check;
 use crate::hash::{hash, mix, unit};
 use crate::interface::*;
-use crate::mesh::{Mesh, RequestBound};
+use crate::mesh::{BackendTerms, Mesh, MeshTerms, RequestBound};
 use fennelscale_quota::{Health, Heard, Ledger, Loss, Partition, Share, Slice};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::ops::Bound;
@@ -135,15 +135,7 @@
             },
             Event::Timer { token: SWEEP_TOKEN } => self.on_sweep(out),
             Event::Timer { token } => self.on_hold_over(token / 2, out),
-            Event::Mesh(terms, backends) => {
-                self.mesh.told(self.now, terms, backends);
-                // A backend without an answer yet has the room that its slots give.
-                for (name, backend) in &mut self.backends {
-                    let room = self.mesh.room(name).filter(|_| backend.fresh());
-                    backend.room = room.unwrap_or(backend.room);
-                }
-                self.drain_queue(out);
-            }
+            Event::Mesh(terms, backends) => self.on_mesh(terms, backends, out),
             Event::Class(class) => self.on_class(class),
             Event::Ending => self.ending = true,
             Event::Counters(partition) => self.set_counters(partition),
--- a/src/logic/backend.rs
+++ b/src/logic/backend.rs
@@ -119,6 +119,26 @@
     }
 
     pub(super) fn on_list(&mut self, list: Vec<BackendEntry>, full: bool, out: &mut Vec<Action>) {
+        self.take_list(list, full);
+        self.drain_queue(out);
+    }
+
+    /// Takes list and terms whole before anything is chosen. Guards cold backends: by the list alone they look ready.
+    pub(super) fn on_mesh(
+        &mut self, terms: MeshTerms, backends: Vec<(BackendEntry, BackendTerms)>, out: &mut Vec<Action>,
+    ) {
+        let named = backends.iter().map(|(entry, terms)| (entry.name.clone(), *terms)).collect();
+        self.mesh.told(self.now, terms, named);
+        self.take_list(backends.into_iter().map(|(entry, _)| entry).collect(), true);
+        // A backend without an answer yet has the room that its slots give.
+        for (name, backend) in &mut self.backends {
+            let room = self.mesh.room(name).filter(|_| backend.fresh());
+            backend.room = room.unwrap_or(backend.room);
+        }
+        self.drain_queue(out);
+    }
+
+    fn take_list(&mut self, list: Vec<BackendEntry>, full: bool) {
         if full {
             self.backends.values_mut().for_each(|b| (b.ready, b.gone) = (false, true));
         }
@@ -135,7 +155,6 @@
             self.backends
                 .insert(name, Backend { zone, cell, ready, gone, started, out, room, ..Default::default() });
         }
-        self.drain_queue(out);
     }
 
     pub(super) fn dispatch(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -4,6 +4,8 @@
 //! - *Choice*: the answer expected first wins. What is expected of a backend is its smoothed latency, its way included,
 //!   grown by what is out there, and the price of the way in ms. Backends are shared out: each is some gateway's own, which
 //!   mostly it alone sends to, so what it has out there is all that is there. Of others' it expects that they are in use.
+//! - *Terms first*: once terms were told, a backend without terms is sent nothing. It may be cold, and another gateway's to
+//!   send to.
 //! - *Cold backends* take what this gateway was given of their rate, one by one, and nothing else.
 //! - *Repeats*: a part of the requests, and a part of the slack that all gateways share. Each gateway keeps its own:
 //!   the parts add up to no more than the whole.
@@ -99,6 +101,8 @@
 /// The part of a gateway that heeds all this.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Mesh {
+    /// Terms were told: what has none is sent nothing.
+    told: bool,
     terms: MeshTerms,
     backends: BTreeMap<Name, Known>,
     repeats: f64,
@@ -115,7 +119,7 @@
         if self.terms.retry_ratio == 0.0 {
             self.repeats = terms.retry_slack * SLACK_SHARE / terms.gateways.max(1.0);
         }
-        self.terms = terms;
+        (self.told, self.terms) = (true, terms);
         let mut before = std::mem::take(&mut self.backends);
         for (name, terms) in backends {
             let fresh = Known { terms, latency: terms.way + self.terms.usual, tokens: 1.0, at: now };
@@ -146,11 +150,11 @@
         (known.tokens + (now - known.at).max(0.0) / 1000.0 * known.terms.cold_per_s).min(1.0)
     }
 
-    /// How soon a backend's answer is expected; none where it may not be sent anything. Unknown: not told of.
+    /// How soon a backend's answer is expected; none where it may not be sent anything. Nothing where no terms were ever told.
     pub(crate) fn score(
         &self, name: &Name, out: u32, now: Millis, luck: f64, bytes: u32,
     ) -> Option<Option<f64>> {
-        let known = self.backends.get(name)?;
+        let Some(known) = self.backends.get(name) else { return self.told.then_some(None) };
         let terms = &known.terms;
         if now < terms.cold_until && (terms.cold_per_s <= 0.0 || Self::tokens(known, now) < 1.0) {
             return Some(None);
@@ -172,14 +176,13 @@
         if again {
             self.repeats -= 1.0;
         }
-        let told = !self.backends.is_empty();
         match self.backends.get_mut(name) {
             Some(known) if now < known.terms.cold_until => {
                 (known.tokens, known.at) = (Self::tokens(known, now) - 1.0, now);
                 self.sends.cold += 1;
             }
             Some(_) => self.sends.warm += 1,
-            None if told => self.sends.without_terms += 1,
+            None if self.told => self.sends.without_terms += 1,
             None => {}
         }
     }
@@ -205,7 +208,8 @@
 impl Hash for Mesh {
     fn hash<H: Hasher>(&self, state: &mut H) {
         // Counts for metrics are no part of the state that decides.
-        let Self { terms, backends, repeats, sends: _ } = self;
+        let Self { told, terms, backends, repeats, sends: _ } = self;
+        told.hash(state);
         let MeshTerms { gateways, retry_ratio, retry_slack, usual } = terms;
         [*gateways, *retry_ratio, *retry_slack, *usual, *repeats].map(f64::to_bits).hash(state);
         for (name, Known { terms, latency, tokens, at }) in backends {
--- a/system/proxy/src/services.rs
+++ b/system/proxy/src/services.rs
@@ -4,7 +4,8 @@
 use crate::speech::{Mesh, REQUEST_ID};
 use crate::trail::Trail;
 use doorcourse::{
-    BackendEntry, BackendState, Class, Effect, Event, Group, Name, Plan, Reports, SendCounts, Settings,
+    BackendEntry, BackendState, BackendTerms, Class, Effect, Event, Group, Name, Plan, Reports, SendCounts,
+    Settings,
 };
 use fennelscale_config::{Route, RouteKind};
 use fennelscale_dataplane::back::backends::{Backends, Bounds};
@@ -215,6 +216,17 @@
     }
 }
 
+/// A backend as the decisions' list has it.
+fn entry_of(known: &Known) -> BackendEntry {
+    BackendEntry {
+        name: known.backend.id.as_str().into(),
+        zone: known.backend.zone.as_str().into(),
+        cell: known.cell,
+        state: if known.ready { BackendState::Ready } else { BackendState::Draining },
+        started: None,
+    }
+}
+
 impl Service {
     /// What its backends were sent so far.
     pub fn figures(&self) -> BackendFigures {
@@ -225,26 +237,19 @@
         // Each engine has a clock of its own: it began at another moment, and the time of day may have jumped between.
         let shift = self.engine.now() - now;
         let known = held.backends(now, name);
-        let state = |ready| if ready { BackendState::Ready } else { BackendState::Draining };
-        let hosts = known.iter().filter_map(|k| {
-            let entry = BackendEntry {
-                name: k.backend.id.as_str().into(),
-                zone: k.backend.zone.as_str().into(),
-                cell: k.cell,
-                state: state(k.ready),
-                started: None,
-            };
-            Some(Host { entry, dial: k.backend.address.parse().ok()? })
+        // One whose address cannot be read is as good as not listed.
+        let known = known.iter().filter_map(|known| Some((known, known.backend.address.parse().ok()?)));
+        let hosts: Vec<Host> =
+            known.clone().map(|(known, dial)| Host { entry: entry_of(known), dial }).collect();
+        let terms = known.map(|(known, _)| {
+            let cold_until = known.terms.cold_until + shift;
+            (entry_of(known), BackendTerms { cold_until, ..known.terms })
         });
+        let event = Event::Mesh(held.mesh(ratio, slack), terms.collect());
         self.seq.set(self.seq.get() + 1);
-        let list = List { seq: self.seq.get(), whole: true, hosts: hosts.collect() };
-        // Connections first, so that nothing is sent by an older word.
-        self.backends.update(&list);
-        let terms =
-            |k: &Known| doorcourse::BackendTerms { cold_until: k.terms.cold_until + shift, ..k.terms };
-        let terms = known.iter().map(|k| (Name::from(k.backend.id.as_str()), terms(k))).collect();
-        self.engine.post(Event::BackendList(list.hosts.into_iter().map(|host| host.entry).collect()));
-        self.engine.post(Event::Mesh(held.mesh(ratio, slack), terms));
+        // Connections first, so that nothing is sent by an older list: what was chosen by one that names others is withdrawn.
+        self.backends.update(&List { seq: self.seq.get(), whole: true, hosts });
+        self.engine.post(event);
     }
 
     /// The class of a route's requests under a priority, made known to the decisions.
--- a/tests/mesh.rs
+++ b/tests/mesh.rs
@@ -32,8 +32,9 @@
 }
 
 fn tell_terms(door: &mut Door, terms: &[(&str, BackendTerms)]) -> Vec<Action> {
-    let terms = terms.iter().map(|(name, terms)| (Name::from(*name), *terms)).collect();
-    door.tell(Event::Mesh(mesh_terms(), terms))
+    let entry = |name| backend(name, BackendState::Ready, None);
+    let backends = terms.iter().map(|(name, terms)| (entry(name), *terms)).collect();
+    door.tell(Event::Mesh(mesh_terms(), backends))
 }
 
 fn sent_to(actions: &[Action], name: &str) -> usize {
