One answer 421 ends a backend at its proxy; its requests go on beside the retry budget

A 421 now has an outcome of its own: the backend is sent nothing more, what is on its way there is withdrawn, its kept connections are dropped. Each life of a backend has its own id, so a list that still names it does not bring it back.

--- a/crates/dataplane/src/back/backends.rs
+++ b/crates/dataplane/src/back/backends.rs
@@ -114,7 +114,7 @@
     Served,
     /// The request was turned away and has not run.
     Full,
-    /// The backend is another than the one that was asked for; the request has not run.
+    /// Another backend has its address by now; the request has not run.
     Elsewhere,
     /// It is none for the client; the request may have run.
     Error,
@@ -133,6 +133,8 @@
 struct Backend {
     dial: SocketAddr,
     ready: bool,
+    /// Another backend has answered at its address.
+    departed: bool,
     /// When it last answered anything.
     heard: Instant,
     /// Free connections, the one used last at the end, and since when.
@@ -144,6 +146,11 @@
 }
 
 impl Backend {
+    /// Whether anything new may be sent to it.
+    fn is_open(&self) -> bool {
+        self.ready && !self.departed
+    }
+
     /// How long a free connection to it is trusted: what it says, less the time that its word may be late, or what is usual.
     fn longest_idle(&self, usual: Duration) -> Duration {
         self.keeps.map_or(usual, |keeps| keeps.mul_f64(KEEPS_SHARE))
@@ -343,6 +350,7 @@
             let backend = known.entry(host.entry.name.clone()).or_insert_with(|| Backend {
                 dial: host.dial,
                 ready,
+                departed: false,
                 heard: Instant::now(),
                 idle: Vec::new(),
                 fault: None,
@@ -404,13 +412,20 @@
             }
         };
         let end = self.end(&life, answer, repeatable);
-        if end.outcome == Outcome::TimedOut {
-            self.doubt(name, begun);
+        match end.outcome {
+            Outcome::TimedOut => self.doubt(name, begun),
+            Outcome::Misdirected => self.departed(name),
+            _ => {}
         }
         // These say for certain that nothing is at work there any more.
         at_work.over = matches!(
             end.outcome,
-            Outcome::Served | Outcome::Error | Outcome::Full | Outcome::ConnectFailed | Outcome::NeverSent
+            Outcome::Served
+                | Outcome::Error
+                | Outcome::Full
+                | Outcome::ConnectFailed
+                | Outcome::NeverSent
+                | Outcome::Misdirected
         );
         end
     }
@@ -425,6 +440,14 @@
         }
     }
 
+    /// Another backend has its address: what is on its way there is withdrawn, and connections there are not its own.
+    fn departed(&self, name: &Name) {
+        if let Some(backend) = self.known.borrow_mut().get_mut(name) {
+            backend.departed = true;
+            backend.idle.clear();
+        }
+    }
+
     /// Asks a backend for its load, or where there are no reports for a sign of life.
     pub async fn probe(&self, name: &Name) -> End {
         let build = |dial: SocketAddr| {
@@ -529,14 +552,14 @@
 
     /// Where a backend listens that may be sent something new.
     fn dial(&self, name: &Name) -> Option<SocketAddr> {
-        self.known.borrow().get(name).filter(|b| b.ready).map(|b| b.dial)
+        self.known.borrow().get(name).filter(|b| b.is_open()).map(|b| b.dial)
     }
 
     /// A backend that may be sent something new, with a free connection that stands and may be trusted if there
     /// is one, and for how long that was idle.
     fn free_link(&self, name: &Name, wants: Wants<'_>) -> Option<(SocketAddr, Option<(Link, Duration)>)> {
         let mut known = self.known.borrow_mut();
-        let backend = known.get_mut(name).filter(|b| b.ready)?;
+        let backend = known.get_mut(name).filter(|b| b.is_open())?;
         if wants.own {
             return Some((backend.dial, None));
         }
@@ -586,7 +609,7 @@
         if let Some(backend) = known.get_mut(name).filter(|b| b.dial == dial) {
             backend.heard = Instant::now();
             backend.keeps = keeps.or(backend.keeps);
-            let keep = backend.ready && self.reuse.may_keep(backend.fault.map(|at| at.elapsed()));
+            let keep = backend.is_open() && self.reuse.may_keep(backend.fault.map(|at| at.elapsed()));
             backend.idle.extend(link.filter(|_| keep).map(|link| (link, backend.heard)));
         }
     }
@@ -616,8 +639,7 @@
         let outcome = match self.speech.verdict(&head, repeatable) {
             Verdict::Served => Outcome::Served,
             Verdict::Full => Outcome::Full,
-            // As if nobody were there: it never ran, and nothing more is sent there for now.
-            Verdict::Elsewhere => Outcome::ConnectFailed,
+            Verdict::Elsewhere => Outcome::Misdirected,
             Verdict::Error => Outcome::Error,
         };
         let report = head.headers.remove(LOAD).filter(|_| self.reports == Reports::Answers);
--- a/crates/dataplane/src/engine.rs
+++ b/crates/dataplane/src/engine.rs
@@ -158,6 +158,11 @@
         self.ends.borrow().clone()
     }
 
+    /// How many attempts ended in this way.
+    pub fn ended_as(&self, outcome: Outcome) -> u64 {
+        self.ends.borrow().get(&outcome).copied().unwrap_or_default()
+    }
+
     /// Requests that are held because no backend may be sent one.
     pub fn held(&self) -> usize {
         self.core.borrow().gateway().held()
--- a/crates/life-check/src/properties.rs
+++ b/crates/life-check/src/properties.rs
@@ -185,7 +185,10 @@
     /// An attempt has ended; `early`: nothing of it was written. If its client has left, nothing more may be begun (that alone
     /// breaks a property), so where its attempts have been matters no more; the same holds from the final answer on.
     pub(crate) fn ended(&mut self, sent: &Sent, outcome: Outcome, early: bool) {
-        let never = matches!(outcome, Outcome::ConnectFailed | Outcome::NeverSent | Outcome::Full);
+        let never = matches!(
+            outcome,
+            Outcome::ConnectFailed | Outcome::NeverSent | Outcome::Full | Outcome::Misdirected
+        );
         let of = self.of(sent.id);
         let reached = of.reached.iter().any(|r| r.number == sent.number && !r.declined);
         of.doubt |= !never;
--- a/crates/life/src/attempt.rs
+++ b/crates/life/src/attempt.rs
@@ -71,7 +71,9 @@
     pub const fn certainty(&self) -> Certainty {
         match self {
             Self::Decided | Self::Dialling | Self::Placed { .. } => Certainty::Never,
-            Self::Over(Outcome::Full | Outcome::ConnectFailed | Outcome::NeverSent) => Certainty::Never,
+            Self::Over(
+                Outcome::Full | Outcome::ConnectFailed | Outcome::NeverSent | Outcome::Misdirected,
+            ) => Certainty::Never,
             Self::Over(Outcome::Served) => Certainty::Ran,
             Self::Exchanging { .. } | Self::Over(_) => Certainty::Perhaps,
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -228,6 +228,8 @@
     CalledOff,
     /// It was never sent.
     NeverSent,
+    /// Another backend answers at its address: the one that it was for is gone. It never ran.
+    Misdirected,
 }
 
 /// How a counter call ended.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -55,6 +55,8 @@
     hold_until: Millis,
     stage: Stage,
     attempts: u32,
+    /// A backend that it was sent to had gone, and another had its address.
+    misdirected: bool,
     may_have_run: Option<(Millis, Name, u64)>, // since when, in which zone and cell
     bound: Option<Arc<RequestBound>>,
     sent_at: Millis,
--- a/src/logic/again.rs
+++ b/src/logic/again.rs
@@ -18,7 +18,11 @@
         }
         customer.open = customer.open.saturating_sub(1);
         let left = std::mem::replace(&mut request.stage, Stage::Queue) == Stage::Left;
-        let never_ran = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NeverSent);
+        let never_ran = matches!(
+            outcome,
+            Outcome::Full | Outcome::ConnectFailed | Outcome::NeverSent | Outcome::Misdirected
+        );
+        request.misdirected |= outcome == Outcome::Misdirected;
         if !never_ran && request.may_have_run.is_none() {
             let home = self.backends.get(&end.backend).map(|b| (request.sent_at, b.zone.clone(), b.cell));
             request.may_have_run = home.or(Some((request.sent_at, Name::default(), u64::MAX)));
@@ -40,7 +44,7 @@
         };
         let most = request.bound.as_ref().map_or(0, |b| b.most_attempts);
         let most = if most > 0 { most } else { self.settings.most_attempts };
-        let in_budget = request.attempts == 0 || self.mesh.may_repeat();
+        let in_budget = request.attempts == 0 || self.mesh.may_repeat(request.misdirected);
         allowed && in_budget && request.deadline - self.now > last && request.attempts < most
     }
 }
--- a/src/logic/backend.rs
+++ b/src/logic/backend.rs
@@ -44,6 +44,8 @@
     pub(super) cell: u64,
     pub(super) ready: bool,
     pub(super) gone: bool,
+    /// Its address has answered for another backend: it never comes back, whatever the list says.
+    pub(super) departed: bool,
     pub(super) started: Option<Millis>,
     pub(super) out: u32,
     /// How many this gateway keeps out here at most.
@@ -56,6 +58,11 @@
 }
 
 impl Backend {
+    /// Whether it may be sent anything new.
+    pub(super) fn usable(&self) -> bool {
+        self.ready && !self.departed
+    }
+
     /// Whether no answer has told anything of it.
     pub(super) fn fresh(&self) -> bool {
         !self.heard
@@ -187,7 +194,7 @@
     }
 
     pub(super) fn room(&self) -> f64 {
-        self.backends.values().filter(|b| b.ready).map(|b| b.room).sum()
+        self.backends.values().filter(|b| b.usable()).map(|b| b.room).sum()
     }
 
     /// The backend that should answer first: the one with the fewest requests of this gateway, near if equal.
@@ -201,7 +208,7 @@
         if out >= self.room().max(1.0) {
             return None;
         }
-        let ready = self.backends.values().filter(|b| b.ready).count().max(1) as f64;
+        let ready = self.backends.values().filter(|b| b.usable()).count().max(1) as f64;
         let (salt, own) = (self.random, mix(u64::from(self.settings.number) + 1));
         let far = 1.0 + self.settings.price_cross_zone * ZONE_BIAS;
         let (many, cold_share) = (self.many(), COLD_MULTIPLE * self.take());
@@ -217,7 +224,7 @@
             // Guards cold backends with no agreement: by chance their share of an even part, from the start.
             let cold = warmth < 1.0 && luck * ready >= warmth * cold_share;
             let barred = bound.is_some_and(|b| !b.cells.is_empty() && !b.cells.contains(&cell));
-            if !backend.ready || !in_group || full || cold || barred || self.now < backend.eject_until {
+            if !backend.usable() || !in_group || full || cold || barred || self.now < backend.eject_until {
                 continue;
             }
             let expected = self.mesh.score(name, backend.out, self.now, luck, bytes);
@@ -240,6 +247,15 @@
         chosen
     }
 
+    /// Guards requests against the list, which names a backend for seconds after its address has gone to another: each would be
+    /// sent there in vain, by every gateway. Each life of a backend has a name of its own, so nothing is lost by it.
+    fn depart(&mut self, name: &Name, out: &mut Vec<Action>) {
+        let Some(backend) = self.backends.get_mut(name) else { return };
+        if !std::mem::replace(&mut backend.departed, true) {
+            out.push(Action::Log(format!("backend {name} gone: another has its address")));
+        }
+    }
+
     pub(super) fn on_backend(&mut self, end: &AttemptEnd, out: &mut Vec<Action>) {
         let (now, name, latency) = (self.now, &end.backend, end.latency);
         let Some(backend) = self.backends.get_mut(name) else { return };
@@ -259,6 +275,7 @@
                 latency > self.settings.classes[class].aim * ROOM_SHARE
             }
             Outcome::Error | Outcome::NeverSent | Outcome::CalledOff => return,
+            Outcome::Misdirected => return self.depart(name, out),
             Outcome::Full => true,
             // A client with little time left proves nothing of the fleet.
             _ => latency > *usual * LATE_LATENCIES,
--- a/src/logic/view.rs
+++ b/src/logic/view.rs
@@ -106,8 +106,9 @@
 
 impl Hash for Backend {
     fn hash<H: Hasher>(&self, state: &mut H) {
-        let Self { zone, cell, ready, gone, started, out, room, failures, told, heard, eject_until } = self;
-        (zone, cell, ready, gone, out, failures, told, heard).hash(state);
+        let Self { zone, cell, ready, gone, departed, started, out, room, .. } = self;
+        let Self { failures, told, heard, eject_until, .. } = self;
+        (zone, cell, ready, gone, departed, out, failures, told, heard).hash(state);
         maybe(state, *started);
         floats(state, &[*room, *eject_until]);
     }
@@ -163,11 +164,12 @@
             hold_until,
             stage,
             attempts,
+            misdirected,
             may_have_run,
             bound,
             sent_at,
         } = self;
-        (customer, plan, class, blind, repeat, *stage as u8, attempts, bound).hash(state);
+        (customer, plan, class, blind, repeat, *stage as u8, attempts, misdirected, bound).hash(state);
         floats(state, &[*units, *arrived, *deadline, *hold_until, *sent_at]);
         let run = may_have_run.as_ref();
         run.map(|(_, zone, cell)| (zone, cell)).hash(state);
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -31,8 +31,10 @@
 const BUSY: f64 = 0.2;
 /// Of the ratio that rules allow for repeats so much is used: what one gateway counts comes late at another's window.
 const RATIO_SHARE: f64 = 0.75;
-/// Of the slack that all gateways share so much is handed out.
+/// Of the slack that all gateways share so much is handed out, and so much more for requests that met an address that has changed
+/// hands: these never ran, but their arrival may count as any other.
 const SLACK_SHARE: f64 = 0.6;
+const MISDIRECTED_SHARE: f64 = 0.3;
 
 /// What is known of one backend.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -199,9 +201,11 @@
         self.repeats = (self.repeats + self.terms.retry_ratio * RATIO_SHARE).min(most.max(1.0));
     }
 
-    /// Whether a request may be sent once more.
-    pub(crate) fn may_repeat(&self) -> bool {
-        self.terms.retry_ratio <= 0.0 || self.repeats >= 1.0
+    /// Whether a request may be sent once more. One that was `misdirected` draws on a part that others leave.
+    pub(crate) fn may_repeat(&self, misdirected: bool) -> bool {
+        let kept = self.terms.retry_slack * MISDIRECTED_SHARE / self.terms.gateways.max(1.0);
+        let reserve = if misdirected { kept } else { 0.0 };
+        self.terms.retry_ratio <= 0.0 || self.repeats + reserve >= 1.0
     }
 }
 
--- a/system/proxy/src/metrics.rs
+++ b/system/proxy/src/metrics.rs
@@ -47,7 +47,6 @@
     registry: Registry,
     sends: Family<SendLabels, Counter>,
     ends: Family<EndLabels, Counter>,
-    misdirected: Family<ServiceLabel, Counter>,
     held: Family<ServiceLabel, Gauge>,
     listing: Gauge,
     members: Gauge,
@@ -56,8 +55,8 @@
 impl Default for Metrics {
     fn default() -> Self {
         let mut registry = Registry::with_prefix("fennelscale_proxy");
-        let (sends, ends, misdirected) =
-            (Family::default(), Family::default(), Family::<ServiceLabel, Counter>::default());
+        let (sends, ends) =
+            (Family::<SendLabels, Counter>::default(), Family::<EndLabels, Counter>::default());
         let (held, listing, members) =
             (Family::<ServiceLabel, Gauge>::default(), Gauge::default(), Gauge::default());
         registry.register(
@@ -66,15 +65,10 @@
             sends.clone(),
         );
         registry.register("attempt_ends", "Attempts that ended, by outcome", ends.clone());
-        registry.register(
-            "misdirected",
-            "Answers 421: another backend listens at the address",
-            misdirected.clone(),
-        );
         registry.register("held_requests", "Requests held because no backend may be sent one", held.clone());
         registry.register("listing_stamp", "Number of the list of backends that is in use", listing.clone());
         registry.register("members_ready", "Proxies that are known and take clients", members.clone());
-        Self { registry, sends, ends, misdirected, held, listing, members }
+        Self { registry, sends, ends, held, listing, members }
     }
 }
 
@@ -96,8 +90,7 @@
 
     fn read_service(&self, name: &str, service: &Service) {
         let label = ServiceLabel { service: name.to_owned() };
-        let figures = service.figures();
-        let sends = figures.sends;
+        let sends = service.figures().sends;
         for (backend_state, count) in
             [("warm", sends.warm), ("cold", sends.cold), ("without_terms", sends.without_terms)]
         {
@@ -108,7 +101,6 @@
             let labels = EndLabels { service: name.to_owned(), outcome: outcome_name(outcome) };
             self.ends.get_or_create(&labels).inner().store(count, Ordering::Relaxed);
         }
-        self.misdirected.get_or_create(&label).inner().store(figures.misdirected, Ordering::Relaxed);
         self.held.get_or_create(&label).set(service.engine.held() as i64);
     }
 }
@@ -123,6 +115,7 @@
         Outcome::Broken => "broken",
         Outcome::CalledOff => "called_off",
         Outcome::NeverSent => "never_sent",
+        Outcome::Misdirected => "misdirected",
     }
 }
 
--- a/system/proxy/src/services.rs
+++ b/system/proxy/src/services.rs
@@ -4,8 +4,8 @@
 use crate::speech::{Mesh, REQUEST_ID};
 use crate::trail::Trail;
 use doorcourse::{
-    BackendEntry, BackendState, BackendTerms, Class, Effect, Event, Group, Name, Plan, Reports, SendCounts,
-    Settings,
+    BackendEntry, BackendState, BackendTerms, Class, Effect, Event, Group, Name, Outcome, Plan, Reports,
+    SendCounts, Settings,
 };
 use fennelscale_config::{Route, RouteKind};
 use fennelscale_dataplane::back::backends::{Backends, Bounds};
@@ -43,7 +43,6 @@
     backends: Rc<Backends>,
     classes: RefCell<HashSet<String>>,
     seq: Cell<u64>,
-    misdirected: Rc<Cell<u64>>,
     reported: Cell<BackendFigures>,
 }
 
@@ -159,9 +158,7 @@
         let identity = IdentityRule { header: REQUEST_ID.as_str().to_owned(), required: true };
         let reuse = Reuse::new(&Upstream { identity: Some(identity), ..Upstream::default() });
         let most_open = (self.connections / parts).max(16);
-        let misdirected = Rc::<Cell<u64>>::default();
-        let mesh =
-            Mesh { health, trail: self.trail.clone(), born: self.born, misdirected: misdirected.clone() };
+        let mesh = Mesh { health, trail: self.trail.clone(), born: self.born };
         let bounds = Bounds { most_open, largest_body: LARGEST, answer: ANSWER };
         let backends = Backends::new(CONNECT, IDLE, Reports::None, reuse, Rc::new(mesh), bounds);
         let seed = self.seed.get();
@@ -180,7 +177,6 @@
             backends,
             classes: RefCell::default(),
             seq: Cell::new(0),
-            misdirected,
             reported: Cell::default(),
         }))
     }
@@ -230,7 +226,7 @@
 impl Service {
     /// What its backends were sent so far.
     pub fn figures(&self) -> BackendFigures {
-        BackendFigures { sends: self.engine.sends(), misdirected: self.misdirected.get() }
+        BackendFigures { sends: self.engine.sends(), misdirected: self.engine.ended_as(Outcome::Misdirected) }
     }
 
     fn tell(&self, now: f64, held: &mut Held, name: &str, (ratio, slack): (f64, f64)) {
--- a/system/proxy/src/speech.rs
+++ b/system/proxy/src/speech.rs
@@ -7,7 +7,7 @@
 use hyper::http::request::Builder;
 use hyper::http::response;
 use hyper::{Request, StatusCode};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -33,8 +33,6 @@
     pub trail: Rc<RefCell<Trail>>,
     /// The trail's clock began then.
     pub born: Instant,
-    /// Answers that said that another backend listens there by now (421).
-    pub misdirected: Rc<Cell<u64>>,
 }
 
 impl Speech for Mesh {
@@ -56,9 +54,6 @@
 
     fn verdict(&self, head: &response::Parts, repeatable: bool) -> Verdict {
         let verdict = verdict(head, repeatable);
-        if verdict == Verdict::Elsewhere {
-            self.misdirected.set(self.misdirected.get() + 1);
-        }
         if let Some(id) = head.headers.get(REQUEST_ID) {
             let what = match verdict {
                 Verdict::Elsewhere => "not-it",
--- a/system/proxy/tests/helper/mod.rs
+++ b/system/proxy/tests/helper/mod.rs
@@ -43,12 +43,13 @@
 const FRONTEND_PORT: u16 = 12;
 const READINESS_PORT: u16 = 13;
 const METRICS_PORT: u16 = 14;
-/// The registry's machine as the author of lists.
-const SERVICE: &str = "s";
+/// The service of the routes under `/`, and that of those under `/other/`.
+pub const SERVICE: &str = "s";
+pub const OTHER_SERVICE: &str = "t";
 const HOST: &str = "music.example";
 
-/// The first configuration: one service whose requests may be held for long.
-const CONFIG: &str = r#"{"upsert":{"tenants":[],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000,"headerTimeout":"3s","idleTimeout":"15s","revision":"00000001"},"listeners":[{"hostname":"music.example","policy":[{"name":"all","routeType":"non_idempotent","targetLatency":"100s","priority":1,"public":true,"revision":"00000001","matchCriteria":{"pathPrefix":"/"},"action":{"service":"s","timeout":"100s","maxAttempts":2,"allowedRegions":[]}}]}],"backendPools":[{"name":"s","healthCheckPath":"/health","maxConnections":50,"coldStart":"60s","coldPerS":5,"revision":"00000001"}]},"remove":{"routes":[]}}"#;
+/// The first configuration: two services whose requests may be held for long.
+const CONFIG: &str = r#"{"upsert":{"tenants":[],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000,"headerTimeout":"3s","idleTimeout":"15s","revision":"00000001"},"listeners":[{"hostname":"music.example","policy":[{"name":"all","routeType":"non_idempotent","targetLatency":"100s","priority":1,"public":true,"revision":"00000001","matchCriteria":{"pathPrefix":"/"},"action":{"service":"s","timeout":"100s","maxAttempts":2,"allowedRegions":[]}},{"name":"other","routeType":"non_idempotent","targetLatency":"100s","priority":1,"public":true,"revision":"00000001","matchCriteria":{"pathPrefix":"/other/"},"action":{"service":"t","timeout":"100s","maxAttempts":2,"allowedRegions":[]}}]}],"backendPools":[{"name":"t","healthCheckPath":"/health","maxConnections":50,"coldStart":"60s","coldPerS":5,"revision":"00000001"},{"name":"s","healthCheckPath":"/health","maxConnections":50,"coldStart":"60s","coldPerS":5,"revision":"00000001"}]},"remove":{"routes":[]}}"#;
 
 /// Runs a test on one thread, as the programs run.
 pub fn run(test: impl Future<Output = ()>) {
@@ -106,20 +107,22 @@
         stand_in
     }
 
-    /// Sends requests, each on a connection of its own; each task ends with the status that came.
-    pub fn ask_many(&self, count: usize) -> Vec<JoinHandle<u16>> {
+    /// Sends a request on a connection of its own; its task ends with the status that came.
+    pub fn ask(&self, path: &str) -> JoinHandle<u16> {
         let frontend = self.at(PROXY, FRONTEND_PORT);
-        let ask = |_| {
-            let number = self.next_request.get();
-            self.next_request.set(number + 1);
-            let request = Request::post("/take")
-                .header("Host", HOST)
-                .header("Fennelscale-Request-Id", format!("{number:016x}"))
-                .header("Fennelscale-Deadline-Ms", "100000");
-            let request = request.body(Full::new(Bytes::from_static(b"body"))).expect("a request");
-            spawn_local(async move { exchange(frontend, request).await.map_or(0, |(status, _)| status) })
-        };
-        (0..count).map(ask).collect()
+        let number = self.next_request.get();
+        self.next_request.set(number + 1);
+        let request = Request::post(path)
+            .header("Host", HOST)
+            .header("Fennelscale-Request-Id", format!("{number:016x}"))
+            .header("Fennelscale-Deadline-Ms", "100000");
+        let request = request.body(Full::new(Bytes::from_static(b"body"))).expect("a request");
+        spawn_local(async move { exchange(frontend, request).await.map_or(0, |(status, _)| status) })
+    }
+
+    /// Sends so many requests at once.
+    pub fn ask_many(&self, count: usize) -> Vec<JoinHandle<u16>> {
+        (0..count).map(|_| self.ask("/take")).collect()
     }
 
     fn settings(&self) -> Settings {
@@ -245,9 +248,14 @@
 
 /// A backend as the list names it.
 pub fn listed(id: &str, stand_in: &StandIn, zone: &str, cold_ms: u32) -> Backend {
+    listed_for(SERVICE, id, stand_in, zone, cold_ms)
+}
+
+/// The same of a service by name.
+pub fn listed_for(service: &str, id: &str, stand_in: &StandIn, zone: &str, cold_ms: u32) -> Backend {
     Backend {
         id: id.to_owned(),
-        service: SERVICE.to_owned(),
+        service: service.to_owned(),
         address: stand_in.at.to_string(),
         zone: zone.to_owned(),
         slots: 2,
--- a/tests/mesh.rs
+++ b/tests/mesh.rs
@@ -42,6 +42,14 @@
     actions.iter().filter(to).count()
 }
 
+/// Where the first request of these was sent.
+fn send_of(actions: &[Action]) -> Option<Name> {
+    actions.iter().find_map(|action| match action {
+        Action::Send { backend, .. } => Some(backend.clone()),
+        _ => None,
+    })
+}
+
 /// A gateway whose only backend `a1` is full, with requests held.
 fn overloaded() -> Door {
     let mut door = Door::new(mesh_settings(), &["a1"]);
@@ -98,3 +106,46 @@
     assert!((4..=6).contains(&sent), "{sent} in a second at 5 a second");
     assert!(door.gateway.held() > 0, "requests were held all the time");
 }
+
+#[test]
+fn one_answer_for_another_ends_a_backend_whatever_the_list_says() {
+    let mut door = Door::new(mesh_settings(), &[]);
+    // The far one is chosen only where the near one is not.
+    let both = [("a1", warm()), ("a2", BackendTerms { own: false, way: 120.0, price: 500.0, ..warm() })];
+    tell_terms(&mut door, &both);
+    assert_eq!(sent_to(&door.ask(1, "c", PLAN, "unsafe"), "a1"), 1);
+    let next = door.end(1, 0, &"a1".into(), Outcome::Misdirected);
+    assert_eq!(sent_to(&next, "a2"), 1, "it never ran: another is tried at once");
+    door.end(1, 1, &"a2".into(), Outcome::Served);
+    for id in 2..=20 {
+        tell_terms(&mut door, &both);
+        assert_eq!(sent_to(&door.ask(id, "c", PLAN, "unsafe"), "a2"), 1);
+        door.end(id, 0, &"a2".into(), Outcome::Served);
+    }
+}
+
+#[test]
+fn misdirected_requests_go_on_when_other_repeats_are_used_up_but_not_without_bound() {
+    // Two dozen backends that are all gone, and a small budget: 0.6 of 10, and 0.3 of it beyond.
+    let names: Vec<String> = (0..24).map(|n| format!("a{n}")).collect();
+    let terms: Vec<(&str, BackendTerms)> = names.iter().map(|name| (name.as_str(), warm())).collect();
+    let repeats_after = |outcome| {
+        let mut door = Door::new(mesh_settings(), &[]);
+        let mesh = MeshTerms { retry_ratio: 1e-6, retry_slack: 10.0, ..mesh_terms() };
+        let entry = |name| backend(name, BackendState::Ready, None);
+        let backends = terms.iter().map(|(name, terms)| (entry(name), *terms)).collect();
+        door.tell(Event::Mesh(mesh, backends));
+        let mut repeats = 0;
+        for id in 1..=20 {
+            let did = door.ask(id, "c", PLAN, "unsafe");
+            let first = send_of(&did).expect("a first try costs no budget");
+            let next = door.end(id, 0, &first, outcome);
+            let Some(second) = send_of(&next) else { continue };
+            repeats += 1;
+            door.end(id, 1, &second, Outcome::Served);
+        }
+        repeats
+    };
+    assert_eq!(repeats_after(Outcome::Full), 6);
+    assert_eq!(repeats_after(Outcome::Misdirected), 9);
+}
