A zone taken back is cold until a later list says how it is; one owner for each cold backend

Now they count as cold until a list came that was read later by the lag, and without one for the service's coldStart; the registry tells such a list once, also where it says the same. A proxy that missed the evacuation heeds its end. - Members and backends come apart: after the whole core has started again the first lists of members are short, and several proxies took one backend for theirs. One that is missing from a list, or has just started, holds its place for 3 s (cold_owner). - In a session and between proxies the members come first and the list last: with it a proxy is ready.

--- a/system/membership/src/lib.rs
+++ b/system/membership/src/lib.rs
@@ -50,6 +50,10 @@
 /// ... and this often by each who knows of nobody that has it.
 pub const READ_ALONE: Millis = 2000.0;
 
+/// A list that was read so long after a zone was taken back shows which of its backends are cold: it is told also where it says
+/// the same as the one before. Longer than the platform's usual lag, and the way of its answer.
+pub const RETURNED: Millis = 1600.0;
+
 /// A registry that has heard of no list for so long after its start reads one itself.
 pub const NO_LIST: Millis = 250.0;
 
@@ -125,8 +129,11 @@
     read_at: Millis,
     /// The registries that were heard when proxies were told last.
     told_heard: Vec<Host>,
-    /// The newest list that was here when the reading under way began.
+    /// The newest list that was here when the reading under way began, and when it began.
     read_from: (u64, Host),
+    read_began: Millis,
+    /// A list that is read from then on is told in any case: a zone was taken back.
+    tell_list_from: Option<Millis>,
     beat_at: Millis,
     number: u64,
     /// How many proxies there were, by the store, and since when that has not been so.
@@ -168,6 +175,8 @@
             read_at: now,
             told_heard: Vec::new(),
             read_from: (0, Host::default()),
+            read_began: now,
+            tell_list_from: None,
             beat_at: now,
             number: 0,
             noted: 0.0,
@@ -445,7 +454,7 @@
         let none = self.listing.stamp.0 == 0 && now - self.born > NO_LIST;
         if holds || alone || none {
             self.read_at = now + if holds { READ } else { READ_ALONE };
-            self.read_from = self.listing.stamp;
+            (self.read_from, self.read_began) = (self.listing.stamp, now);
             self.out.push(Out::ReadList);
         }
     }
@@ -461,7 +470,9 @@
             self.read_at = now + READ / 2.0;
             return;
         };
-        if news::alike(&self.listing.backends, &backends) && self.highest <= self.listing.stamp.0 {
+        let awaited = self.tell_list_from.is_some_and(|from| self.read_began >= from);
+        let alike = news::alike(&self.listing.backends, &backends) && self.highest <= self.listing.stamp.0;
+        if alike && !awaited {
             return;
         }
         let stamp = (self.listing.stamp.0.max(self.highest) + 1, self.me);
@@ -482,6 +493,8 @@
             format!("stamp={} backends={}", listing.stamp.0, listing.backends.len()),
         ));
         self.note_listing(now, &listing);
+        // Whoever read it waits for the same.
+        self.tell_list_from = self.tell_list_from.filter(|from| now < *from);
         self.listing = listing;
         self.tell(&Rc::new(Down::Listing(self.listing.clone())));
     }
--- a/system/membership/src/news.rs
+++ b/system/membership/src/news.rs
@@ -62,7 +62,10 @@
     fn note_item(&mut self, now: Millis, name: &str, entry: &Entry) {
         let (kind, what) = match (name.strip_prefix("e:"), entry.body.is_some()) {
             (Some(zone), true) => (Kind::ZoneEvacuated, zone),
-            (Some(zone), false) => (Kind::ZoneBack, zone),
+            (Some(zone), false) => {
+                self.tell_list_from = Some(now + crate::RETURNED);
+                (Kind::ZoneBack, zone)
+            }
             (None, true) => (Kind::ItemChosen, name),
             (None, false) => (Kind::ItemDropped, name),
         };
@@ -134,7 +137,8 @@
         if let Down::Members(_, count) = &members {
             self.members.tells(now, *count);
         }
-        let words = [self.registries(now), self.whole(), Down::Listing(self.listing.clone()), members];
+        // The list last: with it a proxy is ready, and by then it knows with whom it shares the backends.
+        let words = [self.registries(now), members, self.whole(), Down::Listing(self.listing.clone())];
         self.out.extend(words.into_iter().map(|word| Out::Down(host, Rc::new(word))));
         // Others hear of it at once.
         self.beat_at = now;
--- a/system/membership/tests/registries.rs
+++ b/system/membership/tests/registries.rs
@@ -4,8 +4,9 @@
 mod nights;
 mod world;
 
-use fennelscale_membership::{BEAT, SILENT, duties};
+use fennelscale_membership::{BEAT, READ, RETURNED, SILENT, duties};
 use fennelscale_messages::Host;
+use fennelscale_messages::depot::{Entry, Stamp};
 use fennelscale_messages::news::{CONTACT_LEASE, Down, Listing, Member, Up};
 use fennelscale_messages::round::Word;
 use std::collections::BTreeSet;
@@ -119,6 +120,27 @@
     assert_eq!(*world.nodes[0].as_ref().unwrap().listing(), newest);
 }
 
+/// Proxies take the backends of a zone that was taken back for cold until a list that was read later says how they are.
+#[test]
+fn after_a_zone_was_taken_back_a_list_is_told_once_more_though_it_says_the_same() {
+    let mut world = World::new(2, 6);
+    world.run(9000.0);
+    let stamp = |world: &World| world.nodes[0].as_ref().unwrap().listing().stamp.0;
+    let before = stamp(&world);
+    world.run(3000.0);
+    assert_eq!(stamp(&world), before, "nothing has changed");
+    let dropped = Entry { stamp: Stamp { turn: 7, ..Stamp::default() }, revision: 2, ..Entry::default() };
+    for n in 0..6 {
+        world.with(n, |round, now| round.items(now, false, vec![("e:z1".into(), dropped.clone())]));
+    }
+    world.run(RETURNED);
+    assert_eq!(stamp(&world), before, "what is read too early may be older");
+    world.run(2.0 * READ + 500.0);
+    assert_eq!(stamp(&world), before + 1);
+    world.run(3.0 * READ);
+    assert_eq!(stamp(&world), before + 1, "once is enough");
+}
+
 /// A reader stood still while it read, and another registry has read since: its reading is old, though it would get a higher number.
 #[test]
 fn a_reading_of_the_list_that_was_overtaken_is_not_told() {
--- a/system/proxy/src/beside.rs
+++ b/system/proxy/src/beside.rs
@@ -57,11 +57,12 @@
         if !entries.is_empty() || listing.is_some() {
             tracing::info!(event = "news-beside", items = entries.len(), listing = listing.is_some());
         }
+        // As in a session: the members first, the list last.
+        proxy.news(Down::Members(members, gateways));
         proxy.news(Down::Items { whole: false, fresh: false, entries });
         if let Some(listing) = listing {
             proxy.news(Down::Listing(listing));
         }
-        proxy.news(Down::Members(members, gateways));
     }
 }
 
--- /dev/null
+++ b/system/proxy/src/cold_owner.rs
@@ -0,0 +1,147 @@
+//! Which proxy sends to a cold backend: one alone, also while proxies know different lists of each other.
+//!
+//! # What holds
+//!
+//! - Each cold backend has one owner: a proxy of its zone, else of its region, else any, by the highest draw. Proxies that know the
+//!   same members name the same one.
+//! - A list of members is told apart from the list of backends, and the registries learn of each other's sessions one by one: after
+//!   the whole core has started again the first lists are short. So a proxy that is missing from a list, or not ready by it, is the
+//!   owner of its backends for another [`GRACE`]: nobody takes over what another may still send to.
+//! - A proxy that has just started has no longer list to go by: it owns nothing until [`GRACE`] after its first list of members.
+//!
+//! Beside it two proxies may be owners for the time that a list takes to reach the second one; the rate that an owner uses bears
+//! that.
+
+use fennelscale_messages::Host;
+use fennelscale_messages::news::{Backend, Member};
+use std::collections::BTreeMap;
+
+/// For so long a proxy that is no longer named may still be an owner, in ms: registries that start again hear of all sessions within
+/// two beats of theirs, after proxies found them: silence of 1.5 s at the longest, and a moment.
+pub const GRACE: f64 = 3000.0;
+
+#[derive(Clone, Debug)]
+struct Candidate {
+    member: Member,
+    /// Since when it is not named, or not ready.
+    missing: Option<f64>,
+}
+
+/// The proxies that may own cold backends.
+#[derive(Clone, Debug, Default)]
+pub struct ColdOwners {
+    candidates: BTreeMap<Host, Candidate>,
+    /// When this life was told members first.
+    told_first: Option<f64>,
+}
+
+impl ColdOwners {
+    /// All members, as they are told at this moment.
+    pub fn tell_members(&mut self, now: f64, members: &[Member]) {
+        self.told_first.get_or_insert(now);
+        for candidate in self.candidates.values_mut() {
+            candidate.missing.get_or_insert(now);
+        }
+        for member in members.iter().filter(|member| member.ready) {
+            self.candidates.insert(member.host, Candidate { member: member.clone(), missing: None });
+        }
+        self.candidates.retain(|_, candidate| candidate.missing.is_none_or(|since| now - since < GRACE));
+    }
+
+    /// Whether a proxy owns a backend now. `region_of` is the region of a zone.
+    pub fn owns<'a>(
+        &self, now: f64, proxy: Host, backend: &Backend, region_of: impl Fn(&str) -> &'a str,
+    ) -> bool {
+        let settled = self.told_first.is_some_and(|first| now - first >= GRACE);
+        settled && self.owner(now, backend, region_of(&backend.zone)) == Some(proxy)
+    }
+
+    /// Whether time alone may make another proxy an owner, or has done so within `slack` ms.
+    pub fn changes(&self, now: f64, slack: f64) -> bool {
+        let recent = |since: f64| now - since < GRACE + slack;
+        self.told_first.is_some_and(recent)
+            || self.candidates.values().filter_map(|candidate| candidate.missing).any(recent)
+    }
+
+    fn owner(&self, now: f64, backend: &Backend, region: &str) -> Option<Host> {
+        let may_own = |candidate: &&Candidate| candidate.missing.is_none_or(|since| now - since < GRACE);
+        let members: Vec<&Member> =
+            self.candidates.values().filter(may_own).map(|candidate| &candidate.member).collect();
+        let in_zone = members.iter().filter(|member| member.zone == backend.zone);
+        let in_region = members.iter().filter(|member| member.region == region);
+        let draw = |host: &Host| {
+            fennelscale_messages::mix(fennelscale_messages::hash(backend.id.as_bytes()) ^ u64::from(host.0))
+        };
+        let of = |hosts: Vec<Host>| hosts.into_iter().max_by_key(draw);
+        of(in_zone.map(|member| member.host).collect())
+            .or_else(|| of(in_region.map(|member| member.host).collect()))
+            .or_else(|| of(members.iter().map(|member| member.host).collect()))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SECOND: f64 = 1000.0;
+
+    fn member(host: u32, zone: &str, ready: bool) -> Member {
+        let (zone, region) = (zone.to_owned(), "r".to_owned());
+        Member { host: Host(host), life: 1, zone, region, port: 1, ready, quiet: Vec::new() }
+    }
+
+    fn backend(id: &str) -> Backend {
+        Backend {
+            id: id.to_owned(),
+            service: "s".into(),
+            address: "10.0.0.1:1".into(),
+            zone: "a".into(),
+            slots: 2,
+            draining: false,
+            cold_ms: 1,
+        }
+    }
+
+    fn owned(owners: &ColdOwners, now: f64, proxy: u32) -> usize {
+        let ids = (0..100).map(|n| format!("i-{n}"));
+        ids.filter(|id| owners.owns(now, Host(proxy), &backend(id), |_| "r")).count()
+    }
+
+    #[test]
+    fn proxies_of_the_zone_share_its_backends_and_others_own_none() {
+        let mut owners = ColdOwners::default();
+        owners.tell_members(0.0, &[member(1, "a", true), member(2, "a", true), member(3, "b", true)]);
+        let all = [1, 2, 3].map(|proxy| owned(&owners, GRACE, proxy));
+        assert!(all[0] > 30 && all[1] > 30 && all[0] + all[1] == 100 && all[2] == 0, "{all:?}");
+    }
+
+    #[test]
+    fn a_proxy_that_has_just_started_owns_nothing_yet() {
+        let mut owners = ColdOwners::default();
+        assert_eq!(owned(&owners, 0.0, 1), 0);
+        owners.tell_members(0.0, &[member(1, "a", true)]);
+        owners.tell_members(GRACE - 1.0, &[member(1, "a", true)]);
+        assert_eq!([GRACE - 1.0, GRACE].map(|now| owned(&owners, now, 1)), [0, 100]);
+    }
+
+    #[test]
+    fn nobody_takes_over_from_one_that_may_still_send() {
+        let mut owners = ColdOwners::default();
+        let both = |ready| [member(1, "a", true), member(2, "a", ready)];
+        owners.tell_members(0.0, &both(true));
+        let (now, before) = (2.0 * GRACE, owned(&owners, 2.0 * GRACE, 1));
+        // It is missing, or not ready; a shorter list later does not begin the time anew.
+        for list in [vec![member(1, "a", true)], both(false).to_vec()] {
+            let mut owners = owners.clone();
+            owners.tell_members(now, &list);
+            assert!(owners.changes(now + SECOND, SECOND));
+            owners.tell_members(now + SECOND, &list);
+            let [early, late] = [now + GRACE - 1.0, now + GRACE].map(|now| owned(&owners, now, 1));
+            assert_eq!((early, late), (before, 100));
+            assert!(!owners.changes(now + GRACE + SECOND, SECOND));
+        }
+        owners.tell_members(now, &[member(1, "a", true)]);
+        owners.tell_members(now + SECOND, &both(true));
+        assert_eq!(owned(&owners, now + GRACE, 1), before, "it is there again");
+    }
+}
--- a/system/proxy/src/held.rs
+++ b/system/proxy/src/held.rs
@@ -1,6 +1,7 @@
 //! What this proxy holds of the system's news: items and the table made of them, the list of backends, the members.
 //! No I/O and no clock of its own: it is told the time.
 
+use crate::cold_owner::ColdOwners;
 use fennelscale_config::{Copied, Table, fact};
 use fennelscale_maintenance::clock::Span;
 use fennelscale_maintenance::night::Drain;
@@ -12,8 +13,12 @@
 
 /// Of a cold backend's rate so much is used: two proxies that both think it theirs stay within the rule.
 const COLD_SHARE: f64 = 0.75;
-/// A zone that was taken back counts as cold for this many ms beyond the platform's lag, until the list says how it is.
+/// A node that goes back counts as cold for at least this many ms beyond the platform's lag.
 const BACK_COLD: f64 = 1500.0;
+/// From a reading of the platform's list until proxies have it, in ms: between regions twice, and some.
+const LIST_WAY: f64 = 400.0;
+/// What runs out by itself is brought up to date this often, in ms.
+pub const UPDATE: f64 = 250.0;
 /// What a way costs, as ms that an answer may come later: between zones, between regions.
 const ZONE_PRICE: f64 = 12.0;
 const REGION_PRICE: f64 = 220.0;
@@ -54,6 +59,15 @@
     pub terms: doorcourse::BackendTerms,
 }
 
+/// A node that went back.
+#[derive(Clone, Copy, Debug)]
+struct Returned {
+    /// When that was heard.
+    heard: f64,
+    /// It was evacuated: its backends may have turned cold just before. Of a work order's node only the list says so.
+    evacuated: bool,
+}
+
 /// All news.
 #[derive(Debug)]
 pub struct Held {
@@ -66,14 +80,16 @@
     listed: f64,
     /// Backends that were seen to drain: they never take anything again.
     drained: BTreeSet<String>,
-    /// Nodes that went back, and until when their backends count as cold.
-    back: BTreeMap<Node, f64>,
+    /// Nodes that went back and whose backends may count as cold.
+    back: BTreeMap<Node, Returned>,
     /// Nodes that work orders have drained and that are heeded now, ...
     out: BTreeSet<Node>,
     /// ... until the hours end by this: true time, and the own time when it was heard.
     time: Option<(f64, Span)>,
     /// All proxies, and how many there are for shares.
     pub members: Vec<Member>,
+    /// Who sends to cold backends.
+    owners: ColdOwners,
     /// How many proxies there are for shares.
     pub gateways: f64,
     /// A quorum has vouched for the items in this life.
@@ -94,6 +110,7 @@
             out: BTreeSet::new(),
             time: None,
             members: Vec::new(),
+            owners: ColdOwners::default(),
             // Until somebody knows: no part of anything.
             gateways: f64::INFINITY,
             fresh: false,
@@ -121,7 +138,8 @@
     }
 
     /// All proxies, and how many there are for shares; 0 where nobody knows: what was known before holds.
-    pub fn tell_members(&mut self, members: Vec<Member>, gateways: u32) {
+    pub fn tell_members(&mut self, now: f64, members: Vec<Member>, gateways: u32) {
+        self.owners.tell_members(now, &members);
         self.members = members;
         if gateways > 0 {
             self.gateways = f64::from(gateways);
@@ -146,11 +164,12 @@
                 continue;
             }
             let fact = entry.body.as_deref().and_then(|body| fact(&name, &entry.host, body).ok());
+            // One that was ready and hears of an end only may have missed the beginning. What had ended before this life is old.
             if let Some(zone) = name.strip_prefix("e:")
                 && fact.is_none()
-                && self.table.evacuated.contains(zone)
+                && (self.fresh || self.table.evacuated.contains(zone))
             {
-                self.back.insert(Node::Zone(zone.to_owned()), now + BACK_COLD + self.place.lag);
+                self.back.insert(Node::Zone(zone.to_owned()), Returned { heard: now, evacuated: true });
             }
             self.table.set(&name, fact);
             news.push(name);
@@ -195,7 +214,7 @@
             return false;
         }
         for node in self.out.difference(&out) {
-            self.back.insert(node.clone(), now + BACK_COLD + self.place.lag);
+            self.back.insert(node.clone(), Returned { heard: now, evacuated: false });
         }
         self.out = out;
         true
@@ -239,14 +258,17 @@
         self.place.zones.get(zone).map_or("", String::as_str)
     }
 
-    /// Whether anything runs out by itself: nodes that went back are taken for cold only for a while.
-    pub fn changes(&self) -> bool {
-        !self.back.is_empty()
+    /// Whether anything runs out by itself: nodes that went back are taken for cold only for a while, and whoever owns cold backends
+    /// changes with time.
+    pub fn changes(&self, now: f64) -> bool {
+        !self.back.is_empty() || self.owners.changes(now, UPDATE)
     }
 
     /// The backends of a service, with the terms of the choice as of now.
     pub fn backends(&mut self, now: f64, service: &str) -> Vec<Known> {
-        self.back.retain(|_, until| now < *until);
+        let longest = self.table.services.values().map(|service| service.cold_start).fold(0.0, f64::max);
+        let kept = longest.max(BACK_COLD) + self.place.lag;
+        self.back.retain(|_, returned| now < returned.heard + kept);
         let of = self.listing.backends.iter().filter(|b| b.service == service);
         let own = self.own(of.clone());
         of.map(|backend| self.known(now, service, backend, own.get(backend.id.as_str()).copied())).collect()
@@ -303,12 +325,20 @@
                     && !self.out.contains(&Node::Zone(backend.zone.clone())))
     }
 
-    fn back_until(&self, backend: &Backend) -> f64 {
+    /// Until when a backend counts as cold because its node went back. Guards backends that turned cold as an evacuation ended against
+    /// a list that is older than that: they count as cold until a list came that was read later by the platform's lag, and where
+    /// none comes for as long as any backend of the service is cold after its start.
+    fn back_until(&self, backend: &Backend, cold_start: f64) -> f64 {
         if self.back.is_empty() {
             return 0.0;
         }
+        let until = |returned: &Returned| match returned {
+            Returned { heard, evacuated: false } => heard + BACK_COLD + self.place.lag,
+            Returned { heard, .. } if self.listed >= heard + self.place.lag + LIST_WAY => 0.0,
+            Returned { heard, .. } => heard + cold_start.max(BACK_COLD) + self.place.lag,
+        };
         let nodes = [Node::Backend(backend.id.clone()), Node::Zone(backend.zone.clone())];
-        nodes.iter().filter_map(|node| self.back.get(node)).copied().fold(0.0, f64::max)
+        nodes.iter().filter_map(|node| self.back.get(node)).map(until).fold(0.0, f64::max)
     }
 
     fn known(&self, now: f64, service: &str, backend: &Backend, own: Option<f64>) -> Known {
@@ -324,32 +354,16 @@
         let sharers = self.members.iter().filter(|m| m.ready && m.region == region).count().max(1) as f64;
         let (own, sharers) = (own.is_some(), own.unwrap_or(sharers));
         let listed = if backend.cold_ms > 0 { self.listed + f64::from(backend.cold_ms) } else { 0.0 };
-        let cold_until = listed.max(self.back_until(backend));
-        let cold = self.table.services.get(service).map_or(0.0, |s| s.cold_per_s);
-        let cold_per_s = if cold_until > now && self.owns(backend) { cold * COLD_SHARE } else { 0.0 };
+        let (cold, cold_start) =
+            self.table.services.get(service).map_or((0.0, 0.0), |s| (s.cold_per_s, s.cold_start));
+        let cold_until = listed.max(self.back_until(backend, cold_start));
+        let owns = || self.owners.owns(now, self.place.me, backend, |zone| self.region(zone));
+        let cold_per_s = if cold_until > now && owns() { cold * COLD_SHARE } else { 0.0 };
         let slots = f64::from(backend.slots.max(1));
         let terms = doorcourse::BackendTerms { slots, sharers, own, way, price, cold_until, cold_per_s };
         Known { backend: backend.clone(), ready, cell: self.cell(region), terms }
     }
 
-    /// Whether a cold backend is this proxy's to send to: one proxy has each, of its zone if there are any, else of its region,
-    /// else of all.
-    fn owns(&self, backend: &Backend) -> bool {
-        let region = self.region(&backend.zone);
-        let ready = || self.members.iter().filter(|m| m.ready);
-        let mut near: Vec<Host> = ready().filter(|m| m.zone == backend.zone).map(|m| m.host).collect();
-        if near.is_empty() {
-            near = ready().filter(|m| m.region == region).map(|m| m.host).collect();
-        }
-        if near.is_empty() {
-            near = ready().map(|m| m.host).collect();
-        }
-        let draw = |host: &Host| {
-            fennelscale_messages::mix(fennelscale_messages::hash(backend.id.as_bytes()) ^ u64::from(host.0))
-        };
-        near.into_iter().max_by_key(draw) == Some(self.place.me)
-    }
-
     /// The terms that hold for all backends of a service together.
     pub fn mesh(&self, ratio: f64, slack: f64) -> doorcourse::MeshTerms {
         doorcourse::MeshTerms {
@@ -414,6 +428,67 @@
         assert_eq!(cold(&mut held, 10.0 + BACK_COLD + 501.0), [false, false, false]);
     }
 
+    const COLD_START: f64 = 3000.0;
+
+    /// Ready, with a service whose backends are cold for a while after their start.
+    fn ready_held() -> Held {
+        let mut held = held();
+        let body = r#"{"name":"s","coldStart":"3s","coldPerS":6.7,"revision":"00000001"}"#;
+        let entry = Entry { stamp: Stamp { turn: 1, ..Stamp::default() }, revision: 1, ..Entry::default() };
+        held.merge(0.0, vec![("s:s".into(), Entry { body: Some(body.into()), ..entry })]);
+        held.fresh = true;
+        held
+    }
+
+    fn evacuation(held: &mut Held, now: f64, revision: u64, on: bool) {
+        let entry = Entry {
+            stamp: Stamp { turn: 1 + revision, ..Stamp::default() },
+            revision,
+            body: on.then(|| "{}".to_owned()),
+            ..Entry::default()
+        };
+        held.merge(now, vec![("e:b".into(), entry)]);
+    }
+
+    fn is_cold(held: &mut Held, now: f64) -> bool {
+        let known = held.backends(now, "s");
+        known.iter().any(|known| known.backend.zone == "b" && known.terms.cold_until > now)
+    }
+
+    #[test]
+    fn a_zone_that_is_taken_back_is_cold_until_a_list_that_was_read_later_says_how_it_is() {
+        let lag = 500.0;
+        let taken_back = |missed_its_beginning: bool| {
+            let mut held = ready_held();
+            if !missed_its_beginning {
+                evacuation(&mut held, 1000.0, 1, true);
+            }
+            evacuation(&mut held, 10_000.0, 2, false);
+            held
+        };
+        for missed_its_beginning in [false, true] {
+            let mut held = taken_back(missed_its_beginning);
+            assert!(is_cold(&mut held, 10_000.0 + COLD_START + lag - 1.0), "no list came");
+            assert!(!is_cold(&mut held, 10_000.0 + COLD_START + lag));
+            // A list that may be older says nothing; one that was read later does.
+            let mut held = taken_back(missed_its_beginning);
+            let listing = held.listing.clone();
+            let at = |number| Listing { stamp: (number, Host(2)), ..listing.clone() };
+            held.list(10_000.0 + lag, at(2));
+            assert!(is_cold(&mut held, 10_000.0 + lag));
+            held.list(10_000.0 + lag + LIST_WAY, at(3));
+            assert!(!is_cold(&mut held, 10_000.0 + lag + LIST_WAY));
+        }
+    }
+
+    #[test]
+    fn an_evacuation_that_had_ended_before_a_life_is_of_no_account_in_it() {
+        let mut held = ready_held();
+        held.fresh = false;
+        evacuation(&mut held, 1000.0, 2, false);
+        assert!(!is_cold(&mut held, 1000.0));
+    }
+
     #[test]
     fn a_proxy_that_hears_nothing_more_heeds_no_drain_beyond_the_hours() {
         let mut held = held();
--- a/system/proxy/src/lib.rs
+++ b/system/proxy/src/lib.rs
@@ -2,6 +2,7 @@
 //! the route, checks the key, takes a unit of the tenant's lease, and has the decision module choose a backend.
 
 mod beside;
+pub mod cold_owner;
 pub mod decision_input;
 mod front;
 mod heads;
--- a/system/proxy/src/proxy.rs
+++ b/system/proxy/src/proxy.rs
@@ -2,7 +2,7 @@
 
 use crate::beside;
 use crate::front::Front;
-use crate::held::{Held, Place};
+use crate::held::{Held, Place, UPDATE};
 use crate::metrics::{self, Metrics};
 use crate::services::Services;
 use crate::session;
@@ -29,8 +29,6 @@
 
 /// Time passes for the lease cache this often.
 const TICK: Duration = Duration::from_millis(40);
-/// What the decisions know is brought up to date at least this often while anything runs out by itself.
-const UPDATE: Duration = Duration::from_millis(250);
 /// Sends that are out of the ordinary are logged this often, while there are any.
 const REPORT: Duration = Duration::from_secs(1);
 /// What was counted of failure orders is told this often, in ms.
@@ -141,6 +139,7 @@
     let ticking = proxy.clone();
     spawn(async move {
         let (mut updated, mut reported) = (Instant::now(), Instant::now());
+        let update = Duration::from_secs_f64(UPDATE / 1000.0);
         loop {
             sleep(TICK).await;
             ticking.tick();
@@ -150,7 +149,7 @@
                 reported = Instant::now();
                 ticking.services.report_unusual_sends();
             }
-            if updated.elapsed() >= UPDATE && ticking.held.borrow().changes() {
+            if updated.elapsed() >= update && ticking.held.borrow().changes(ticking.now()) {
                 updated = Instant::now();
                 ticking.update();
             }
@@ -403,7 +402,7 @@
             Down::Members(members, gateways) => {
                 {
                     let mut held = self.held.borrow_mut();
-                    held.tell_members(members, gateways);
+                    held.tell_members(self.now(), members, gateways);
                     self.cache.borrow_mut().gateways(held.gateways);
                 }
                 self.update();
--- a/system/simulation/src/decisions.rs
+++ b/system/simulation/src/decisions.rs
@@ -5,7 +5,7 @@
 use doorcourse::{Action, Arrival, AttemptEnd, Event, Gateway, Name, Outcome, RequestId};
 use fennelscale_messages::Host;
 use fennelscale_proxy::decision_input::{self, PLAN, USUAL_CLASS};
-use fennelscale_proxy::held::Held;
+use fennelscale_proxy::held::{Held, UPDATE};
 use std::collections::BTreeMap;
 
 /// The one service.
@@ -14,8 +14,6 @@
 const RETRY: (f64, f64) = (0.2, 60.0);
 /// How long the client of a request waits.
 const PATIENCE: Millis = 3000.0;
-/// Between two times at which the decisions hear of what runs out by itself, as the program has it.
-const UPDATE: Millis = 250.0;
 
 /// A request that goes to a backend.
 pub(crate) struct Send {
@@ -67,7 +65,7 @@
     /// Time passes and so many requests come. What goes to backends.
     pub(crate) fn tick(&mut self, now: Millis, arrivals: usize, held: &mut Held) -> Vec<Send> {
         self.run_due(now);
-        if held.changes() && now - self.updated >= UPDATE {
+        if held.changes(now) && now - self.updated >= UPDATE {
             self.tell(now, held);
         }
         for _ in 0..arrivals {
--- a/system/simulation/src/proxy.rs
+++ b/system/simulation/src/proxy.rs
@@ -156,7 +156,7 @@
             }
             Down::Listing(listing) => drop(self.held.list(now, listing.clone())),
             Down::Members(members, gateways) => {
-                self.held.tell_members(members.clone(), *gateways);
+                self.held.tell_members(now, members.clone(), *gateways);
                 self.cache.gateways(self.held.gateways);
             }
             Down::Grant(grant) => {
--- a/system/simulation/src/world/cold.rs
+++ b/system/simulation/src/world/cold.rs
@@ -34,6 +34,8 @@
     starts: usize,
     /// Requests that arrived at cold ones.
     count: usize,
+    /// The most that one got within a second.
+    peak: usize,
 }
 
 /// The item of the service, as an operator sends it.
@@ -48,6 +50,11 @@
         self.cold.count
     }
 
+    /// The most requests that one cold backend got within a second.
+    pub fn cold_peak(&self) -> usize {
+        self.cold.peak
+    }
+
     /// An operator empties a zone, or takes it back. Its backends turn cold as it is taken back.
     pub fn evacuate(&mut self, zone: usize, on: bool) {
         let zone = format!("z{zone}");
@@ -123,6 +130,7 @@
         while arrived.front().is_some_and(|arrival| now - arrival.at >= SECOND) {
             arrived.pop_front();
         }
+        self.cold.peak = self.cold.peak.max(arrived.len());
         let (per_s, overage, slack) = COLD;
         let most = per_s * overage + slack;
         if arrived.len() as f64 > most {
--- a/system/simulation/tests/cold.rs
+++ b/system/simulation/tests/cold.rs
@@ -13,23 +13,39 @@
     Config { proxies: 12, backends: 24, tenants: 1, routes: 1, pressure: 3, ..Config::default() }
 }
 
-/// Plays seeds on all processors; what did not hold, and requests that cold backends got.
-fn all(seeds: std::ops::Range<u64>, play: impl Fn(u64) -> World + Sync) -> (Vec<String>, usize) {
-    let left: Vec<(Vec<String>, usize)> = seeds
+/// What is left of worlds that were played.
+struct Left {
+    /// What did not hold.
+    broken: Vec<String>,
+    /// Requests that cold backends got.
+    arrivals: usize,
+    /// The most that one of them got within a second.
+    peak: usize,
+}
+
+/// Plays seeds on all processors.
+fn all(seeds: std::ops::Range<u64>, play: impl Fn(u64) -> World + Sync) -> Left {
+    let worlds: Vec<Left> = seeds
         .into_par_iter()
         .map(|seed| {
             let world = play(seed);
             let broken = world.broken.iter().map(|what| format!("seed {seed} at {:.0}: {what}", world.now));
-            (broken.collect(), world.cold_arrivals())
+            Left { broken: broken.collect(), arrivals: world.cold_arrivals(), peak: world.cold_peak() }
         })
         .collect();
-    let arrivals = left.iter().map(|(_, arrivals)| arrivals).sum();
-    (left.into_iter().flat_map(|(broken, _)| broken).collect(), arrivals)
+    Left {
+        arrivals: worlds.iter().map(|left| left.arrivals).sum(),
+        peak: worlds.iter().map(|left| left.peak).max().unwrap_or_default(),
+        broken: worlds.into_iter().flat_map(|left| left.broken).collect(),
+    }
 }
 
+/// What one owner alone may send a cold backend within a second: 0.75 of 6.7, and one that was saved up.
+const ONE_OWNER: usize = 6;
+
 #[test]
 fn a_zone_of_backends_that_comes_back_cold_is_not_flooded() {
-    let (broken, arrivals) = all(seeds(24), |seed| {
+    let Left { broken, arrivals, .. } = all(seeds(24), |seed| {
         let mut world = World::new(seed, pressed());
         for zone in 0..3 {
             world.fault(Fault::RestartBackends(zone));
@@ -43,7 +59,7 @@
 
 #[test]
 fn backends_are_not_flooded_while_the_whole_core_starts_again() {
-    let (broken, arrivals) = all(seeds(48), |seed| {
+    let Left { broken, arrivals, .. } = all(seeds(48), |seed| {
         let (mut world, mut chance) = (World::new(seed, pressed()), Chance::new(!seed));
         (0..6).for_each(|n| world.fault(Fault::KillCore(n)));
         world.run(chance.share() * 1000.0);
@@ -59,7 +75,7 @@
 
 #[test]
 fn a_zone_that_is_taken_back_is_not_flooded_by_proxies_that_start_just_then() {
-    let (broken, arrivals) = all(seeds(48), |seed| {
+    let Left { broken, arrivals, .. } = all(seeds(48), |seed| {
         let (mut world, mut chance) = (World::new(seed, pressed()), Chance::new(!seed));
         let zone = seed as usize % 6;
         world.evacuate(zone, true);
@@ -79,7 +95,7 @@
 
 #[test]
 fn a_zone_that_is_taken_back_is_not_flooded_by_proxies_that_were_cut_off() {
-    let (broken, arrivals) = all(seeds(48), |seed| {
+    let Left { broken, arrivals, .. } = all(seeds(48), |seed| {
         let (mut world, mut chance) = (World::new(seed, pressed()), Chance::new(!seed));
         let zone = seed as usize % 6;
         (0..8).for_each(|p| world.fault(Fault::CutProxy(p)));
@@ -98,7 +114,7 @@
 
 #[test]
 fn drawn_schedules_flood_no_cold_backend() {
-    let (broken, arrivals) = all(seeds(96), |seed| {
+    let Left { broken, arrivals, .. } = all(seeds(96), |seed| {
         let (mut world, mut chance) = (World::new(seed, pressed()), Chance::new(!seed));
         for _ in 0..12 {
             world.some_cold_fault();
@@ -110,3 +126,20 @@
     assert_eq!(broken, Vec::<String>::new());
     assert!(arrivals > 1000, "{arrivals}");
 }
+
+#[test]
+fn backends_that_are_known_to_be_cold_are_not_flooded_while_the_core_starts_again() {
+    let Left { broken, arrivals, peak } = all(seeds(48), |seed| {
+        let (mut world, mut chance) = (World::new(seed, pressed()), Chance::new(!seed));
+        let zone = seed as usize % 6;
+        world.fault(Fault::RestartBackends(zone));
+        world.run(1100.0 + chance.share() * 300.0);
+        (0..6).for_each(|n| world.fault(Fault::KillCore(n)));
+        world.run(50.0 + chance.share() * 300.0);
+        (0..6).for_each(|n| world.fault(Fault::StartCore(n)));
+        world.run(4000.0);
+        world
+    });
+    assert_eq!(broken, Vec::<String>::new());
+    assert!(arrivals > 0 && peak <= ONE_OWNER, "{arrivals}, at most {peak} within a second");
+}
