--- a/system/proxy/src/held.rs
+++ b/system/proxy/src/held.rs
@@ -261,7 +261,13 @@
     /// Whether anything runs out by itself: nodes that went back are taken for cold only for a while, and whoever owns cold backends
     /// changes with time.
     pub fn changes(&self, now: f64) -> bool {
-        !self.back.is_empty() || self.owners.changes(now, UPDATE)
+        !self.back.is_empty() || self.owners.changes(now, UPDATE) && self.has_cold(now)
+    }
+
+    /// Whether the list names a backend that is cold now.
+    fn has_cold(&self, now: f64) -> bool {
+        let mut spans = self.listing.backends.iter().map(|backend| backend.cold_ms);
+        spans.any(|span| span > 0 && now < self.listed + f64::from(span))
     }
 
     /// The backends of a service, with the terms of the choice as of now.
