--- a/src/logic/backend.rs
+++ b/src/logic/backend.rs
@@ -130,7 +130,8 @@
         self.drain_queue(out);
     }
 
-    /// Takes list and terms whole before anything is chosen. Guards cold backends: by the list alone they look ready.
+    /// Takes list and terms whole before anything is chosen. Guards cold backends: by the list alone they
+    /// look ready.
     pub(super) fn on_mesh(
         &mut self, terms: MeshTerms, backends: Vec<(BackendEntry, BackendTerms)>, out: &mut Vec<Action>,
     ) {
@@ -247,8 +248,9 @@
         chosen
     }
 
-    /// Guards requests against the list, which names a backend for seconds after its address has gone to another: each would be
-    /// sent there in vain, by every gateway. Each life of a backend has a name of its own, so nothing is lost by it.
+    /// Guards requests against the list, which names a backend for seconds after its address has gone to
+    /// another: each would be sent there in vain, by every gateway. Each life of a backend has a name of
+    /// its own, so nothing is lost by it.
     fn depart(&mut self, name: &Name, out: &mut Vec<Action>) {
         let Some(backend) = self.backends.get_mut(name) else { return };
         if !std::mem::replace(&mut backend.departed, true) {
