--- a/system/experiments/src/scenario.rs
+++ b/system/experiments/src/scenario.rs
@@ -189,6 +189,8 @@
         backends: raw.backends,
         load: raw.load,
         rate: raw.rate,
+        // Scenarios are of units and news; whom backends serve is not looked at.
+        pressure: 0,
         measure: true,
     };
     let mut events = Vec::new();
--- /dev/null
+++ b/system/proxy/src/held/tests.rs
@@ -0,0 +1,141 @@
+//! Drains, evacuations and what counts as cold after them.
+
+use super::*;
+use fennelscale_messages::depot::{Entry, Stamp};
+
+const ENDS: f64 = 1_800_000_000_000.0;
+
+fn held() -> Held {
+    let zones = [("a", "r"), ("b", "r")].map(|(z, r)| (z.to_owned(), r.to_owned())).into();
+    let mut held = Held::new(Place { me: Host(1), zone: "a".into(), region: "r".into(), zones, lag: 500.0 });
+    let backend = |id: &str, zone: &str| Backend {
+        id: id.into(),
+        service: "s".into(),
+        address: "10.0.0.1:1".into(),
+        zone: zone.into(),
+        slots: 2,
+        draining: false,
+        cold_ms: 0,
+    };
+    let backends = vec![backend("x", "a"), backend("y", "a"), backend("z", "b")];
+    held.list(0.0, Listing { stamp: (1, Host(2)), backends });
+    held
+}
+
+fn drain(held: &mut Held, now: f64, turn: u64, nodes: &str) {
+    let body = (!nodes.is_empty()).then(|| format!(r#"{{"nodes":[{nodes}],"ends":{ENDS}}}"#));
+    let stamp = Stamp { turn, ..Stamp::default() };
+    held.merge(now, vec![("d:o".into(), Entry { stamp, body, ..Entry::default() })]);
+}
+
+fn ready(held: &mut Held, now: f64) -> Vec<String> {
+    held.backends(now, "s").into_iter().filter(|k| k.ready).map(|k| k.backend.id).collect()
+}
+
+#[test]
+fn what_is_drained_gets_nothing_until_it_is_taken_back_and_is_spared_then() {
+    let mut held = held();
+    drain(&mut held, 0.0, 1, r#""backend:x""#);
+    assert_eq!(ready(&mut held, 1.0), ["y", "z"]);
+    drain(&mut held, 2.0, 2, r#""backend:x","zone:b","proxy:0.0.0.1""#);
+    assert_eq!(ready(&mut held, 3.0), ["y"]);
+    assert!(held.is_out());
+    drain(&mut held, 10.0, 3, "");
+    assert_eq!(ready(&mut held, 11.0), ["x", "y", "z"]);
+    assert!(!held.is_out());
+    let cold = |held: &mut Held, now| -> Vec<bool> {
+        held.backends(now, "s").iter().map(|known| known.terms.cold_until > now).collect()
+    };
+    assert_eq!(cold(&mut held, 12.0), [true, false, true]);
+    assert_eq!(cold(&mut held, 10.0 + BACK_COLD + 501.0), [false, false, false]);
+}
+
+const COLD_START: f64 = 3000.0;
+
+/// Ready, with a service whose backends are cold for a while after their start.
+fn ready_held() -> Held {
+    let mut held = held();
+    let body = r#"{"name":"s","coldStart":"3s","coldPerS":6.7,"revision":"00000001"}"#;
+    let entry = Entry { stamp: Stamp { turn: 1, ..Stamp::default() }, revision: 1, ..Entry::default() };
+    held.merge(0.0, vec![("s:s".into(), Entry { body: Some(body.into()), ..entry })]);
+    held.fresh = true;
+    held
+}
+
+fn evacuation(held: &mut Held, now: f64, revision: u64, on: bool) {
+    let entry = Entry {
+        stamp: Stamp { turn: 1 + revision, ..Stamp::default() },
+        revision,
+        body: on.then(|| "{}".to_owned()),
+        ..Entry::default()
+    };
+    held.merge(now, vec![("e:b".into(), entry)]);
+}
+
+fn is_cold(held: &mut Held, now: f64) -> bool {
+    let known = held.backends(now, "s");
+    known.iter().any(|known| known.backend.zone == "b" && known.terms.cold_until > now)
+}
+
+#[test]
+fn a_zone_that_is_taken_back_is_cold_until_a_list_that_was_read_later_says_how_it_is() {
+    let lag = 500.0;
+    let taken_back = |missed_its_beginning: bool| {
+        let mut held = ready_held();
+        if !missed_its_beginning {
+            evacuation(&mut held, 1000.0, 1, true);
+        }
+        evacuation(&mut held, 10_000.0, 2, false);
+        held
+    };
+    for missed_its_beginning in [false, true] {
+        let mut held = taken_back(missed_its_beginning);
+        assert!(is_cold(&mut held, 10_000.0 + COLD_START + lag - 1.0), "no list came");
+        assert!(!is_cold(&mut held, 10_000.0 + COLD_START + lag));
+        // A list that may be older says nothing; one that was read later does.
+        let mut held = taken_back(missed_its_beginning);
+        let listing = held.listing.clone();
+        let at = |number| Listing { stamp: (number, Host(2)), ..listing.clone() };
+        held.list(10_000.0 + lag, at(2));
+        assert!(is_cold(&mut held, 10_000.0 + lag));
+        held.list(10_000.0 + lag + LIST_WAY, at(3));
+        assert!(!is_cold(&mut held, 10_000.0 + lag + LIST_WAY));
+    }
+}
+
+#[test]
+fn an_evacuation_that_had_ended_before_a_life_is_of_no_account_in_it() {
+    let mut held = ready_held();
+    held.fresh = false;
+    evacuation(&mut held, 1000.0, 2, false);
+    assert!(!is_cold(&mut held, 1000.0));
+}
+
+#[test]
+fn a_proxy_that_hears_nothing_more_heeds_no_drain_beyond_the_hours() {
+    let mut held = held();
+    drain(&mut held, 0.0, 1, r#""backend:x""#);
+    held.tell_time(1000.0, Span { earliest: ENDS - 30_500.0, latest: ENDS - 30_000.0 });
+    assert!(!held.settle(30_000.0), "a second before the end by the latest that it may be");
+    assert_eq!(ready(&mut held, 30_000.0), ["y", "z"]);
+    assert!(held.settle(31_000.0));
+    assert_eq!(ready(&mut held, 31_000.0), ["x", "y", "z"]);
+}
+
+#[test]
+fn a_node_is_quiet_where_nothing_of_this_proxy_is_at_work() {
+    let mut held = held();
+    drain(&mut held, 0.0, 1, r#""backend:x","zone:b","proxy:0.0.0.9""#);
+    let quiet = |working: &[&str]| held.quiet(&working.iter().map(|w| (*w).to_owned()).collect(), true);
+    assert_eq!(
+        quiet(&[]),
+        ["backend:x", "proxy:0.0.0.9", "zone:b"],
+        "other proxies' clients are not its own"
+    );
+    assert_eq!(quiet(&["x", "y"]), ["proxy:0.0.0.9", "zone:b"]);
+    assert_eq!(quiet(&["z"]), ["backend:x", "proxy:0.0.0.9"]);
+    assert_eq!(quiet(&["gone"]), ["backend:x", "proxy:0.0.0.9"], "it may have been in any zone");
+    drain(&mut held, 1.0, 2, r#""zone:a","proxy:0.0.0.1""#);
+    assert_eq!(held.quiet(&BTreeSet::new(), true), Vec::<String>::new(), "its own clients are still there");
+    assert_eq!(held.quiet(&BTreeSet::new(), false).len(), 2);
+}
