--- a/crates/dataplane/src/back/backends.rs
+++ b/crates/dataplane/src/back/backends.rs
@@ -418,15 +418,7 @@
             _ => {}
         }
         // These say for certain that nothing is at work there any more.
-        at_work.over = matches!(
-            end.outcome,
-            Outcome::Served
-                | Outcome::Error
-                | Outcome::Full
-                | Outcome::ConnectFailed
-                | Outcome::NeverSent
-                | Outcome::Misdirected
-        );
+        at_work.over = end.outcome.never_ran() || matches!(end.outcome, Outcome::Served | Outcome::Error);
         end
     }
 
--- a/crates/life/src/attempt.rs
+++ b/crates/life/src/attempt.rs
@@ -71,9 +71,7 @@
     pub const fn certainty(&self) -> Certainty {
         match self {
             Self::Decided | Self::Dialling | Self::Placed { .. } => Certainty::Never,
-            Self::Over(
-                Outcome::Full | Outcome::ConnectFailed | Outcome::NeverSent | Outcome::Misdirected,
-            ) => Certainty::Never,
+            Self::Over(outcome) if outcome.never_ran() => Certainty::Never,
             Self::Over(Outcome::Served) => Certainty::Ran,
             Self::Exchanging { .. } | Self::Over(_) => Certainty::Perhaps,
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,4 +1,4 @@
-//! The types that pass between a host and a gateway: settings, events and actions. No behaviour lives here.
+//! The types that pass between a host and a gateway: settings, events and actions. Nothing is decided here.
 
 use crate::mesh::{BackendTerms, MeshTerms, RequestBound};
 use std::sync::Arc;
@@ -232,6 +232,13 @@
     Misdirected,
 }
 
+impl Outcome {
+    /// Whether it is certain that the request has not run and will not.
+    pub const fn never_ran(self) -> bool {
+        matches!(self, Self::Full | Self::ConnectFailed | Self::NeverSent | Self::Misdirected)
+    }
+}
+
 /// How a counter call ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum CountOutcome {
--- a/src/logic/again.rs
+++ b/src/logic/again.rs
@@ -18,12 +18,8 @@
         }
         customer.open = customer.open.saturating_sub(1);
         let left = std::mem::replace(&mut request.stage, Stage::Queue) == Stage::Left;
-        let never_ran = matches!(
-            outcome,
-            Outcome::Full | Outcome::ConnectFailed | Outcome::NeverSent | Outcome::Misdirected
-        );
         request.misdirected |= outcome == Outcome::Misdirected;
-        if !never_ran && request.may_have_run.is_none() {
+        if !outcome.never_ran() && request.may_have_run.is_none() {
             let home = self.backends.get(&end.backend).map(|b| (request.sent_at, b.zone.clone(), b.cell));
             request.may_have_run = home.or(Some((request.sent_at, Name::default(), u64::MAX)));
         }
--- a/src/logic/view.rs
+++ b/src/logic/view.rs
@@ -106,8 +106,20 @@
 
 impl Hash for Backend {
     fn hash<H: Hasher>(&self, state: &mut H) {
-        let Self { zone, cell, ready, gone, departed, started, out, room, .. } = self;
-        let Self { failures, told, heard, eject_until, .. } = self;
+        let Self {
+            zone,
+            cell,
+            ready,
+            gone,
+            departed,
+            started,
+            out,
+            room,
+            failures,
+            told,
+            heard,
+            eject_until,
+        } = self;
         (zone, cell, ready, gone, departed, out, failures, told, heard).hash(state);
         maybe(state, *started);
         floats(state, &[*room, *eject_until]);
--- a/system/host/src/start.rs
+++ b/system/host/src/start.rs
@@ -46,6 +46,13 @@
     }
 }
 
+/// Runs a program, or where `only_check` says so checks its settings file.
+pub fn run_or_check<F: Future<Output = miette::Result<()>>>(
+    program: &str, only_check: bool, debug: bool, main: impl FnOnce(Settings, Signals) -> F,
+) -> ExitCode {
+    if only_check { check(program) } else { run(program, debug, main) }
+}
+
 /// Checks a settings file and says what is wrong with it.
 pub fn check(program: &str) -> ExitCode {
     match Settings::told_by_environment() {
@@ -122,10 +129,7 @@
         /// Runs the program by its arguments.
         pub fn main() -> std::process::ExitCode {
             let arguments = <Arguments as gumdrop::Options>::parse_args_default_or_exit();
-            if arguments.check {
-                return $crate::start::check($name);
-            }
-            $crate::start::run($name, arguments.verbose, $run)
+            $crate::start::run_or_check($name, arguments.check, arguments.verbose, $run)
         }
 
         /// Runs the program with a settings file and usual arguments, for programs that are several in one.
--- a/system/proxy/src/decision_input.rs
+++ b/system/proxy/src/decision_input.rs
@@ -4,7 +4,7 @@
 use doorcourse::{
     BackendEntry, BackendState, BackendTerms, Class, Effect, Event, Group, MeshTerms, Name, Plan, Settings,
 };
-use std::net::SocketAddr;
+use fennelscale_settings::list::Host;
 
 /// The plan that all requests are under: quotas are the lease cache's.
 pub const PLAN: &str = "mesh";
@@ -53,8 +53,30 @@
     }
 }
 
-/// A backend as the decisions' list has it.
-pub fn entry_of(known: &Known) -> BackendEntry {
+/// What is told of the backends of a service: where connections go, and what the decisions heed.
+pub struct Told {
+    /// The backends with their addresses. One whose address cannot be read is as good as not listed.
+    pub hosts: Vec<Host>,
+    /// The same backends with their terms, as one event: nothing is chosen between the two.
+    pub event: Event,
+}
+
+/// All backends of a service, as they are told. The decisions' clock is ahead of the one that the terms are told by, by
+/// `shift` ms.
+pub fn tell(known: &[Known], terms: MeshTerms, shift: f64) -> Told {
+    let mut hosts = Vec::with_capacity(known.len());
+    let mut backends = Vec::with_capacity(known.len());
+    for known in known {
+        let Ok(dial) = known.backend.address.parse() else { continue };
+        let entry = entry_of(known);
+        let cold_until = known.terms.cold_until + shift;
+        backends.push((entry.clone(), BackendTerms { cold_until, ..known.terms }));
+        hosts.push(Host { entry, dial });
+    }
+    Told { hosts, event: Event::Mesh(terms, backends) }
+}
+
+fn entry_of(known: &Known) -> BackendEntry {
     BackendEntry {
         name: known.backend.id.as_str().into(),
         zone: known.backend.zone.as_str().into(),
@@ -63,19 +85,3 @@
         started: None,
     }
 }
-
-/// Where a backend listens. One whose address cannot be read is as good as not listed.
-pub fn address_of(known: &Known) -> Option<SocketAddr> {
-    known.backend.address.parse().ok()
-}
-
-/// All backends of a service with their terms, as one event: nothing is chosen between the two. The decisions' clock is ahead of
-/// the one that the terms are told by, by `shift` ms.
-pub fn mesh_event(known: &[Known], terms: MeshTerms, shift: f64) -> Event {
-    let listed = known.iter().filter(|known| address_of(known).is_some());
-    let backends = listed.map(|known| {
-        let cold_until = known.terms.cold_until + shift;
-        (entry_of(known), BackendTerms { cold_until, ..known.terms })
-    });
-    Event::Mesh(terms, backends.collect())
-}
--- a/system/proxy/src/lib.rs
+++ b/system/proxy/src/lib.rs
@@ -40,11 +40,8 @@
 /// Runs the program by its arguments.
 pub fn main() -> ExitCode {
     let arguments = <Arguments as gumdrop::Options>::parse_args_default_or_exit();
-    if arguments.check {
-        return start::check(NAME);
-    }
-    let port = arguments.metrics_port;
-    start::run(NAME, arguments.verbose, |settings, signals| proxy::run(settings, signals, port))
+    let Arguments { check, verbose, metrics_port, .. } = arguments;
+    start::run_or_check(NAME, check, verbose, |settings, signals| proxy::run(settings, signals, metrics_port))
 }
 
 /// Runs the program with a settings file and usual arguments, for programs that are several in one.
--- a/system/proxy/src/services.rs
+++ b/system/proxy/src/services.rs
@@ -1,6 +1,6 @@
 //! One engine for each service: the decision module with its backends, told what is known of them.
 
-use crate::decision_input::{self, USUAL_CLASS};
+use crate::decision_input::{self, Told, USUAL_CLASS};
 use crate::held::Held;
 use crate::speech::{Mesh, REQUEST_ID};
 use crate::trail::Trail;
@@ -9,7 +9,7 @@
 use fennelscale_dataplane::back::backends::{Backends, Bounds};
 use fennelscale_dataplane::engine::{Counting, Engine, Report};
 use fennelscale_dataplane::task::spawn;
-use fennelscale_settings::list::{Host, List};
+use fennelscale_settings::list::List;
 use fennelscale_settings::upstream::{IdentityRule, Upstream};
 use fennelscale_wire::reuse::Reuse;
 use std::cell::{Cell, RefCell};
@@ -178,14 +178,10 @@
         // Each engine has a clock of its own: it began at another moment, and the time of day may have jumped between.
         let shift = self.engine.now() - now;
         let known = held.backends(now, name);
-        let hosts = known.iter().filter_map(|known| {
-            Some(Host { entry: decision_input::entry_of(known), dial: decision_input::address_of(known)? })
-        });
-        let list = List { seq: self.seq.get() + 1, whole: true, hosts: hosts.collect() };
-        let event = decision_input::mesh_event(&known, held.mesh(ratio, slack), shift);
-        self.seq.set(list.seq);
+        let Told { hosts, event } = decision_input::tell(&known, held.mesh(ratio, slack), shift);
+        self.seq.set(self.seq.get() + 1);
         // Connections first, so that nothing is sent by an older list: what was chosen by one that names others is withdrawn.
-        self.backends.update(&list);
+        self.backends.update(&List { seq: self.seq.get(), whole: true, hosts });
         self.engine.post(event);
     }
 
--- a/system/simulation/src/decisions.rs
+++ b/system/simulation/src/decisions.rs
@@ -58,8 +58,8 @@
     pub(crate) fn tell(&mut self, now: Millis, held: &mut Held) {
         self.updated = now;
         let known = held.backends(now, SERVICE);
-        let event = decision_input::mesh_event(&known, held.mesh(RETRY.0, RETRY.1), 0.0);
-        self.handle(now, event);
+        let told = decision_input::tell(&known, held.mesh(RETRY.0, RETRY.1), 0.0);
+        self.handle(now, told.event);
     }
 
     /// Time passes and so many requests come. What goes to backends.
--- a/system/simulation/tests/cold.rs
+++ b/system/simulation/tests/cold.rs
@@ -1,13 +1,10 @@
-//! Backends that come back cold while clients press on all proxies. `WORLD_SEEDS` is how many worlds, `WORLD_FIRST` the first.
+//! Backends that come back cold while clients press on all proxies.
+
+mod seeds;
 
 use fennelscale_simulation::{Chance, Config, Fault, World};
 use rayon::prelude::*;
-
-fn seeds(usual: u64) -> std::ops::Range<u64> {
-    let number = |name: &str, usual| std::env::var(name).map_or(usual, |n| n.parse().unwrap());
-    let first = number("WORLD_FIRST", 0);
-    first..first + number("WORLD_SEEDS", usual)
-}
+use seeds::seeds;
 
 fn pressed() -> Config {
     Config { proxies: 12, backends: 24, tenants: 1, routes: 1, pressure: 3, ..Config::default() }
--- a/system/simulation/tests/schedules.rs
+++ b/system/simulation/tests/schedules.rs
@@ -1,13 +1,10 @@
-//! Drawn schedules of the whole system. `WORLD_SEEDS` is how many, `WORLD_FIRST` the first of them.
+//! Drawn schedules of the whole system.
+
+mod seeds;
 
 use fennelscale_simulation::{Chance, Config, Fault, World};
 use rayon::prelude::*;
-
-fn seeds(usual: u64) -> std::ops::Range<u64> {
-    let number = |name: &str, usual| std::env::var(name).map_or(usual, |n| n.parse().unwrap());
-    let first = number("WORLD_FIRST", 0);
-    first..first + number("WORLD_SEEDS", usual)
-}
+use seeds::seeds;
 
 /// Most worlds are small: more of them can be played. Each eighth has the usual size.
 fn size(seed: u64) -> Config {
