An answer 421 ends a backend also when its client has left

Found on reading the change again: the decisions noted a 421 only of a request that was still waited for, the connections in any case. What the one went on to choose the other withdrew, until the list named the backend no more. The test fails without the mend.

--- a/src/logic/backend.rs
+++ b/src/logic/backend.rs
@@ -262,6 +262,10 @@
         let (now, name, latency) = (self.now, &end.backend, end.latency);
         let Some(backend) = self.backends.get_mut(name) else { return };
         backend.out = backend.out.saturating_sub(1);
+        // It speaks of the backend, also to a client that has left.
+        if end.outcome == Outcome::Misdirected {
+            return self.depart(name, out);
+        }
         // Of a request that is forgotten neither class nor aim is known; who left proves nothing.
         let request = self.requests.get(&end.id).filter(|r| r.stage != Stage::Left);
         let Some(class) = request.map(|r| r.class) else { return };
@@ -276,8 +280,7 @@
                 *usual = if *usual == 0.0 { latency } else { *usual + USUAL_WEIGHT * (latency - *usual) };
                 latency > self.settings.classes[class].aim * ROOM_SHARE
             }
-            Outcome::Error | Outcome::NeverSent | Outcome::CalledOff => return,
-            Outcome::Misdirected => return self.depart(name, out),
+            Outcome::Error | Outcome::NeverSent | Outcome::CalledOff | Outcome::Misdirected => return,
             Outcome::Full => true,
             // A client with little time left proves nothing of the fleet.
             _ => latency > *usual * LATE_LATENCIES,
--- a/tests/mesh.rs
+++ b/tests/mesh.rs
@@ -149,3 +149,14 @@
     assert_eq!(repeats_after(Outcome::Full), 6);
     assert_eq!(repeats_after(Outcome::Misdirected), 9);
 }
+
+#[test]
+fn an_answer_for_another_counts_also_when_its_client_has_left() {
+    let mut door = Door::new(mesh_settings(), &[]);
+    let both = [("a1", warm()), ("a2", BackendTerms { own: false, way: 120.0, price: 500.0, ..warm() })];
+    tell_terms(&mut door, &both);
+    assert_eq!(sent_to(&door.ask(1, "c", PLAN, "unsafe"), "a1"), 1);
+    door.tell(Event::ClientLeft { id: 1 });
+    door.end(1, 0, &"a1".into(), Outcome::Misdirected);
+    assert_eq!(sent_to(&door.ask(2, "c", PLAN, "unsafe"), "a2"), 1, "the first one is known to be gone");
+}
