The store's word on its copy ages; copies are compared by parts; all claims of a place are kept

Cause, of one class: a party's last word is taken for its present state. (1) A registry vouched for its copy by a flag that a store which hangs cannot take back. (2) A proxy's sum that was a few changes old was taken for a loss and answered with everything, every second beat. (3) Of two claims of a place or key only the one that came last was kept, and nobody had it when that one went. Change: the store says with each beat whether its copy is new, and that holds for the contact lease; a registry remembers its recent sums, compares by parts only with who had none of them, and ever less often; a session that is resumed brings what is lacking; claims are kept all, the newest holds; looks at other registries go beside a session's words. Messages are version 6. Metrics for each.

--- a/system/config/src/lib.rs
+++ b/system/config/src/lib.rs
@@ -5,6 +5,7 @@
 //! maintenance hours, `w:` work orders, `d:` what these have drained, `n:` the record of it, `f:` failure orders. JSON is read by pointers: fields that nobody here asks for are kept and passed over. No I/O, no clock.
 
 mod call;
+mod claims;
 mod fact;
 mod failures;
 mod maintenance;
@@ -17,7 +18,7 @@
 pub use table::Table;
 
 use fennelscale_maintenance::order::MOST_ORDERS;
-use fennelscale_messages::depot::{Entry, PARTS};
+use fennelscale_messages::depot::{Entry, Named, PARTS};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// The name of the item that is there once.
@@ -120,6 +121,7 @@
 pub struct Copied {
     entries: BTreeMap<String, Entry>,
     sum: u64,
+    parts: [u64; PARTS],
 }
 
 impl Copied {
@@ -129,10 +131,10 @@
         if known.is_some_and(|known| known.stamp >= entry.stamp) {
             return false;
         }
-        if let Some(known) = known {
-            self.sum ^= entry_hash((name, known));
-        }
-        self.sum ^= entry_hash((name, entry));
+        let before = known.map_or(0, |known| entry_hash((name, known)));
+        let change = before ^ entry_hash((name, entry));
+        self.sum ^= change;
+        self.parts[part(name)] ^= change;
         self.entries.insert(name.to_owned(), entry.clone());
         true
     }
@@ -146,6 +148,18 @@
     pub fn sum(&self) -> u64 {
         self.sum
     }
+
+    /// All entries in one number for each part of their names.
+    pub fn parts(&self) -> &[u64; PARTS] {
+        &self.parts
+    }
+
+    /// The entries of the parts in which another copy holds something else.
+    pub fn differing(&self, theirs: &[u64]) -> Vec<Named> {
+        let differs = |name: &str| theirs.get(part(name)) != Some(&self.parts[part(name)]);
+        let entries = self.entries.iter().filter(|(name, _)| differs(name));
+        entries.map(|(name, entry)| (name.clone(), entry.clone())).collect()
+    }
 }
 
 #[cfg(test)]
--- a/system/config/src/table.rs
+++ b/system/config/src/table.rs
@@ -1,7 +1,9 @@
 //! The table that a proxy looks requests up in.
 
+use crate::claims::Claims;
 use crate::{Fact, Limits, Route, Service, Tenant};
 use fennelscale_maintenance::night::Drain;
+use fennelscale_messages::depot::Stamp;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 
@@ -9,8 +11,9 @@
 #[derive(Debug, Default)]
 pub struct Table {
     facts: BTreeMap<String, Kept>,
-    hosts: HashMap<String, HashMap<String, Rc<Route>>>,
-    keys: HashMap<String, Rc<Tenant>>,
+    /// By host, the routes of each prefix.
+    hosts: HashMap<String, Claims<Route>>,
+    keys: Claims<Tenant>,
     /// The services.
     pub services: BTreeMap<String, Rc<Service>>,
     /// What clients may send.
@@ -37,21 +40,21 @@
 }
 
 impl Table {
-    /// An item says this now; none if it was dropped.
-    pub fn set(&mut self, name: &str, fact: Option<Fact>) {
+    /// An item says this since the write with that stamp; none if it was dropped.
+    pub fn set(&mut self, name: &str, stamp: Stamp, fact: Option<Fact>) {
         self.drop_item(name);
         let kept = match fact {
             None => return,
             Some(Fact::Route(route)) => {
                 let route = Rc::<Route>::from(route);
-                // Of two in one place, which the store lets nobody have, the one that came last holds.
-                self.hosts.entry(route.host.clone()).or_default().insert(route.prefix.clone(), route.clone());
+                // Of two in one place, which the store lets nobody have, the newest holds until the other is known to have gone.
+                self.hosts.entry(route.host.clone()).or_default().add(&route.prefix, stamp, &route);
                 Kept::Route(route)
             }
             Some(Fact::Tenant(tenant)) => {
                 let tenant = Rc::new(tenant);
                 for key in &tenant.keys {
-                    self.keys.insert(key.clone(), tenant.clone());
+                    self.keys.add(key, stamp, &tenant);
                 }
                 Kept::Tenant(tenant)
             }
@@ -84,13 +87,13 @@
         let Some(kept) = self.facts.remove(name) else { return };
         match kept {
             Kept::Route(route) => {
-                if let Some(host) = self.hosts.get_mut(&route.host)
-                    && host.get(&route.prefix).is_some_and(|now| Rc::ptr_eq(now, &route))
-                {
-                    host.remove(&route.prefix);
+                let Some(host) = self.hosts.get_mut(&route.host) else { return };
+                host.remove(&route.prefix, &route);
+                if host.is_empty() {
+                    self.hosts.remove(&route.host);
                 }
             }
-            Kept::Tenant(tenant) => self.keys.retain(|_, now| !Rc::ptr_eq(now, &tenant)),
+            Kept::Tenant(tenant) => tenant.keys.iter().for_each(|key| self.keys.remove(key, &tenant)),
             Kept::Service => drop(self.services.remove(&name[2..])),
             Kept::Limits => self.limits = Limits::default(),
             Kept::Evacuation => drop(self.evacuated.remove(&name[2..])),
@@ -108,7 +111,7 @@
             .map_or(host, |(h, _)| h);
         let routes = self.hosts.get(host).or_else(|| self.hosts.get(&host.to_ascii_lowercase()))?;
         let mut ends = path.bytes().enumerate().rev().filter(|(_, b)| *b == b'/').map(|(at, _)| at + 1);
-        ends.find_map(|end| routes.get(&path[..end]))
+        ends.find_map(|end| routes.holder(&path[..end]))
     }
 
     /// Whether there are tenants: without them no request needs a key.
@@ -118,7 +121,12 @@
 
     /// The tenant that holds a key.
     pub fn tenant(&self, key: &str) -> Option<&Rc<Tenant>> {
-        self.keys.get(key)
+        self.keys.holder(key)
+    }
+
+    /// Places and keys that more than one item claims by what is known here: a copy that has not heard all yet.
+    pub fn contested(&self) -> usize {
+        self.hosts.values().map(Claims::contested).sum::<usize>() + self.keys.contested()
     }
 
     /// A tenant by its name.
--- a/system/config/src/tests.rs
+++ b/system/config/src/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use fennelscale_messages::depot::Stamp;
 use proptest::prelude::*;
 
 const CALL: &str = r#"{"upsert":{"tenants":[{"name":"c","apiKeys":["k1","k2"],"priority":1,"ratePerS":10,"burst":10,"allowedRegions":[],"revision":"00000007"}],
@@ -68,7 +69,7 @@
     let mut table = Table::default();
     let mut set = |name: &str, prefix: &str| {
         let body = r#"{"routeType":"upload","matchCriteria":{"pathPrefix":"@"},"action":{"service":"s","timeout":"1s"}}"#;
-        table.set(name, Some(fact(name, "h", &body.replace('@', prefix)).unwrap()));
+        table.set(name, Stamp::default(), Some(fact(name, "h", &body.replace('@', prefix)).unwrap()));
     };
     set("r:a", "/");
     set("r:b", "/x/y/");
@@ -78,7 +79,7 @@
     assert_eq!(name(&table, "H:80", "/x/yz"), "c");
     assert_eq!(name(&table, "h", "/xy"), "a");
     assert_eq!(name(&table, "g", "/xy"), "");
-    table.set("r:b", None);
+    table.set("r:b", Stamp::default(), None);
     assert_eq!(name(&table, "h", "/x/y/z"), "c");
 }
 
--- a/system/membership/src/contact.rs
+++ b/system/membership/src/contact.rs
@@ -11,8 +11,8 @@
     /// How long ago this registry was last in contact: had heard a majority of the seats, and its store's copy was as new as a
     /// quorum's.
     pub fn contact_age(&self, now: Millis) -> Millis {
-        let copy = if self.fresh { now } else { self.doubtful };
-        (now - self.majority_heard(now).min(copy).max(self.grace())).max(0.0)
+        // The store's word ages as all contact does: one that hangs cannot take it back.
+        (now - self.majority_heard(now).min(self.vouched.last()).max(self.grace())).max(0.0)
     }
 
     /// Whether this registry's contact is too old for others to go by what it says.
--- a/system/membership/src/hours.rs
+++ b/system/membership/src/hours.rs
@@ -224,7 +224,7 @@
     }
 
     fn scene(&mut self, now: Millis) -> Scene {
-        let doubtful = !self.fresh || self.is_cut(now) || self.listing.stamp.0 == 0;
+        let doubtful = !self.vouched.holds(now) || self.is_cut(now) || self.listing.stamp.0 == 0;
         let silent = self.counted(now).silent;
         let unheard =
             self.seats.seats.iter().filter(|seat| seat.host != self.me && !self.alive(seat.host, now));
--- a/system/membership/src/lib.rs
+++ b/system/membership/src/lib.rs
@@ -13,6 +13,7 @@
 //! Carries out [`Round::outs`] after each input. `now` never goes back. Words to one registry go out in order or not at all.
 
 mod contact;
+mod copies;
 pub mod duties;
 mod failures;
 pub mod feed;
@@ -119,9 +120,13 @@
     ways: BTreeMap<Host, Host>,
     terms: BTreeMap<String, Terms>,
     items: Copied,
-    fresh: bool,
-    /// When the copy was last found not to be fresh.
-    doubtful: Millis,
+    /// Sums that the copy had lately.
+    sums: copies::RecentSums,
+    vouched: copies::Vouched,
+    /// Whether proxies were told last that the copy is vouched for.
+    told_fresh: bool,
+    /// What was sent to proxies because their copies differed: comparisons asked for, and entries.
+    resent: (u64, u64),
     listing: Listing,
     /// The highest number of a list that was heard of. Guards against lists that begin to count anew when all registries have
     /// started again: a proxy that lived on would take none of them.
@@ -168,8 +173,10 @@
             ways: BTreeMap::new(),
             terms: BTreeMap::new(),
             items: Copied::default(),
-            fresh: false,
-            doubtful: now,
+            sums: copies::RecentSums::default(),
+            vouched: copies::Vouched::never(now),
+            told_fresh: false,
+            resent: (0, 0),
             listing: Listing::default(),
             highest: 0,
             read_at: now,
@@ -221,7 +228,8 @@
             ("seats", self.seats.seats.len().to_string()),
             ("seats_version", self.seats.version.to_string()),
             ("registries_heard", alive.to_string()),
-            ("copy_fresh", self.fresh.to_string()),
+            ("copy_fresh", self.vouched.holds(now).to_string()),
+            ("copy_vouched_ms_ago", format!("{:.0}", now - self.vouched.last())),
             ("cut_off", self.is_cut(now).to_string()),
             ("contact_age_ms", format!("{:.0}", self.contact_age(now))),
             ("items", self.items.entries().len().to_string()),
@@ -232,6 +240,8 @@
             ("proxies_silent", silent.to_string()),
             ("sessions_here", self.members.sessions().len().to_string()),
             ("sessions_lagging", lagging.to_string()),
+            ("copies_compared", self.resent.0.to_string()),
+            ("entries_resent", self.resent.1.to_string()),
             ("duties_held", self.held(now).count_ones().to_string()),
             ("tenants_counted", self.counts.tenants().to_string()),
             ("tenants_relayed", self.relay.tenants().to_string()),
@@ -306,6 +316,7 @@
             self.feed.note_own(now, Kind::MemberSilent, &host.to_string(), self.here());
             self.out.push(Out::Log("session-silent", format!("proxy={host}")));
         }
+        self.look_vouched(now);
         self.claim(now);
         if now >= self.beat_at {
             self.beat_at = now + BEAT;
@@ -586,7 +597,9 @@
     /// A word from a proxy of this registry's.
     pub fn up(&mut self, now: Millis, from: Host, up: Up) {
         match up {
-            Up::Hello(member) => self.hello(now, member),
+            Up::Hello(member) => self.hello(now, member, None),
+            Up::Resume(member, parts) => self.hello(now, member, Some(&parts)),
+            Up::Have(parts) => self.on_have(now, from, &parts),
             Up::Beat { ready, items, listing, alone } => {
                 if self.members.alone(from, alone) {
                     self.beat_at = now;
--- a/system/membership/src/members.rs
+++ b/system/membership/src/members.rs
@@ -7,6 +7,7 @@
 //! A proxy on its own spends the part of one of as many as it was told of last, however many have come since. That number is kept with
 //! its silence, and told to the other registries: whoever holds a count keeps as much back.
 
+use crate::copies::{Compared, Comparison, Standing};
 use crate::{Millis, SILENT};
 use fennelscale_messages::Host;
 use fennelscale_messages::news::{Down, Member};
@@ -30,8 +31,7 @@
 struct Session {
     member: Member,
     heard: Millis,
-    differs: bool,
-    lags: bool,
+    copy: Comparison,
     /// The keys of quotas that it spends by itself: their holders do not reach it.
     alone: u64,
 }
@@ -112,7 +112,7 @@
         self.version += 1;
         self.silent.remove(&member.host);
         self.sessions
-            .insert(member.host, Session { member, heard: now, differs: false, lags: false, alone: 0 });
+            .insert(member.host, Session { member, heard: now, copy: Comparison::default(), alone: 0 });
     }
 
     /// A proxy shows that it lives. Whether others should hear of a change.
@@ -144,12 +144,10 @@
         }
     }
 
-    /// Notes whether a proxy's items differ; true the second time in a row.
-    pub(crate) fn differs(&mut self, host: Host, differs: bool) -> bool {
-        let Some(session) = self.sessions.get_mut(&host) else { return false };
-        let again = session.differs && differs;
-        session.differs = differs && !again;
-        again
+    /// A beat says how a proxy's items stand to those here.
+    pub(crate) fn compare(&mut self, host: Host, now: Millis, standing: Standing) -> Compared {
+        let session = self.sessions.get_mut(&host);
+        session.map_or_else(Compared::default, |session| session.copy.beat(now, standing))
     }
 
     /// The life of a proxy with a session here.
@@ -198,16 +196,9 @@
         over
     }
 
-    /// Whether a proxy began or ceased to lag: it differs, though what it lacked was sent again.
-    pub(crate) fn lags(&mut self, host: Host, differs: bool, again: bool) -> Option<bool> {
-        let session = self.sessions.get_mut(&host)?;
-        let lags = again || session.lags && differs;
-        (std::mem::replace(&mut session.lags, lags) != lags).then_some(lags)
-    }
-
     /// Sessions here whose proxies held other items at their last beat.
     pub(crate) fn lagging(&self) -> usize {
-        self.sessions.values().filter(|session| session.differs).count()
+        self.sessions.values().filter(|session| session.copy.differs()).count()
     }
 
     /// Proxies with a session here.
@@ -494,9 +485,10 @@
     fn a_proxy_lags_from_the_second_beat_that_differs_until_one_that_does_not() {
         let (mut members, host) = (Members::default(), Host(9));
         members.hello(member(host.0, 1, true), 0.0);
+        let mut now = 0.0;
         let mut beat = |differs| {
-            let again = members.differs(host, differs);
-            members.lags(host, differs, again)
+            now += 400.0;
+            members.compare(host, now, if differs { Standing::Differing } else { Standing::Current }).lags
         };
         let told: Vec<_> =
             [true, false, true, true, true, true, true, false, false].into_iter().map(&mut beat).collect();
--- a/system/membership/src/news.rs
+++ b/system/membership/src/news.rs
@@ -1,5 +1,6 @@
 //! What proxies are told: items, the list, members, and how gaps are mended.
 
+use crate::copies::Standing;
 use crate::feed::Kind;
 use crate::{Millis, Out, Round};
 use fennelscale_messages::Host;
@@ -36,9 +37,11 @@
                 // The system's own: no proxy needs it.
                 continue;
             }
+            let sum = self.items.sum();
             if !self.items.take(&name, &entry) {
                 continue;
             }
+            self.sums.superseded(now, sum);
             self.hours.item(&name, &entry);
             if !name.starts_with(fennelscale_maintenance::DRAIN) {
                 self.note_item(now, &name, &entry);
@@ -49,7 +52,8 @@
             self.out.push(Out::Log("items", format!("count={}", self.items.entries().len())));
         }
         if !fresh.is_empty() {
-            self.tell(&Rc::new(Down::Items { whole: false, fresh: self.fresh, entries: fresh }));
+            let vouched = self.vouched.holds(now);
+            self.tell(&Rc::new(Down::Items { whole: false, fresh: vouched, entries: fresh }));
         }
     }
 
@@ -97,31 +101,49 @@
         }
     }
 
-    /// Whether the store's copy is as new as a quorum's.
+    /// Whether the store's copy is as new as a quorum's, as it says now and again.
     pub fn fresh(&mut self, now: Millis, fresh: bool) {
-        if fresh != self.fresh {
-            let kind = if fresh { Kind::CopyFresh } else { Kind::CopyDoubtful };
-            self.feed.note_own(now, kind, &self.me.to_string(), "by the store's beats".into());
-        }
         self.informed |= fresh;
-        if fresh && !self.fresh {
+        self.vouched.told(now, fresh);
+        self.look_vouched(now);
+    }
+
+    /// The copy is vouched for from now on, or no longer.
+    pub(crate) fn look_vouched(&mut self, now: Millis) {
+        let vouched = self.vouched.holds(now);
+        if vouched == self.told_fresh {
+            return;
+        }
+        self.told_fresh = vouched;
+        let kind = if vouched { Kind::CopyFresh } else { Kind::CopyDoubtful };
+        self.feed.note_own(now, kind, &self.me.to_string(), "by the store's beats".into());
+        if vouched {
             // Proxies that wait to be ready may be: what they hold is vouched for from now on.
-            self.fresh = true;
             self.tell(&Rc::new(Down::Items { whole: false, fresh: true, entries: Vec::new() }));
         }
-        if !fresh && self.fresh {
-            self.doubtful = now;
-        }
-        self.fresh = fresh;
     }
 
-    pub(crate) fn whole(&self) -> Down {
-        let entries =
-            self.items.entries().iter().map(|(name, entry)| (name.clone(), entry.clone())).collect();
-        Down::Items { whole: true, fresh: self.fresh, entries }
+    /// What a proxy lacks, by the parts that it holds; all for one that holds nothing.
+    fn lacking(&self, now: Millis, parts: Option<&[u64]>) -> Down {
+        let entries = self.items.differing(parts.unwrap_or_default());
+        Down::Items { whole: parts.is_none(), fresh: self.vouched.holds(now), entries }
     }
 
-    pub(crate) fn hello(&mut self, now: Millis, member: Member) {
+    /// A proxy tells what it holds, having been asked. What is only on its way is not sent again.
+    pub(crate) fn on_have(&mut self, now: Millis, from: Host, parts: &[u64]) {
+        let sum = parts.iter().fold(0, |sum, part| sum ^ part);
+        if self.sums.standing(now, self.items.sum(), sum) != Standing::Differing {
+            return;
+        }
+        let word = self.lacking(now, Some(parts));
+        if let Down::Items { entries, .. } = &word {
+            self.resent.1 += entries.len() as u64;
+        }
+        self.out.push(Out::Down(from, Rc::new(word)));
+    }
+
+    /// A session begins; `parts` of the items are what its proxy holds already.
+    pub(crate) fn hello(&mut self, now: Millis, member: Member, parts: Option<&[u64]>) {
         let host = member.host;
         self.out
             .push(Out::Log("session", format!("proxy={host} zone={} life={:x}", member.zone, member.life)));
@@ -138,7 +160,8 @@
             self.members.tells(now, *count);
         }
         // The list last: with it a proxy is ready, and by then it knows with whom it shares the backends.
-        let words = [self.registries(now), members, self.whole(), Down::Listing(self.listing.clone())];
+        let items = self.lacking(now, parts);
+        let words = [self.registries(now), members, items, Down::Listing(self.listing.clone())];
         self.out.extend(words.into_iter().map(|word| Out::Down(host, Rc::new(word))));
         // Others hear of it at once.
         self.beat_at = now;
@@ -155,17 +178,16 @@
             self.out.push(Out::Down(from, Rc::new(Down::Time(time.earliest, time.latest))));
         }
         self.out.push(Out::Down(from, Rc::new(Down::Beat { contact_age })));
-        // News may be on its way: only what differs twice is sent again.
-        let differs = items != self.items.sum();
-        let again = self.members.differs(from, differs);
-        if let Some(lags) = self.members.lags(from, differs, again) {
+        let standing = self.sums.standing(now, self.items.sum(), items);
+        let compared = self.members.compare(from, now, standing);
+        if let Some(lags) = compared.lags {
             let kind = if lags { Kind::MemberLagging } else { Kind::MemberCurrent };
             let cause = format!("its items against those of registry {}", self.me);
             self.feed.note_own(now, kind, &from.to_string(), cause);
         }
-        if again {
-            let word = Rc::new(self.whole());
-            self.out.push(Out::Down(from, word));
+        if compared.asks {
+            self.resent.0 += 1;
+            self.out.push(Out::Down(from, Rc::new(Down::Compare)));
         }
         self.highest = self.highest.max(listing.0);
         if listing < self.listing.stamp {
--- a/system/membership/tests/registries.rs
+++ b/system/membership/tests/registries.rs
@@ -342,7 +342,9 @@
         }
         while on_their_way.front().is_some_and(|(at, _)| *at <= now) {
             let Some((_, entries)) = on_their_way.pop_front() else { break };
-            entries.iter().for_each(|(name, entry)| drop(copy.take(name, entry)));
+            for (name, entry) in entries {
+                copy.take(&name, &entry);
+            }
         }
     }
     let told: usize = words.iter().sum();
@@ -353,3 +355,87 @@
     );
     assert!(told <= 500 + CHANGES as usize, "{told} entries for {CHANGES} changes");
 }
+
+/// The same proxy, on whose line one change is lost: it is found out, and only the parts that differ are sent again.
+#[test]
+fn a_change_that_was_lost_on_its_way_is_sent_again_in_time_and_little_else_is() {
+    const LOST: u64 = 505;
+    let mut round = fennelscale_membership::Round::new(host(0), 9, "z0", "r0", false, 0.0);
+    round.items(0.0, true, (0..500).map(route_entry).collect());
+    round.fresh(0.0, true);
+    round.up(0.0, Host(100), Up::Hello(member(0, true)));
+    let mut copy = fennelscale_config::Copied::default();
+    let (mut told, mut whole_since) = (0, None);
+    for step in 0..120_u64 {
+        let now = step as f64 * 50.0;
+        if step == 10 {
+            round.items(now, false, vec![route_entry(LOST)]);
+        }
+        if step % 8 == 0 {
+            let items = copy.sum();
+            round.up(now, Host(100), Up::Beat { ready: true, items, listing: (0, Host(0)), alone: 0 });
+        }
+        for out in round.outs() {
+            let fennelscale_membership::Out::Down(_, word) = out else { continue };
+            match &*word {
+                // The line was full just then.
+                Down::Items { entries, .. } if step == 10 && entries.len() == 1 => {}
+                Down::Items { entries, .. } => {
+                    told += entries.len();
+                    entries.iter().for_each(|(name, entry)| {
+                        copy.take(name, entry);
+                    });
+                }
+                Down::Compare => round.up(now, Host(100), Up::Have(copy.parts().to_vec())),
+                _ => {}
+            }
+        }
+        if copy.entries()["r:r5"].revision == LOST {
+            whole_since = whole_since.or(Some(now));
+        }
+    }
+    let late = whole_since.map(|at| at - 500.0);
+    assert!(late.is_some_and(|late| late < 3500.0), "made up for after {late:?} ms");
+    assert!(told < 500 + 500 / 8, "{told} entries for one that was lost");
+}
+
+/// A proxy that goes to another registry with what it holds is sent what it lacks, and is vouched for.
+#[test]
+fn a_session_that_is_resumed_brings_only_what_is_lacking() {
+    let mut round = fennelscale_membership::Round::new(host(0), 9, "z0", "r0", false, 0.0);
+    round.items(0.0, true, (0..500).map(route_entry).collect());
+    round.fresh(0.0, true);
+    let mut copy = fennelscale_config::Copied::default();
+    (0..500).map(route_entry).for_each(|(name, entry)| {
+        copy.take(&name, &entry);
+    });
+    round.items(10.0, false, vec![route_entry(507)]);
+    round.up(20.0, Host(100), Up::Resume(member(0, true), copy.parts().to_vec()));
+    let items = round.outs().into_iter().find_map(|out| match out {
+        fennelscale_membership::Out::Down(_, word) => match &*word {
+            Down::Items { fresh, entries, .. } => Some((*fresh, entries.clone())),
+            _ => None,
+        },
+        _ => None,
+    });
+    let (fresh, entries) = items.expect("items");
+    assert!(fresh && entries.iter().any(|(_, entry)| entry.revision == 507));
+    assert!(entries.len() < 500 / 8, "{} entries for one that is lacking", entries.len());
+}
+
+/// A store that was silent for a while speaks again: proxies that came meanwhile are vouched for.
+#[test]
+fn a_store_that_speaks_again_vouches_again() {
+    let mut round = fennelscale_membership::Round::new(host(0), 9, "z0", "r0", false, 0.0);
+    round.fresh(0.0, true);
+    round.tick(3000.0);
+    round.up(3010.0, Host(100), Up::Hello(member(0, false)));
+    let vouched = |round: &mut fennelscale_membership::Round| {
+        round.outs().into_iter().any(|out| {
+            matches!(out, fennelscale_membership::Out::Down(_, word) if matches!(&*word, Down::Items { fresh: true, .. }))
+        })
+    };
+    assert!(!vouched(&mut round));
+    round.fresh(3100.0, true);
+    assert!(vouched(&mut round));
+}
--- a/system/membership/tests/world/mod.rs
+++ b/system/membership/tests/world/mod.rs
@@ -30,6 +30,8 @@
     /// What the store holds of maintenance, and steps on their way to it.
     pub store: BTreeMap<String, Entry>,
     steps: Vec<(f64, usize, Write)>,
+    /// Machines whose stores hold a copy as new as a quorum's, and say so.
+    vouched: BTreeSet<usize>,
     /// Steps that the store wrote, and that it refused.
     pub written: Vec<(f64, String)>,
     pub refused: usize,
@@ -76,6 +78,7 @@
             walls: vec![0.0; n],
             store: BTreeMap::new(),
             steps: Vec::new(),
+            vouched: BTreeSet::new(),
             written: Vec::new(),
             refused: 0,
             backends: vec![backend("i", "s", 0)],
@@ -111,6 +114,7 @@
 
     pub fn kill(&mut self, n: usize) {
         self.nodes[n] = None;
+        self.vouched.remove(&n);
     }
 
     pub fn with(&mut self, n: usize, input: impl FnOnce(&mut Round, f64)) {
@@ -176,6 +180,10 @@
                 }
             }
             self.write_steps();
+            for n in self.vouched.clone() {
+                // Stores say so with each beat.
+                self.with(n, |round, now| round.fresh(now, true));
+            }
             for n in 0..self.nodes.len() {
                 let wall = TRUE + self.now + self.walls[n];
                 self.with(n, |round, now| {
@@ -205,6 +213,7 @@
     /// The store is as new as a quorum's at all registries, and a machine that started hears all that it holds.
     pub fn vouch(&mut self, n: usize) {
         let all: Vec<_> = self.store.iter().map(|(name, entry)| (name.clone(), entry.clone())).collect();
+        self.vouched.insert(n);
         self.with(n, |round, now| {
             round.items(now, true, all);
             round.fresh(now, true);
--- a/system/messages/src/lib.rs
+++ b/system/messages/src/lib.rs
@@ -18,7 +18,7 @@
 use thiserror::Error;
 
 /// The version of the words; raised with every change of one.
-pub const VERSION: u8 = 5;
+pub const VERSION: u8 = 6;
 /// The longest frame. A whole configuration of ten thousand routes fits; what is longer is no word of ours.
 pub const LONGEST: usize = 16 << 20;
 
--- a/system/messages/src/news.rs
+++ b/system/messages/src/news.rs
@@ -100,6 +100,10 @@
     Recalled(u64, String),
     /// The session ends in order.
     Bye,
+    /// A session begins, of a proxy that holds a copy already: its items by parts. It is sent what differs.
+    Resume(Member, Vec<u64>),
+    /// What this proxy holds, by parts: the answer to [`Down::Compare`].
+    Have(Vec<u64>),
 }
 
 /// What was leased.
@@ -163,6 +167,8 @@
         /// How long ago, in ms, the sender was last in contact with a majority of the core and held a copy as new as a quorum's.
         contact_age: u32,
     },
+    /// The proxy's items are not what they should be: what it holds is asked for, by parts.
+    Compare,
 }
 
 /// From proxy to proxy: one whose session is down asks a few others for what it lacks.
--- a/system/messages/src/tests.rs
+++ b/system/messages/src/tests.rs
@@ -11,7 +11,7 @@
 #[test]
 fn the_bytes_of_a_word_stay_as_they_are() {
     // A change of these bytes needs a new VERSION.
-    assert_eq!(hash(&frame(&accept())), 10918865902461279098, "{:02x?}", frame(&accept()));
+    assert_eq!(hash(&frame(&accept())), 5082943336319844485, "{:02x?}", frame(&accept()));
 }
 
 #[test]
--- a/system/proxy/src/held.rs
+++ b/system/proxy/src/held.rs
@@ -124,17 +124,12 @@
 
     /// All items by parts of their names.
     pub fn digest(&self) -> Vec<u64> {
-        fennelscale_config::digest(self.items.entries())
+        self.items.parts().to_vec()
     }
 
     /// Items of the parts in which another copy holds something else.
     pub fn differing(&self, theirs: &[u64]) -> Vec<Named> {
-        let own = self.digest();
-        let differs = |name: &str| {
-            theirs.get(fennelscale_config::part(name)) != own.get(fennelscale_config::part(name))
-        };
-        let items = self.items.entries().iter().filter(|(name, _)| differs(name));
-        items.map(|(name, entry)| (name.clone(), entry.clone())).collect()
+        self.items.differing(theirs)
     }
 
     /// All proxies, and how many there are for shares; 0 where nobody knows: what was known before holds.
@@ -171,7 +166,7 @@
             {
                 self.back.insert(Node::Zone(zone.to_owned()), Returned { heard: now, evacuated: true });
             }
-            self.table.set(&name, fact);
+            self.table.set(&name, entry.stamp, fact);
             news.push(name);
         }
         self.settle(now);
--- a/system/proxy/src/metrics.rs
+++ b/system/proxy/src/metrics.rs
@@ -2,8 +2,8 @@
 //!
 //! Counters are read from where they are counted at the moment of a scrape; nothing is counted here.
 
-use crate::held::Held;
-use crate::services::{Service, Services};
+use crate::proxy::Proxy;
+use crate::services::Service;
 use bytes::Bytes;
 use doorcourse::Outcome;
 use fennelscale_host::call::Asked;
@@ -41,6 +41,11 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Hash, PartialEq, Eq)]
+struct CopyLabel {
+    what: &'static str,
+}
+
 /// All figures of one proxy.
 #[derive(Debug)]
 pub struct Metrics {
@@ -50,6 +55,10 @@
     held: Family<ServiceLabel, Gauge>,
     listing: Gauge,
     members: Gauge,
+    /// How old the core's word is, in ms; -1 before the first.
+    contact_age: Gauge,
+    contested: Gauge,
+    copies: Family<CopyLabel, Counter>,
 }
 
 impl Default for Metrics {
@@ -68,14 +77,44 @@
         registry.register("held_requests", "Requests held because no backend may be sent one", held.clone());
         registry.register("listing_stamp", "Number of the list of backends that is in use", listing.clone());
         registry.register("members_ready", "Proxies that are known and take clients", members.clone());
-        Self { registry, sends, ends, held, listing, members }
+        let (contact_age, contested) = (Gauge::default(), Gauge::default());
+        let copies = Family::<CopyLabel, Counter>::default();
+        registry.register(
+            "contact_age_milliseconds",
+            "How long ago a majority of the core stood behind what this proxy was told; -1 before the first word",
+            contact_age.clone(),
+        );
+        registry.register(
+            "contested_claims",
+            "Places and keys that more than one item claims by what is known here",
+            contested.clone(),
+        );
+        registry.register(
+            "configuration_copies",
+            "What sessions brought of items: whole copies, entries, entries that were news, comparisons",
+            copies.clone(),
+        );
+        Self { registry, sends, ends, held, listing, members, contact_age, contested, copies }
     }
 }
 
 impl Metrics {
     /// All figures as of now.
-    pub fn render(&self, services: &Services, held: &Held) -> String {
-        services.each(|name, service| self.read_service(name, service));
+    pub fn render(&self, proxy: &Proxy) -> String {
+        let held = proxy.held.borrow();
+        proxy.services.each(|name, service| self.read_service(name, service));
+        self.contact_age.set(proxy.contact_age().map_or(-1, |age| age as i64));
+        self.contested.set(held.table.contested() as i64);
+        let copies = proxy.copies();
+        let figures = [
+            ("whole", copies.whole),
+            ("entries", copies.entries),
+            ("news", copies.news),
+            ("compared", copies.compared),
+        ];
+        for (what, count) in figures {
+            self.copies.get_or_create(&CopyLabel { what }).inner().store(count, Ordering::Relaxed);
+        }
         self.listing.set(i64::try_from(held.listing.stamp.0).unwrap_or(i64::MAX));
         self.members.set(held.members.iter().filter(|member| member.ready).count() as i64);
         let mut text = String::new();
--- a/system/proxy/src/proxy.rs
+++ b/system/proxy/src/proxy.rs
@@ -39,6 +39,18 @@
 /// What was counted of one failure order, as it is told.
 type Count = (String, [u64; 3], [[u64; 3]; 2]);
 
+/// What sessions have brought of items.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CopyFigures {
+    /// Copies of all items.
+    pub whole: u64,
+    /// Entries that came, and those of them that were news.
+    pub entries: u64,
+    pub news: u64,
+    /// Times that the registry asked for what is held, part by part.
+    pub compared: u64,
+}
+
 /// The proxy.
 pub struct Proxy {
     pub settings: Settings,
@@ -53,6 +65,10 @@
     next: Cell<u64>,
     session: RefCell<Option<Writer>>,
     registries: RefCell<Vec<RegistryPlace>>,
+    /// When the core's majority last stood behind what this proxy was told, by its own clock.
+    contact: Cell<Option<f64>>,
+    /// What sessions have brought of items.
+    copies: Cell<CopyFigures>,
     /// Control addresses by the settings as they were read last.
     seeds: RefCell<Vec<SocketAddr>>,
     /// Drained nodes where nothing is at work, as the registry was told.
@@ -113,6 +129,8 @@
         next: Cell::new(0),
         session: RefCell::default(),
         registries: RefCell::default(),
+        contact: Cell::default(),
+        copies: Cell::default(),
         quiet: RefCell::default(),
         door: RefCell::default(),
         desk: RefCell::new(desk),
@@ -132,7 +150,7 @@
     if let Some(listener) = scrapes {
         let (of, metrics) = (proxy.clone(), Rc::new(Metrics::default()));
         call::listen(listener, move |asked| {
-            let answer = metrics::answer(&asked, || metrics.render(&of.services, &of.held.borrow()));
+            let answer = metrics::answer(&asked, || metrics.render(&of));
             async move { answer }
         });
     }
@@ -283,6 +301,50 @@
         }
     }
 
+    /// When the core's majority last stood behind what this proxy was told.
+    pub fn contact(&self, contact: Option<f64>) {
+        self.contact.set(contact);
+    }
+
+    /// How long ago that was, in ms; none before a session's first beat.
+    pub fn contact_age(&self) -> Option<f64> {
+        self.contact.get().map(|at| self.now() - at)
+    }
+
+    /// What sessions have brought of items.
+    pub fn copies(&self) -> CopyFigures {
+        self.copies.get()
+    }
+
+    fn count_items(&self, whole: bool, entries: usize, news: usize) {
+        let known = self.copies.get();
+        self.copies.set(CopyFigures {
+            whole: known.whole + u64::from(whole),
+            entries: known.entries + entries as u64,
+            news: known.news + news as u64,
+            ..known
+        });
+    }
+
+    /// Tells what is held, part by part: the registry found a difference.
+    fn tell_parts(&self) {
+        let known = self.copies.get();
+        self.copies.set(CopyFigures { compared: known.compared + 1, ..known });
+        self.send(&Up::Have(self.held.borrow().digest()));
+    }
+
+    /// The first word of a session: one that holds a copy is sent only what it lacks.
+    pub fn greeting(&self) -> Up {
+        let held = self.held.borrow();
+        if held.sum() == 0 {
+            drop(held);
+            return Up::Hello(self.member());
+        }
+        let parts = held.digest();
+        drop(held);
+        Up::Resume(self.member(), parts)
+    }
+
     pub fn beat(&self) -> Up {
         let held = self.held.borrow();
         let (items, listing) = (held.sum(), held.listing.stamp);
@@ -373,7 +435,7 @@
     pub fn news(&self, word: Down) {
         match word {
             Down::Items { whole, fresh, entries } => {
-                let now = self.now();
+                let (now, count) = (self.now(), entries.len());
                 let (news, was) = {
                     let mut held = self.held.borrow_mut();
                     let was = held.is_ready();
@@ -381,6 +443,7 @@
                     held.fresh |= fresh;
                     (news, was)
                 };
+                self.count_items(whole, count, news.len());
                 if news.iter().any(|name| name.starts_with(FAILURE)) {
                     self.desk.borrow_mut().set(self.held.borrow().table.failures.values());
                 }
@@ -420,6 +483,7 @@
                 let known = self.trail.borrow().recall(self.now(), id);
                 self.send(&Up::Recalled(question, known));
             }
+            Down::Compare => self.tell_parts(),
             Down::Beat { .. } => {}
         }
     }
--- a/system/proxy/src/registry_choice.rs
+++ b/system/proxy/src/registry_choice.rs
@@ -68,6 +68,11 @@
         self.contact = Some(self.contact.map_or(at, |known| known.max(at)));
     }
 
+    /// When the session's registry was last in contact; none before the first beat.
+    pub fn contact(&self) -> Option<Millis> {
+        self.contact
+    }
+
     /// How long ago the core's majority last stood behind what this proxy was told; none before the first beat.
     pub fn contact_age(&self, now: Millis) -> Option<Millis> {
         self.contact.map(|at| now - at)
--- a/system/proxy/src/session.rs
+++ b/system/proxy/src/session.rs
@@ -6,9 +6,12 @@
 use fennelscale_messages::Host;
 use fennelscale_messages::news::{Down, Up};
 use fennelscale_node_settings::Port;
+use std::future::pending;
+use std::io;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// Between two beats of the session.
 const BEAT: Duration = Duration::from_millis(400);
@@ -45,65 +48,103 @@
 /// Why a session ends that could be with a nearer registry.
 const NEARER: &str = "a nearer registry is there";
 
-/// Whether one of these registries can be reached; those that cannot have failed.
-async fn any_reached(proxy: &Proxy, choice: &mut RegistryChoice, registries: &[Host]) -> bool {
+/// What came of a look at other registries.
+struct Look {
+    /// Those that could not be reached, before one could.
+    failed: Vec<Host>,
+    reached: bool,
+}
+
+/// Looks whether one of these registries can be reached.
+async fn look(proxy: Rc<Proxy>, registries: Vec<Host>) -> Look {
+    let mut failed = Vec::new();
     for registry in registries {
         if link::dial(proxy.settings.at(registry.ip(), Port::Sessions)).await.is_ok() {
-            return true;
+            return Look { failed, reached: true };
+        }
+        failed.push(registry);
+    }
+    Look { failed, reached: false }
+}
+
+/// A look that is under way; none is at most times.
+type Looking = Option<Pin<Box<dyn Future<Output = Look>>>>;
+
+/// The end of a look that is under way.
+async fn looked(looking: &mut Looking) -> Look {
+    match looking {
+        Some(look) => {
+            let seen = look.await;
+            *looking = None;
+            seen
         }
-        choice.failed(proxy.now(), *registry);
+        None => pending().await,
     }
-    false
+}
+
+/// What a session waits for.
+enum Next {
+    Word(io::Result<Down>),
+    BeatDue,
+    Looked(Look),
 }
 
 async fn hold(proxy: &Rc<Proxy>, host: Host, choice: &mut RegistryChoice) -> Result<(), &'static str> {
     let to = proxy.settings.at(host.ip(), Port::Sessions);
     let stream = link::dial(to).await.map_err(|_| "no connection")?;
     let (mut reader, writer) = split(stream);
-    writer.send(&Up::Hello(proxy.member()));
+    writer.send(&proxy.greeting());
     proxy.session(Some(writer.clone()));
     let mut beat = Instant::now() + BEAT;
     let mut heard = Instant::now();
-    let end = loop {
+    let mut looking: Looking = None;
+    let end = 'session: loop {
         // Reading a word takes several steps, and a beat between two of them must not lose the first: it goes on.
         let next = reader.next::<Down>();
         tokio::pin!(next);
         let word = loop {
-            match timeout_at(beat, &mut next).await {
-                Ok(word) => break word,
-                Err(_) => {
+            let event = tokio::select! {
+                word = &mut next => Next::Word(word),
+                () = sleep_until(beat) => Next::BeatDue,
+                // Beside the words, not between them: news come and beats go while a registry that is not there is dialled.
+                look = looked(&mut looking) => Next::Looked(look),
+            };
+            match event {
+                Next::Word(Ok(word)) => break word,
+                Next::Word(Err(_)) => break 'session "closed",
+                Next::Looked(look) => {
+                    look.failed.into_iter().for_each(|registry| choice.failed(proxy.now(), registry));
+                    if look.reached {
+                        break 'session "its registry is out of contact";
+                    }
+                }
+                Next::BeatDue => {
                     beat = Instant::now() + BEAT;
                     if heard.elapsed() > SILENT {
-                        break Err(std::io::ErrorKind::TimedOut.into());
+                        break 'session "silent";
                     }
                     writer.send(&proxy.beat());
                     if proxy.nearer(host, |other| choice.has_failed(proxy.now(), other)) {
-                        break Err(std::io::ErrorKind::Interrupted.into());
+                        break 'session NEARER;
                     }
                 }
             }
         };
-        match word {
-            Ok(word) => {
-                heard = Instant::now();
-                if let Down::Beat { contact_age } = word {
-                    choice.heard_beat(proxy.now(), f64::from(contact_age));
-                    // It serves until another takes this session: where all are cut off, an old word is better than none.
-                    let others = choice.alternatives(proxy.now(), host, &proxy.registries());
-                    if any_reached(proxy, choice, &others).await {
-                        break "its registry is out of contact";
-                    }
-                }
-                // At the first start only seeds are known; the nearest is heard of with the first news.
-                let told = matches!(word, Down::Registries(_));
-                proxy.news(word);
-                if told && proxy.nearer(host, |other| choice.has_failed(proxy.now(), other)) {
-                    break NEARER;
-                }
+        heard = Instant::now();
+        if let Down::Beat { contact_age } = word {
+            choice.heard_beat(proxy.now(), f64::from(contact_age));
+            proxy.contact(choice.contact());
+            // It serves until another takes this session: where all are cut off, an old word is better than none.
+            let others = choice.alternatives(proxy.now(), host, &proxy.registries());
+            if !others.is_empty() && looking.is_none() {
+                looking = Some(Box::pin(look(proxy.clone(), others)));
             }
-            Err(error) if error.kind() == std::io::ErrorKind::Interrupted => break NEARER,
-            Err(error) if error.kind() == std::io::ErrorKind::TimedOut => break "silent",
-            Err(_) => break "closed",
+        }
+        // At the first start only seeds are known; the nearest is heard of with the first news.
+        let told = matches!(word, Down::Registries(_));
+        proxy.news(word);
+        if told && proxy.nearer(host, |other| choice.has_failed(proxy.now(), other)) {
+            break NEARER;
         }
         if proxy.ended() {
             writer.send(&Up::Bye);
--- a/system/proxy/tests/helper/mod.rs
+++ b/system/proxy/tests/helper/mod.rs
@@ -351,7 +351,7 @@
     *session.writer.borrow_mut() = Some(writer.clone());
     while let Ok(word) = reader.next::<Up>().await {
         match word {
-            Up::Hello(member) => *session.member.borrow_mut() = Some(member),
+            Up::Hello(member) | Up::Resume(member, _) => *session.member.borrow_mut() = Some(member),
             Up::Beat { listing, .. } => {
                 session.listing.set(listing.0);
                 session.beats.set(session.beats.get() + 1);
--- a/system/registry/src/registry.rs
+++ b/system/registry/src/registry.rs
@@ -235,10 +235,11 @@
 
     async fn hear_proxy(self: Rc<Self>, stream: TcpStream) {
         let (mut reader, writer) = split(stream);
-        let Ok(Up::Hello(member)) = reader.next::<Up>().await else { return };
+        let Ok(first) = reader.next::<Up>().await else { return };
+        let (Up::Hello(member) | Up::Resume(member, _)) = &first else { return };
         let (host, life) = (member.host, self.number());
         self.sessions.borrow_mut().insert(host, (life, writer));
-        self.with(|round, now| round.up(now, host, Up::Hello(member)));
+        self.with(|round, now| round.up(now, host, first));
         while self.stands(host, life)
             && let Ok(up) = reader.next::<Up>().await
         {
--- a/system/replication/src/lib.rs
+++ b/system/replication/src/lib.rs
@@ -122,7 +122,7 @@
     News(Vec<Named>),
     /// Tells the registry of the seats.
     Seats(Seats),
-    /// Tells the registry whether this copy is as new as a quorum's.
+    /// Tells the registry whether this copy is as new as a quorum's, with each beat.
     Fresh(bool),
     /// A line for the log: the event and what it is about.
     Log(&'static str, String),
@@ -430,11 +430,9 @@
         };
         let heard = self.others().iter().filter(|host| self.peers.get(host).is_some_and(covered)).count();
         let enough = heard + usize::from(self.votes) >= self.quorum();
-        let fresh = !self.seats.seats.is_empty() && enough && !self.inherited;
-        if fresh != self.fresh {
-            self.fresh = fresh;
-            self.out.push(Out::Fresh(fresh));
-        }
+        self.fresh = !self.seats.seats.is_empty() && enough && !self.inherited;
+        // Said with each beat: the registry goes by it for a while only, since a store that hangs cannot take it back.
+        self.out.push(Out::Fresh(self.fresh));
     }
 
     /// Seats that ask by themselves take their turns, by their place in the list.
--- a/system/simulation/src/proxy.rs
+++ b/system/simulation/src/proxy.rs
@@ -128,7 +128,11 @@
 
     pub(crate) fn dialled(&mut self, now: Millis, core: usize, life: u64) -> Up {
         (self.session, self.heard, self.beat_at) = (Some((core, life)), now, now + BEAT);
-        Up::Hello(self.member())
+        if self.held.sum() == 0 {
+            Up::Hello(self.member())
+        } else {
+            Up::Resume(self.member(), self.held.digest())
+        }
     }
 
     pub(crate) fn dial_failed(&mut self, now: Millis, core: usize) {
@@ -165,6 +169,7 @@
                 self.told(told);
             }
             Down::Beat { contact_age } => self.choice.heard_beat(now, f64::from(*contact_age)),
+            Down::Compare => out.push(Up::Have(self.held.digest())),
             Down::Registries(_) | Down::Time(..) | Down::Recall(..) => {}
         }
         // As in the program: whatever may bear on the choice of a backend is told to the decisions with the word that brought it.
