--- a/system/membership/src/lib.rs
+++ b/system/membership/src/lib.rs
@@ -18,20 +18,22 @@
 mod failures;
 pub mod feed;
 pub mod hours;
+mod leasing;
 pub mod members;
 mod news;
 mod quotas;
+mod status;
 pub mod streams;
 
 use duties::Duties;
 use feed::{Feed, Kind};
-use fennelscale_config::{Copied, Fact};
+use fennelscale_config::Copied;
 use fennelscale_messages::Host;
-use fennelscale_messages::depot::{Entry, Seats};
+use fennelscale_messages::depot::Seats;
 use fennelscale_messages::feed::{Event, Told, Wanted};
-use fennelscale_messages::news::{Backend, Down, Grant, Listing, Member, RegistryPlace, Up};
+use fennelscale_messages::news::{Backend, Down, Listing, Member, RegistryPlace, Up};
 use fennelscale_messages::round::Word;
-use fennelscale_quota_lease::{Ask, Counts, Relay, Sent, Terms};
+use fennelscale_quota_lease::{Ask, Counts, Relay, Terms};
 use hours::Hours;
 use members::Members;
 use std::collections::{BTreeMap, BTreeSet};
@@ -217,37 +219,6 @@
         &self.feed
     }
 
-    /// What operators are told of this registry: pairs of names and values, in a fixed order.
-    pub fn status(&self, now: Millis) -> Vec<(&'static str, String)> {
-        let members::Counts { all: gateways, silent, .. } = self.counted(now);
-        let alive = self.heard(now).len();
-        let lagging = self.members.lagging();
-        vec![
-            ("registry", self.me.to_string()),
-            ("zone", self.zones.0.clone()),
-            ("seats", self.seats.seats.len().to_string()),
-            ("seats_version", self.seats.version.to_string()),
-            ("registries_heard", alive.to_string()),
-            ("copy_fresh", self.vouched.holds(now).to_string()),
-            ("copy_vouched_ms_ago", format!("{:.0}", now - self.vouched.last())),
-            ("cut_off", self.is_cut(now).to_string()),
-            ("contact_age_ms", format!("{:.0}", self.contact_age(now))),
-            ("items", self.items.entries().len().to_string()),
-            ("listing", self.listing.stamp.0.to_string()),
-            ("backends", self.listing.backends.len().to_string()),
-            ("proxies", self.members.all(now).len().to_string()),
-            ("proxies_for_shares", gateways.to_string()),
-            ("proxies_silent", silent.to_string()),
-            ("sessions_here", self.members.sessions().len().to_string()),
-            ("sessions_lagging", lagging.to_string()),
-            ("copies_compared", self.resent.0.to_string()),
-            ("entries_resent", self.resent.1.to_string()),
-            ("duties_held", self.held(now).count_ones().to_string()),
-            ("tenants_counted", self.counts.tenants().to_string()),
-            ("tenants_relayed", self.relay.tenants().to_string()),
-        ]
-    }
-
     /// Duties that are held here.
     pub fn held(&self, now: Millis) -> u64 {
         self.duties.held(now, self.majority())
@@ -572,28 +543,6 @@
         }
     }
 
-    /// Grants units of a tenant, if the duty is held here: the fence is looked at here, where units are granted.
-    fn count(&mut self, now: Millis, ask: Ask<'_>) -> Grant {
-        let (tenant, next) = (ask.tenant, ask.next);
-        let bit = duties::bit_of(tenant);
-        let terms = self.terms.get(tenant).copied().unwrap_or_default();
-        if self.held(now) & bit == 0 || terms.rate <= 0.0 {
-            return closed(tenant, next, terms);
-        }
-        let since = self.duties.since(bit);
-        if since > now {
-            // Held, but not looked at since: the rest has not begun.
-            return closed(tenant, next, terms);
-        }
-        let counts = self.counted(now);
-        // While a new holder rested all were on their own, and it is a while until they say that they no longer are.
-        let rested = now > since + Counts::REST as f64 * terms.window() + RESTED;
-        let alone = if rested { self.members.alone_count(bit) } else { 0.0 };
-        let grant = self.counts.ask(now, ask, terms, since, counts.parts + alone / counts.all);
-        self.quota_edge(now, &grant);
-        grant
-    }
-
     /// A word from a proxy of this registry's.
     pub fn up(&mut self, now: Millis, from: Host, up: Up) {
         match up {
@@ -635,77 +584,6 @@
         }
     }
 
-    /// The relay of this region for a tenant: the registry with the highest draw among those of the region that are heard.
-    fn near(&self, now: Millis, tenant: &str) -> Host {
-        let draw = |host: &Host| {
-            fennelscale_messages::mix(fennelscale_messages::hash(tenant.as_bytes()) ^ u64::from(host.0))
-        };
-        let here = self.seats.seats.iter().filter(|seat| seat.region == self.zones.1).map(|seat| seat.host);
-        let alive = here.filter(|host| *host == self.me || self.alive(*host, now));
-        alive.max_by_key(draw).unwrap_or(self.me)
-    }
-
-    /// A proxy asks this relay, by way of another registry where its session is there.
-    #[expect(clippy::too_many_arguments, reason = "the fields of one word")]
-    fn relay_ask(
-        &mut self, now: Millis, proxy: Host, by: Option<Host>, tenant: &str, units: f64, next: bool,
-        demand: f64,
-    ) {
-        let terms = self.terms.get(tenant).copied().unwrap_or_default();
-        if terms.rate <= 0.0 {
-            return;
-        }
-        match by {
-            Some(by) => drop(self.ways.insert(proxy, by)),
-            None => drop(self.ways.remove(&proxy)),
-        }
-        let mut sent = Vec::new();
-        self.relay.ask(now, proxy, tenant, units, next, demand, terms, &mut sent);
-        self.relay_sent(now, sent);
-    }
-
-    fn relay_grant(&mut self, now: Millis, grant: Grant) {
-        let mut sent = Vec::new();
-        self.relay.grant(now, grant, &mut sent);
-        self.relay_sent(now, sent);
-    }
-
-    fn relay_sent(&mut self, now: Millis, sent: Vec<Sent>) {
-        for sent in sent {
-            match sent {
-                Sent::Down(proxy, grant) => match self.ways.get(&proxy) {
-                    Some(by) => self.out.push(Out::Send(*by, Word::Grant(proxy, grant))),
-                    None => self.out.push(Out::Down(proxy, Rc::new(Down::Grant(grant)))),
-                },
-                Sent::Up(tenant, units, next, demand) => self.ask_holder(now, tenant, units, next, demand),
-            }
-        }
-    }
-
-    fn ask_holder(&mut self, now: Millis, tenant: String, units: f64, next: bool, demand: f64) {
-        let from = self.me;
-        match self.holder(now, duties::bit_of(&tenant)) {
-            Some(host) if host == self.me => {
-                let grant = self.count(now, Ask { tenant: &tenant, proxy: from, units, next, demand });
-                self.relay_grant(now, grant);
-            }
-            Some(host) => self.out.push(Out::Send(host, Word::Ask { from, tenant, units, next, demand })),
-            None => {
-                let terms = self.terms.get(&tenant).copied().unwrap_or_default();
-                self.relay_grant(now, closed(&tenant, next, terms));
-            }
-        }
-    }
-
-    /// Who is thought to hold a duty.
-    fn holder(&self, now: Millis, bit: u64) -> Option<Host> {
-        if self.held(now) & bit != 0 {
-            return Some(self.me);
-        }
-        let claims = |(_, peer): &(&Host, &Peer)| now - peer.heard < SILENT && peer.claims & bit != 0;
-        self.peers.iter().filter(claims).map(|(host, _)| *host).next()
-    }
-
     /// A proxy's line is down.
     pub fn closed(&mut self, now: Millis, proxy: Host) {
         if self.members.closed(proxy, now) {
@@ -714,22 +592,4 @@
             self.beat_at = now;
         }
     }
-
-    /// What a tenant may use follows from its item; nothing when it is dropped or has no limit.
-    fn set_terms(&mut self, name: &str, entry: &Entry) {
-        let Some(tenant) = name.strip_prefix("t:") else { return };
-        let fact = entry.body.as_deref().map(|body| fennelscale_config::fact(name, &entry.host, body));
-        match fact {
-            Some(Ok(Fact::Tenant(t))) if t.rate > 0.0 => {
-                self.terms.insert(tenant.to_owned(), Terms { rate: t.rate, burst: t.burst });
-            }
-            _ => drop(self.terms.remove(tenant)),
-        }
-    }
-}
-
-/// Nobody grants now: the proxy is on its own until the window after next.
-fn closed(tenant: &str, next: bool, terms: Terms) -> Grant {
-    let (tenant, ends) = (tenant.to_owned(), terms.window());
-    Grant { tenant, units: 0.0, window: 0, begins: 0.0, ends, next, closed: true }
 }
