--- a/review/standins/src/bin/case1.rs
+++ b/review/standins/src/bin/case1.rs
@@ -98,7 +98,9 @@
                         );
                         let begun = Instant::now();
                         let answer = call(to, &[head.as_bytes(), &vec![b'x'; SMALL_BODY]].concat(), Duration::from_secs(6));
-                        statuses.lock().unwrap().insert(id, answer.map_or(0, |answer| answer.status));
+                        let status = answer.map_or(0, |answer| answer.status);
+                        record(format!("client gets {status} for {id}, small"));
+                        statuses.lock().unwrap().insert(id, status);
                         std::thread::sleep(Duration::from_millis(2000 / RATE).saturating_sub(begun.elapsed()));
                     }
                 }));
--- a/review/standins/src/bin/case2.rs
+++ b/review/standins/src/bin/case2.rs
@@ -135,6 +135,7 @@
                             match answer {
                                 Ok(answer) => {
                                     answered.fetch_add(usize::from(answer.status == 200), Ordering::Relaxed);
+                                    record(format!("client gets {} for {id}", answer.status));
                                     on_it += 1;
                                 }
                                 Err(error) => {
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -7,15 +7,24 @@
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    #[link_name = "signal"]
+    fn set_handler(number: i32, handler: extern "C" fn(i32)) -> usize;
 }
 
-pub const SIGHUP: i32 = 1;
-pub const SIGKILL: i32 = 9;
+/// Whether this program was told to end.
+static TOLD_TO_END: AtomicBool = AtomicBool::new(false);
+
+extern "C" fn on_end(_: i32) {
+    TOLD_TO_END.store(true, Ordering::Relaxed);
+}
+
+pub const SIGINT: i32 = 2;
 pub const SIGTERM: i32 = 15;
 
 /// Zones and their regions.
@@ -611,10 +620,17 @@
     record(format!("trouble: {}", trouble()));
     let deployment = Deployment::new(PathBuf::from(root), options);
     let watched = deployment.clone();
+    for number in [SIGINT, SIGTERM] {
+        // SAFETY: the handler only sets a flag.
+        unsafe { set_handler(number, on_end) };
+    }
     std::thread::spawn(move || {
-        std::thread::sleep(Duration::from_secs(112));
+        let until = Instant::now() + Duration::from_secs(112);
+        while Instant::now() < until && !TOLD_TO_END.load(Ordering::Relaxed) {
+            std::thread::sleep(Duration::from_millis(50));
+        }
         watched.end();
-        unable("it took too long");
+        unable("it took too long, or was told to end");
     });
     let guarded = deployment.clone();
     let hook = std::panic::take_hook();
