Proxy: metrics and trace of how far a request got whose exchange broke

Change: exchanges without an answer of their own are counted by how far the request was written, early answers are counted, and the trace of a request says for each attempt how its exchange broke.

--- a/crates/dataplane/src/back/backends.rs
+++ b/crates/dataplane/src/back/backends.rs
@@ -132,10 +132,39 @@
     /// Classifies an answer. If the request is `repeatable`, an answer may be rejected in favour of a retry
     /// on another backend.
     fn verdict(&self, head: &response::Parts, repeatable: bool) -> Verdict;
+    /// Records that an attempt ended without an answer of its own, and how far its request got.
+    fn record_break(&self, _id: &HeaderValue, _progress: Progress) {}
     /// The path probed for liveness, or for a load report where backends give them.
     fn probe_path(&self) -> &str;
 }
 
+/// Counts of exchanges with backends that did not go as they should.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ExchangeCounts {
+    /// Exchanges without an answer of their own of which no byte was written.
+    pub unsent: u64,
+    /// Exchanges without an answer of their own whose request was written in part.
+    pub part_written: u64,
+    /// Exchanges whose request was written whole and that brought nothing.
+    pub written: u64,
+    /// Exchanges that brought bytes, but no answer that can be used.
+    pub unusable_answer: u64,
+    /// Answers that began before the last byte of their request was written.
+    pub early_answers: u64,
+}
+
+impl ExchangeCounts {
+    fn record_break(&mut self, progress: Progress) {
+        let count = match progress {
+            Progress::Unsent => &mut self.unsent,
+            Progress::Partly => &mut self.part_written,
+            Progress::Whole => &mut self.written,
+            Progress::Spoilt => &mut self.unusable_answer,
+        };
+        *count += 1;
+    }
+}
+
 struct Backend {
     address: SocketAddr,
     ready: bool,
@@ -282,6 +311,7 @@
     busy_count: Rc<Cell<usize>>,
     break_rates: RefCell<BreakRates>,
     workloads: RefCell<HashMap<Name, Workload>>,
+    exchange_counts: RefCell<ExchangeCounts>,
     /// Called when no file descriptor is available for a connection.
     shortage_handler: RefCell<Option<Rc<dyn Fn()>>>,
 }
@@ -303,6 +333,7 @@
             busy_count: Rc::default(),
             break_rates: RefCell::default(),
             workloads: RefCell::default(),
+            exchange_counts: RefCell::default(),
             shortage_handler: RefCell::default(),
         })
     }
@@ -337,6 +368,19 @@
         }
     }
 
+    /// Counts of exchanges that did not go as they should, since the start.
+    pub fn exchange_counts(&self) -> ExchangeCounts {
+        *self.exchange_counts.borrow()
+    }
+
+    /// Records that an exchange ended without an answer of its own.
+    fn record_break(&self, id: Option<&HeaderValue>, progress: Progress) {
+        self.exchange_counts.borrow_mut().record_break(progress);
+        if let Some(id) = id {
+            self.protocol.record_break(id, progress);
+        }
+    }
+
     /// Backends that may be executing a request of this gateway: one in flight, or one that ended without an
     /// answer and whose deadline has not passed.
     pub fn busy_backends(&self) -> Vec<Name> {
@@ -548,6 +592,9 @@
                 self.break_rates.borrow_mut().record(idle, broke);
             }
             let mut fault = connection.fault();
+            if fault == Some(ResponseFault::Early) {
+                self.exchange_counts.borrow_mut().early_answers += 1;
+            }
             match end {
                 Ok((head, body)) => {
                     fault = fault.or_else(|| self.mismatch(&connection, &head, requirements.id));
@@ -563,10 +610,14 @@
                         );
                         return Some((head, body));
                     }
+                    self.record_break(requirements.id, Progress::Spoilt);
                     lifecycle.step(Event::Broke(Progress::Spoilt));
                 }
                 // If the backend just closed a reused connection, nothing was written: another one is tried.
-                Err(progress) => lifecycle.step(Event::Broke(progress)),
+                Err(progress) => {
+                    self.record_break(requirements.id, progress);
+                    lifecycle.step(Event::Broke(progress));
+                }
             }
             if fault.is_some() {
                 self.on_fault(name, address);
--- a/system/proxy/src/backend_protocol.rs
+++ b/system/proxy/src/backend_protocol.rs
@@ -4,7 +4,8 @@
 use crate::request_trace::RequestTrace;
 use doorcourse::Name;
 use fennelscale_dataplane::back::backends::{Message, Protocol, Verdict};
-use hyper::header::{CONTENT_ENCODING, HOST, HeaderName};
+use fennelscale_dataplane::back::connection::Progress;
+use hyper::header::{CONTENT_ENCODING, HOST, HeaderName, HeaderValue};
 use hyper::http::request::Builder;
 use hyper::http::response;
 use hyper::{Request, StatusCode};
@@ -74,11 +75,26 @@
         verdict
     }
 
+    fn record_break(&self, id: &HeaderValue, progress: Progress) {
+        let id = fennelscale_messages::hash(id.as_bytes());
+        self.trace.borrow_mut().record_break(id, break_name(progress));
+    }
+
     fn probe_path(&self) -> &str {
         &self.health_path
     }
 }
 
+/// How far a request got whose attempt ended without an answer, in metrics and traces.
+pub fn break_name(progress: Progress) -> &'static str {
+    match progress {
+        Progress::Unsent => "unsent",
+        Progress::Partly => "part_written",
+        Progress::Whole => "written",
+        Progress::Spoilt => "unusable_answer",
+    }
+}
+
 fn verdict(head: &response::Parts, repeatable: bool) -> Verdict {
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         return Verdict::Misdirected;
--- a/system/proxy/src/metrics.rs
+++ b/system/proxy/src/metrics.rs
@@ -3,10 +3,12 @@
 //!
 //! A scrape reads the counters from where they are kept; nothing is counted here.
 
+use crate::backend_protocol::break_name;
 use crate::proxy::Proxy;
 use crate::service_engines::ServiceEngine;
 use bytes::Bytes;
 use doorcourse::Outcome;
+use fennelscale_dataplane::back::connection::Progress;
 use fennelscale_host::call::ApiRequest;
 use http_body_util::Full;
 use hyper::Response;
@@ -42,6 +44,12 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Hash, PartialEq, Eq)]
+struct BreakLabels {
+    service: String,
+    progress: &'static str,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Hash, PartialEq, Eq)]
 struct CopyLabel {
     what: &'static str,
@@ -53,6 +61,8 @@
     registry: Registry,
     sends: Family<SendLabels, Counter>,
     ends: Family<EndLabels, Counter>,
+    breaks: Family<BreakLabels, Counter>,
+    early_answers: Family<ServiceLabel, Counter>,
     queued: Family<ServiceLabel, Gauge>,
     list_number: Gauge,
     ready_proxies: Gauge,
@@ -75,6 +85,18 @@
             sends.clone(),
         );
         registry.register("attempt_ends", "Attempts that ended, by outcome", ends.clone());
+        let breaks = Family::<BreakLabels, Counter>::default();
+        let early_answers = Family::<ServiceLabel, Counter>::default();
+        registry.register(
+            "exchange_breaks",
+            "Exchanges with backends that ended without an answer of their own, by how far the request was written",
+            breaks.clone(),
+        );
+        registry.register(
+            "early_answers",
+            "Answers that began before the last byte of their request was written",
+            early_answers.clone(),
+        );
         registry.register(
             "held_requests",
             "Requests held because no backend may be sent one",
@@ -103,7 +125,19 @@
             "What sessions brought of items: whole copies, entries, entries that were news, comparisons",
             copies.clone(),
         );
-        Self { registry, sends, ends, queued, list_number, ready_proxies, contact_age, contested, copies }
+        Self {
+            registry,
+            sends,
+            ends,
+            breaks,
+            early_answers,
+            queued,
+            list_number,
+            ready_proxies,
+            contact_age,
+            contested,
+            copies,
+        }
     }
 }
 
@@ -149,6 +183,18 @@
             let labels = EndLabels { service: name.to_owned(), outcome: outcome_name(outcome) };
             self.ends.get_or_create(&labels).inner().store(count, Ordering::Relaxed);
         }
+        let exchanges = service.exchange_counts();
+        let breaks = [
+            (Progress::Unsent, exchanges.unsent),
+            (Progress::Partly, exchanges.part_written),
+            (Progress::Whole, exchanges.written),
+            (Progress::Spoilt, exchanges.unusable_answer),
+        ];
+        for (progress, count) in breaks {
+            let labels = BreakLabels { service: name.to_owned(), progress: break_name(progress) };
+            self.breaks.get_or_create(&labels).inner().store(count, Ordering::Relaxed);
+        }
+        self.early_answers.get_or_create(&label).inner().store(exchanges.early_answers, Ordering::Relaxed);
         self.queued.get_or_create(&label).set(service.engine.queued() as i64);
     }
 }
--- a/system/proxy/src/request_trace.rs
+++ b/system/proxy/src/request_trace.rs
@@ -22,6 +22,8 @@
     backend: Name,
     /// The status of the answer, and the verdict on it.
     answer: Option<(u16, &'static str)>,
+    /// How far the request got, if the exchange ended without an answer of its own.
+    broke: Option<&'static str>,
 }
 
 #[derive(Clone, Debug)]
@@ -52,7 +54,7 @@
     /// Records that a request is sent to a backend.
     pub fn record_attempt(&mut self, now: f64, id: u64, backend: &Name) {
         if let Some(record) = self.active.get_mut(&id).filter(|record| record.attempts.len() < MAX_ATTEMPTS) {
-            record.attempts.push(Attempt { at: now, backend: backend.clone(), answer: None });
+            record.attempts.push(Attempt { at: now, backend: backend.clone(), answer: None, broke: None });
         }
     }
 
@@ -64,6 +66,14 @@
         }
     }
 
+    /// Records that the latest attempt ended without an answer of its own, and how far its request got.
+    pub fn record_break(&mut self, id: u64, progress: &'static str) {
+        let attempt = self.active.get_mut(&id).and_then(|record| record.attempts.last_mut());
+        if let Some(attempt) = attempt.filter(|attempt| attempt.answer.is_none()) {
+            attempt.broke = Some(progress);
+        }
+    }
+
     /// Records the final answer of a request, or that its client has disconnected.
     pub fn finish(&mut self, now: f64, id: u64, status: u16, why: &str) {
         if let Some(mut record) = self.active.remove(&id) {
@@ -105,8 +115,9 @@
             let answer = attempt.answer.map_or(String::new(), |(status, verdict)| {
                 format!(",\"status\":{status},\"taken\":\"{verdict}\"")
             });
+            let broke = attempt.broke.map_or(String::new(), |progress| format!(",\"broke\":\"{progress}\""));
             let after = attempt.at - record.started_at;
-            format!("{{\"backend\":{},\"after\":\"{after:.0}ms\"{answer}}}", quoted(&attempt.backend))
+            format!("{{\"backend\":{},\"after\":\"{after:.0}ms\"{answer}{broke}}}", quoted(&attempt.backend))
         });
         let attempts: Vec<String> = attempts.collect();
         let _ = write!(
@@ -151,6 +162,8 @@
         trace.begin(1000.0, 7, route(), None);
         trace.record_attempt(1001.0, 7, &"i-1".into());
         trace.record_answer(7, 503, "full");
+        trace.record_attempt(1005.0, 7, &"i-3".into());
+        trace.record_break(7, "part_written");
         trace.record_attempt(1010.0, 7, &"i-2".into());
         assert!(trace.to_json(1020.0, 7).ends_with("\"why\":\"it is not answered yet\"}"));
         trace.record_answer(7, 200, "served");
@@ -161,6 +174,7 @@
             trace.to_json(2000.0, 7),
             "{\"route\":\"a\",\"revision\":\"0000000c\",\"ago\":\"1000ms\",\"attempts\":[\
              {\"backend\":\"i-1\",\"after\":\"1ms\",\"status\":503,\"taken\":\"full\"},\
+             {\"backend\":\"i-3\",\"after\":\"5ms\",\"broke\":\"part_written\"},\
              {\"backend\":\"i-2\",\"after\":\"10ms\",\"status\":200,\"taken\":\"served\"}],\
              \"status\":200,\"why\":\"served\",\"took\":\"100ms\"}"
         );
--- a/system/proxy/src/service_engines.rs
+++ b/system/proxy/src/service_engines.rs
@@ -7,7 +7,7 @@
 use crate::routing_state::RoutingState;
 use doorcourse::{Class, DedupScope, Event, LoadReportSource, Name, Outcome, RetrySafety, SendCounts};
 use fennelscale_config::{Route, RouteKind};
-use fennelscale_dataplane::back::backends::{Backends, ConnectionLimits};
+use fennelscale_dataplane::back::backends::{Backends, ConnectionLimits, ExchangeCounts};
 use fennelscale_dataplane::engine::{CounterClient, CounterReplyHandler, Engine};
 use fennelscale_dataplane::task::spawn;
 use fennelscale_settings::list::List;
@@ -187,6 +187,11 @@
 }
 
 impl ServiceEngine {
+    /// Counts of exchanges with backends that did not go as they should, since the start.
+    pub fn exchange_counts(&self) -> ExchangeCounts {
+        self.backends.exchange_counts()
+    }
+
     /// The counts since the start.
     pub fn counts(&self) -> BackendCounts {
         BackendCounts {
