Data plane: a request written in part may have run, and an early answer is its answer

Cause: Connection::progress told an exchange that ended with its request written in part as one that never ran, whatever had come back.

Change: from its first byte on a request can have run. An early answer that is whole and names its request is its answer (421 and Not-Executed are believed); any other leaves the request in doubt. The rest of the body is written behind a success; no other request ever stands on that connection. A failed write does not take away an answer already received.

Why it works: the one place that concludes "never ran" from how far a request was written now does so only where not one byte was.

--- a/crates/dataplane/src/back/backends.rs
+++ b/crates/dataplane/src/back/backends.rs
@@ -592,7 +592,8 @@
                 self.break_rates.borrow_mut().record(idle, broke);
             }
             let mut fault = connection.fault();
-            if fault == Some(ResponseFault::Early) {
+            let is_early = connection.is_answered_early();
+            if is_early {
                 self.exchange_counts.borrow_mut().early_answers += 1;
             }
             match end {
@@ -615,6 +616,7 @@
                 }
                 // If the backend just closed a reused connection, nothing was written: another one is tried.
                 Err(progress) => {
+                    fault = fault.or(is_early.then_some(ResponseFault::Early));
                     self.record_break(requirements.id, progress);
                     lifecycle.step(Event::Broke(progress));
                 }
@@ -702,9 +704,15 @@
         if connection.time_to_first_byte().is_some_and(|after| self.reuse.is_too_fast(after)) {
             return Some(ResponseFault::TooFast);
         }
-        let (id, header) = (id?, self.reuse.identity_header()?);
-        let answer_id = head.headers.get(header).map(HeaderValue::as_bytes);
-        self.reuse.is_for_other_request(answer_id, id.as_bytes()).then_some(ResponseFault::WrongRequest)
+        let id = id?;
+        let header = self.reuse.identity_header();
+        let answer_id = header.and_then(|header| head.headers.get(header)).map(HeaderValue::as_bytes);
+        if self.reuse.is_for_other_request(answer_id, id.as_bytes()) {
+            return Some(ResponseFault::WrongRequest);
+        }
+        let is_unproven =
+            connection.is_answered_early() && !self.reuse.names_request(answer_id, id.as_bytes());
+        is_unproven.then_some(ResponseFault::Early)
     }
 
     /// Records that a backend sent bytes that belong to no request; closes its idle connections if they may
--- a/crates/dataplane/src/back/connection.rs
+++ b/crates/dataplane/src/back/connection.rs
@@ -9,7 +9,7 @@
 use hyper::client::conn::http1;
 use hyper::http::response;
 use hyper_util::rt::TokioIo;
-use life::connection::{Connection, Event, Written};
+use life::connection::{Connection, Event, Received, Written};
 use std::cell::Cell;
 use std::future::{Future, pending, poll_fn};
 use std::io;
@@ -41,6 +41,10 @@
 struct ExchangeState {
     lifecycle: Lifecycle<Connection>,
     answer_started: Notify,
+    /// Bytes of requests written so far.
+    bytes_written: Cell<u64>,
+    /// A write failed. Reading goes on, because the answer may have been received before.
+    write_failed: Cell<bool>,
     /// Why received bytes could not be an answer to the request in flight.
     fault: Cell<Option<ResponseFault>>,
     /// When the request's last byte was written and how long after that the answer's first byte came, where
@@ -62,15 +66,16 @@
         } else if !is_interim {
             let before = self.lifecycle.state();
             self.lifecycle.step(Event::Heard);
-            let fault = match before {
-                Connection::Busy { written: Written::Whole, .. } | Connection::Ended => None,
-                Connection::Busy { written: Written::Part, .. } => Some(ResponseFault::Early),
-                _ => Some(ResponseFault::Unsolicited),
-            };
-            if let Some(fault) = fault {
-                self.record_fault(fault);
+            let may_be_answer = matches!(
+                before,
+                Connection::Busy { written: Written::Part | Written::Whole, .. }
+                    | Connection::AnsweredEarly
+                    | Connection::Ended
+            );
+            if !may_be_answer {
+                self.record_fault(ResponseFault::Unsolicited);
             }
-            if matches!(before, Connection::Busy { heard: false, .. }) {
+            if matches!(before, Connection::Busy { received: Received::Nothing, .. }) {
                 self.time_to_first_byte.set(self.written_at.get().map(|written| written.elapsed()));
                 self.answer_started.notify_one();
             }
@@ -86,11 +91,11 @@
 
     /// Whether bytes may be written now. The first bytes of a request may be written only while the socket
     /// has nothing to read and is not closed; this asks the kernel, since the state known to the event loop
-    /// may be out of date. Once bytes were received before the request's last byte was written, nothing more
-    /// may be written.
+    /// may be out of date. The rest of a request may be written behind the first bytes of its answer.
     fn may_write(&self, stream: &TcpStream) -> io::Result<()> {
         match self.lifecycle.state() {
-            Connection::Busy { written: Written::Nothing, heard: false } => match peek(stream) {
+            Connection::Busy { written: Written::Nothing, received: Received::Nothing } => match peek(stream)
+            {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
                 Ok(1..) => {
                     self.lifecycle.step(Event::Heard);
@@ -98,7 +103,7 @@
                 }
                 Ok(0) | Err(_) => self.lifecycle.step(Event::Ended),
             },
-            Connection::Busy { heard: false, .. } => return Ok(()),
+            Connection::Busy { written: Written::Part, .. } => return Ok(()),
             _ => {}
         }
         Err(io::ErrorKind::ConnectionAborted.into())
@@ -123,6 +128,11 @@
         loop {
             ready!(self.stream.poll_read_ready(cx))?;
             match self.stream.try_read(buf.initialize_unfilled()) {
+                // The failed write has taken the socket's error, so that an answer which was reset would seem to
+                // end here.
+                Ok(0) if self.exchange.write_failed.get() => {
+                    return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+                }
                 Ok(read) => {
                     buf.advance(read);
                     let filled = buf.filled();
@@ -151,10 +161,17 @@
                 Ok(written) => {
                     if written > 0 {
                         self.exchange.lifecycle.step(Event::Wrote);
+                        self.exchange.bytes_written.update(|before| before + written as u64);
                     }
                     return Poll::Ready(Ok(written));
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                // What was received before is read first; the end of the connection follows it and wakes the
+                // reader.
+                Err(_) if self.exchange.lifecycle.state().is_part_written() => {
+                    self.exchange.write_failed.set(true);
+                    return Poll::Pending;
+                }
                 Err(error) => return Poll::Ready(Err(error)),
             }
         }
@@ -167,10 +184,7 @@
     /// The HTTP library flushes once all its buffered data is written, and that includes the whole request,
     /// whose body is in memory.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let ends_request = matches!(
-            self.exchange.lifecycle.state(),
-            Connection::Busy { written: Written::Part, heard: false }
-        );
+        let ends_request = self.exchange.lifecycle.state().is_part_written();
         self.exchange.lifecycle.step(Event::Flushed);
         if ends_request && self.timed {
             self.exchange.written_at.set(Some(Instant::now()));
@@ -203,6 +217,8 @@
         let exchange = Rc::new(ExchangeState {
             lifecycle: Lifecycle::new(Connection::Dialling),
             answer_started: Notify::new(),
+            bytes_written: Cell::default(),
+            write_failed: Cell::default(),
             fault: Cell::default(),
             written_at: Cell::default(),
             time_to_first_byte: Cell::default(),
@@ -242,10 +258,21 @@
         self.exchange.time_to_first_byte.get()
     }
 
-    /// Sends a request and waits for the complete answer. Its body may have at most `max_body` bytes and must
-    /// end within `rest` after the answer's first byte: nothing else would end the wait for an answer shorter
-    /// than its stated length. A request whose last byte is not written at `write_by` is abandoned: dropping
-    /// the connection then guarantees that it is not executed.
+    /// Whether the last answer, whole or in part, began before the last byte of its request was written. The
+    /// caller decides by what the answer names whether it belongs to the request. The connection is never
+    /// free again.
+    pub fn is_answered_early(&self) -> bool {
+        self.exchange.lifecycle.state().is_answered_early()
+    }
+
+    /// Sends a request and waits for the complete answer. Its body may have at most `max_body` bytes. An
+    /// answer that begins after the request's last byte must end within `rest` after its own first byte:
+    /// nothing else would end the wait for an answer shorter than its stated length. A request whose last byte
+    /// is not written at `write_by` is abandoned.
+    ///
+    /// A backend may answer before it has read the request. The rest of the request is written behind a
+    /// success, for as long as the backend takes some of it within each `rest`; behind any other answer it is
+    /// not, as RFC 9112, section 9.5 allows, and the connection is to be dropped.
     ///
     /// # Errors
     /// When the connection fails first or the answer cannot be read; the error tells how far the
@@ -271,7 +298,11 @@
         });
         let late = async {
             exchange.answer_started.notified().await;
-            // Bytes received before the request's last byte was written are no answer to wait for.
+            if exchange.lifecycle.state().is_answered_early() {
+                // Its end may have to wait for the rest of the request.
+                return pending().await;
+            }
+            // Bytes received before the request's first byte are no answer to wait for.
             if matches!(exchange.lifecycle.state(), Connection::Busy { written: Written::Whole, .. }) {
                 sleep(rest).await;
             }
@@ -281,7 +312,7 @@
             sleep_until(by).await;
             if !matches!(
                 exchange.lifecycle.state(),
-                Connection::Busy { written: Written::Nothing | Written::Part, heard: false }
+                Connection::Busy { written: Written::Nothing | Written::Part, received: Received::Nothing }
             ) {
                 pending::<()>().await;
             }
@@ -292,18 +323,51 @@
             () = late => Err(()),
             () = unwritten => Err(()),
         };
-        let lifecycle = &exchange.lifecycle;
-        if end.is_ok() && matches!(lifecycle.state(), Connection::Busy { heard: false, .. }) {
+        self.complete(end, rest).await
+    }
+
+    /// Ends an exchange with its answer, if there is one.
+    async fn complete(
+        &mut self, end: Result<(response::Parts, Bytes), ()>, rest: Duration,
+    ) -> Result<(response::Parts, Bytes), Progress> {
+        let Ok(answer) = end else { return Err(self.exchange.lifecycle.state().progress()) };
+        if matches!(
+            self.exchange.lifecycle.state(),
+            Connection::Busy { written: Written::Part | Written::Whole, received: Received::Nothing }
+        ) {
             // The final answer came together with an interim one.
-            lifecycle.step(Event::Heard);
+            self.exchange.lifecycle.step(Event::Heard);
+        }
+        if answer.0.status.is_success() {
+            self.write_rest(rest).await;
         }
-        match (end, lifecycle.state()) {
-            (Ok(answer), Connection::Busy { written: Written::Whole, .. }) => {
-                lifecycle.step(Event::Whole);
+        match self.exchange.lifecycle.state() {
+            Connection::Busy { written: Written::Part | Written::Whole, .. } => {
+                self.exchange.lifecycle.step(Event::Whole);
                 Ok(answer)
             }
-            // An answer to an incompletely written request is not an answer to this request.
-            (_, now) => Err(now.progress()),
+            // An answer to a request of which nothing was written is not an answer to this request.
+            now => Err(now.progress()),
+        }
+    }
+
+    /// Writes the rest of a request whose answer is complete, until it is written, the connection ends, or
+    /// the backend has taken nothing of it for `stall`.
+    async fn write_rest(&mut self, stall: Duration) {
+        let (driver, exchange) = (&mut self.driver, &self.exchange);
+        loop {
+            let before = exchange.bytes_written.get();
+            let written = poll_fn(|cx| {
+                poll_driver(driver, cx);
+                let pending = driver.is_some()
+                    && exchange.lifecycle.state().is_part_written()
+                    && !exchange.write_failed.get();
+                if pending { Poll::Pending } else { Poll::Ready(()) }
+            });
+            let ended = tokio::time::timeout(stall, written).await.is_ok();
+            if ended || exchange.bytes_written.get() == before {
+                return;
+            }
         }
     }
 
--- a/crates/life-check/src/explore.rs
+++ b/crates/life-check/src/explore.rs
@@ -12,8 +12,17 @@
 
 /// Two requests of different effect, two nodes in two racks, three attempts, one drain, one cancel, one fault of any kind
 /// anywhere, the second request under its own id or the first one's, and time-outs.
-pub const ALL_AT_ONCE: Bounds =
-    Bounds { requests: 2, nodes: 2, attempts: 3, cancels: 1, drains: 1, faults: 1, reuses: 1, steps: 4 };
+pub const ALL_AT_ONCE: Bounds = Bounds {
+    requests: 2,
+    nodes: 2,
+    attempts: 3,
+    cancels: 1,
+    drains: 1,
+    faults: 1,
+    reuses: 1,
+    early: 1,
+    steps: 4,
+};
 
 /// The one property that the checker is given: all of those in `properties`.
 const PROPERTY: &str = "all properties hold";
@@ -188,6 +197,8 @@
         Step::Writes(n) => format!("{}: its first bytes are due", attempt(n)),
         Step::Flushes(n) => format!("{}: its last byte is written", attempt(n)),
         Step::Replies(n, reply) => format!("{}: the node writes {reply:?}", attempt(n)),
+        Step::Starts(n) => format!("{}: the node begins to run it before its last byte", attempt(n)),
+        Step::Hears(n) => format!("{}: the gateway hears that before its last byte", attempt(n)),
         Step::Reads(n) => format!("{}: the gateway reads that", attempt(n)),
         Step::Breaks(n) => format!("{}: its connection breaks", attempt(n)),
         Step::FindsBroken(n) => format!("{}: its connection turns out to be broken", attempt(n)),
--- a/crates/life-check/src/walk.rs
+++ b/crates/life-check/src/walk.rs
@@ -7,8 +7,17 @@
 use life::connection::{Connection, Written};
 
 /// The bounds of all walks: as many attempts as the tests' gateway makes.
-pub const BOUNDS: Bounds =
-    Bounds { requests: 2, nodes: 2, attempts: 6, cancels: 1, drains: 0, faults: 2, reuses: 1, steps: 4 };
+pub const BOUNDS: Bounds = Bounds {
+    requests: 2,
+    nodes: 2,
+    attempts: 6,
+    cancels: 1,
+    drains: 0,
+    faults: 2,
+    reuses: 1,
+    early: 0,
+    steps: 4,
+};
 
 /// What the gateway does next by itself, if there is something.
 pub fn at_once(world: &World) -> Option<Step> {
--- a/crates/life/src/attempt.rs
+++ b/crates/life/src/attempt.rs
@@ -116,10 +116,11 @@
             // A kept connection that its backend closed just now: nothing was written, so this is no second send,
             // and the backend is not to blame.
             (Self::Exchanging { kept: true }, Event::Broke(Progress::Unsent)) => Self::Decided,
-            (Self::Exchanging { .. }, Event::Broke(Progress::Unsent | Progress::Partly)) => {
-                Self::Over(Outcome::ConnectFailed)
+            (Self::Exchanging { .. }, Event::Broke(Progress::Unsent)) => Self::Over(Outcome::ConnectFailed),
+            // A backend may begin to run a request before its last byte has come.
+            (Self::Exchanging { .. }, Event::Broke(Progress::Partly | Progress::Whole)) => {
+                Self::Over(Outcome::ConnectionLost)
             }
-            (Self::Exchanging { .. }, Event::Broke(Progress::Whole)) => Self::Over(Outcome::ConnectionLost),
             // The backend lives and may have run it. Guards the fleet against being left alone for answers that come
             // spoilt from all alike: an error says no more than that.
             (Self::Exchanging { .. }, Event::Broke(Progress::Spoilt)) => Self::Over(Outcome::Error),
--- a/crates/life/src/connection.rs
+++ b/crates/life/src/connection.rs
@@ -12,10 +12,22 @@
     Nothing,
     /// Not its last byte.
     Part,
-    /// Its last byte: the backend may run it from now on.
+    /// Its last byte.
     Whole,
 }
 
+/// What has come back during an exchange.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Received {
+    /// Not one byte.
+    Nothing,
+    /// Bytes that began before the request's last byte was written. They are an answer to it only if they name it: they
+    /// may as well be the late answer to an earlier request.
+    Early,
+    /// Bytes that began after it.
+    Answer,
+}
+
 /// Where a connection is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Connection {
@@ -27,12 +39,14 @@
     Busy {
         /// How far the request is written.
         written: Written,
-        /// The first byte of an answer has come. Ahead of the request's last byte it is nobody's: the exchange ends, and
-        /// the request surely never runs.
-        heard: bool,
+        /// What has come back.
+        received: Received,
     },
     /// The answer is whole; whether more is behind it is not known yet.
     Answered,
+    /// The answer is whole and began before the request's last byte was written: of no further use, as its backend may
+    /// still be reading the request.
+    AnsweredEarly,
     /// Bytes came that belong to nothing: of no further use.
     Poisoned,
     /// The other side has ended its sending, or all of it.
@@ -60,14 +74,15 @@
     Ended,
 }
 
-/// What an exchange that brought no answer means for its request.
+/// How far an exchange got that brought no answer. A backend may begin to run a request at its first byte, so only
+/// [`Progress::Unsent`] says that it has not.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Progress {
     /// Not one byte of it was written.
     Unsent,
-    /// Its last byte was not written.
+    /// Its last byte was not written, and nothing came back.
     Partly,
-    /// It was written whole.
+    /// It was written whole, and nothing came back.
     Whole,
     /// Something came back, but no answer that can be used, or none that is whole in time.
     Spoilt,
@@ -77,17 +92,24 @@
     /// How far the exchange got, if it ends now without an answer.
     pub const fn progress(&self) -> Progress {
         match self {
-            // What came ahead of the last byte says nothing of this request, and the rest of it is never written.
-            Self::Busy { written: Written::Part, .. } => Progress::Partly,
-            Self::Busy { written: Written::Whole, heard: false } => Progress::Whole,
-            Self::Busy { written: Written::Whole, heard: true } | Self::Poisoned | Self::Answered => {
-                Progress::Spoilt
-            }
-            Self::Dialling | Self::Free | Self::Ended | Self::Busy { written: Written::Nothing, .. } => {
-                Progress::Unsent
-            }
+            Self::Dialling | Self::Free | Self::Ended => Progress::Unsent,
+            // Nothing is written behind bytes that came ahead of the first one.
+            Self::Busy { written: Written::Nothing, .. } => Progress::Unsent,
+            Self::Busy { written: Written::Part, received: Received::Nothing } => Progress::Partly,
+            Self::Busy { written: Written::Whole, received: Received::Nothing } => Progress::Whole,
+            Self::Busy { .. } | Self::Answered | Self::AnsweredEarly | Self::Poisoned => Progress::Spoilt,
         }
     }
+
+    /// Whether the answer of the exchange, whole or in part, began before the request's last byte was written.
+    pub const fn is_answered_early(&self) -> bool {
+        matches!(self, Self::Busy { received: Received::Early, .. } | Self::AnsweredEarly)
+    }
+
+    /// Whether a request is written in part.
+    pub const fn is_part_written(&self) -> bool {
+        matches!(self, Self::Busy { written: Written::Part, .. })
+    }
 }
 
 impl Named for Connection {
@@ -95,12 +117,15 @@
         match self {
             Self::Dialling => "dialling",
             Self::Free => "free",
-            Self::Busy { written: Written::Nothing, heard: false } => "busy, nothing written",
-            Self::Busy { written: Written::Part, heard: false } => "busy, part written",
-            Self::Busy { written: Written::Whole, heard: false } => "busy, all written",
-            Self::Busy { written: Written::Whole, heard: true } => "busy, answer begun",
-            Self::Busy { heard: true, .. } => "busy, bytes ahead",
+            Self::Busy { written: Written::Nothing, received: Received::Nothing } => "busy, nothing written",
+            Self::Busy { written: Written::Nothing, .. } => "busy, bytes ahead",
+            Self::Busy { written: Written::Part, received: Received::Nothing } => "busy, part written",
+            Self::Busy { written: Written::Part, .. } => "busy, part written, answer begun",
+            Self::Busy { written: Written::Whole, received: Received::Nothing } => "busy, all written",
+            Self::Busy { written: Written::Whole, received: Received::Early } => "busy, early answer begun",
+            Self::Busy { written: Written::Whole, received: Received::Answer } => "busy, answer begun",
             Self::Answered => "answered",
+            Self::AnsweredEarly => "answered early",
             Self::Poisoned => "poisoned",
             Self::Ended => "ended",
         }
@@ -115,25 +140,38 @@
         let illegal = Err(self.illegal(event));
         Ok(match (self, event) {
             (Self::Dialling, Event::Connected) => Self::Free,
-            (Self::Free, Event::Begin) => Self::Busy { written: Written::Nothing, heard: false },
+            (Self::Free, Event::Begin) => {
+                Self::Busy { written: Written::Nothing, received: Received::Nothing }
+            }
             // Bytes for nobody, before or between exchanges.
             (Self::Free | Self::Answered, Event::Heard) => Self::Poisoned,
-            // Nothing is written behind bytes that came ahead of the last one: they are nobody's answer.
-            (Self::Busy { written: Written::Nothing | Written::Part, heard: false }, Event::Wrote) => {
-                Self::Busy { written: Written::Part, heard: false }
+            (Self::Busy { written: Written::Nothing, received: Received::Nothing }, Event::Wrote) => {
+                Self::Busy { written: Written::Part, received: Received::Nothing }
             }
-            (Self::Busy { written: Written::Part, heard: false }, Event::Flushed) => {
-                Self::Busy { written: Written::Whole, heard: false }
+            (Self::Busy { written: Written::Part, .. }, Event::Wrote) => self,
+            (Self::Busy { written: Written::Part, received }, Event::Flushed) => {
+                Self::Busy { written: Written::Whole, received }
             }
             (Self::Dialling, Event::Flushed) => return illegal,
             // Nothing was there to be written.
             (_, Event::Flushed) => self,
-            (Self::Busy { written, .. }, Event::Heard) => Self::Busy { written, heard: true },
-            (Self::Busy { written: Written::Whole, heard: true }, Event::Whole) => Self::Answered,
+            (Self::Busy { written, received: Received::Nothing }, Event::Heard) => {
+                let received =
+                    if matches!(written, Written::Whole) { Received::Answer } else { Received::Early };
+                Self::Busy { written, received }
+            }
+            (Self::Busy { .. } | Self::AnsweredEarly, Event::Heard) => self,
+            (Self::Busy { written: Written::Whole, received: Received::Answer }, Event::Whole) => {
+                Self::Answered
+            }
+            (
+                Self::Busy { written: Written::Part | Written::Whole, received: Received::Early },
+                Event::Whole,
+            ) => Self::AnsweredEarly,
             (Self::Answered, Event::Quiet) => Self::Free,
             (Self::Poisoned, Event::Wrote | Event::Heard | Event::Ended) => Self::Poisoned,
             // What it says of an exchange must outlast the connection.
-            (Self::Busy { .. }, Event::Ended) => self,
+            (Self::Busy { .. } | Self::AnsweredEarly, Event::Ended) => self,
             (Self::Free | Self::Answered | Self::Ended, Event::Ended) => Self::Ended,
             _ => return illegal,
         })
--- a/crates/life/src/tables.rs
+++ b/crates/life/src/tables.rs
@@ -1,7 +1,7 @@
 //! The machines' tables, read off the machines themselves: every state with every event.
 
 use crate::attempt::{self, Attempt};
-use crate::connection::{self, Connection, Progress, Written};
+use crate::connection::{self, Connection, Progress, Received, Written};
 use crate::inbound::{self, Inbound};
 use crate::request::{self, End, Request};
 use crate::{Machine, Named};
@@ -84,12 +84,16 @@
         Connection::Dialling,
         Connection::Free,
         Connection::Answered,
+        Connection::AnsweredEarly,
         Connection::Poisoned,
         Connection::Ended,
     ];
     for written in [Written::Nothing, Written::Part, Written::Whole] {
-        states.extend([false, true].map(|heard| Connection::Busy { written, heard }));
+        states.extend(
+            [Received::Nothing, Received::Early].map(|received| Connection::Busy { written, received }),
+        );
     }
+    states.push(Connection::Busy { written: Written::Whole, received: Received::Answer });
     states
 }
 
--- a/crates/wire/src/reuse.rs
+++ b/crates/wire/src/reuse.rs
@@ -2,8 +2,8 @@
 //!
 //! Guarantee: with [`ReusePolicy`] consulted where its methods say, a request never receives as its response
 //! bytes that had reached the gateway's machine at the last check, just before the request's first byte was
-//! written, nor bytes that arrived before the request's last byte was written. The state machine of
-//! `life::connection` ensures the latter.
+//! written, nor bytes that arrived before the request's last byte was written, unless they name the request. The
+//! state machine of `life::connection` tells such an early response from others.
 //!
 //! What remains can only arrive after that check, and only from a backend that writes unrequested bytes: a
 //! complete, well-formed response between the check and the true response.
@@ -19,7 +19,7 @@
 pub enum ResponseFault {
     /// They arrived without an outstanding request, or before the first byte of one was written.
     Unsolicited,
-    /// They began before the request's last byte was written.
+    /// They began before the request's last byte was written, and do not name the request.
     Early,
     /// They began sooner after the request's last byte than any backend responds.
     TooFast,
@@ -95,6 +95,12 @@
         self.identity.as_ref().map(|rule| rule.header.as_str())
     }
 
+    /// Whether a complete response names the request with the id `expected`. Only such a response may begin
+    /// before the request's last byte is written.
+    pub fn names_request(&self, named: Option<&[u8]>, expected: &[u8]) -> bool {
+        self.identity.is_some() && named == Some(expected)
+    }
+
     /// Whether a complete response names another request: `named` is the value of [`Self::identity_header`],
     /// `expected` the id of the request that waits for it.
     pub fn is_for_other_request(&self, named: Option<&[u8]>, expected: &[u8]) -> bool {
--- a/crates/wire/tests/reuse.rs
+++ b/crates/wire/tests/reuse.rs
@@ -57,6 +57,18 @@
     assert!(required.is_for_other_request(None, b"id-1"));
 }
 
+#[test]
+fn an_early_response_belongs_to_a_request_only_if_it_names_it() {
+    let unnamed = rules("");
+    assert!(!unnamed.names_request(Some(b"id-1"), b"id-1") && !unnamed.names_request(None, b"id-1"));
+    for required in [false, true] {
+        let text = format!("[upstream]\nidentity = {{ header = \"Req-Id\", required = {required} }}");
+        let named = rules(&text);
+        assert!(named.names_request(Some(b"id-1"), b"id-1"));
+        assert!(!named.names_request(Some(b"id-2"), b"id-1") && !named.names_request(None, b"id-1"));
+    }
+}
+
 #[test]
 fn a_response_faster_than_any_backend_responds_is_detected() {
     let rules = rules("[upstream]\nfastest-answer = \"2ms\"");
