Data plane: a backend is not idle after an answer that was not to the request it runs

What operators could see: a maintenance step that waits for a backend to be idle could go on while the backend was still running a request, after a late answer to another request had come in the place of its own.

Cause: the workload of an attempt counted as finished with the outcome Error, which is told both of a backend's own failure and of an answer that can't be used. Only a whole answer of its own says that the backend is done.

Test: a_backend_may_be_at_work_after_an_answer_that_is_not_its_own; by its assertion it fails without this change (the outcome is Error and the backend is told as idle).

--- a/crates/dataplane/src/back/backends.rs
+++ b/crates/dataplane/src/back/backends.rs
@@ -470,15 +470,15 @@
                 None
             }
         };
+        let is_answered = answer.is_some();
         let end = self.result(&lifecycle, answer, repeatable);
         match end.outcome {
             Outcome::TimedOut => self.on_timeout(name, started_at),
             Outcome::Misdirected => self.on_misdirected(name),
             _ => {}
         }
-        // With these outcomes the backend is certainly not executing the request any more.
-        workload_guard.finished =
-            end.outcome.never_ran() || matches!(end.outcome, Outcome::Served | Outcome::Error);
+        // The backend is certainly not executing the request any more.
+        workload_guard.finished = end.outcome.never_ran() || is_answered;
         end
     }
 
--- a/crates/dataplane/tests/early_answers.rs
+++ b/crates/dataplane/tests/early_answers.rs
@@ -123,3 +123,15 @@
         assert_eq!(cut, Outcome::Error);
     }
 }
+
+/// Guards against a backend that is taken for idle while it runs a request which it has not answered.
+#[tokio::test]
+async fn a_backend_may_be_at_work_after_an_answer_that_is_not_its_own() {
+    let own = format!("Req-Id: {REQUEST_ID}\r\n");
+    assert_eq!(outcome(identity(true), &answer("200 OK", &own), true).await, (Outcome::Served, false));
+    assert_eq!(
+        outcome(identity(true), &answer("200 OK", "Req-Id: request-2\r\n"), true).await,
+        (Outcome::Error, true)
+    );
+    assert_eq!(outcome(identity(true), "", false).await, (Outcome::ConnectionLost, true));
+}
