Data plane: backends.rs and connection.rs divided by job

Each has a module of its own now; public paths are as before. Workloads is a type in place of a map with its rule in two places. Behaviour is unchanged: the tests of the data plane, the gateway and the proxy pass.

--- a/crates/dataplane/src/back/backends.rs
+++ b/crates/dataplane/src/back/backends.rs
@@ -1,6 +1,8 @@
 //! Backends: their addresses, connection pools, and the execution of attempts and probes.
 
+use crate::back::break_rates::BreakRates;
 use crate::back::connection::{HttpConnection, Progress, is_descriptor_shortage};
+use crate::back::workload::Workloads;
 use crate::lifecycle::Lifecycle;
 use bytes::Bytes;
 use doorcourse::{BackendState, LoadReport, LoadReportSource, Name, Outcome};
@@ -8,10 +10,10 @@
 use fennelscale_settings::load;
 use fennelscale_wire::reuse::{ResponseFault, ReusePolicy};
 use http_body_util::Full;
-use hyper::header::{HeaderMap, HeaderValue};
+use hyper::header::HeaderValue;
 use hyper::http::request::Builder;
 use hyper::http::response;
-use hyper::{Method, Request, StatusCode};
+use hyper::{Request, StatusCode};
 use life::attempt::{Attempt, Event};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -21,6 +23,9 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep, sleep_until};
 
+pub use crate::back::exchange_counts::ExchangeCounts;
+pub use crate::back::protocol::{Answer, Message, Protocol, Verdict};
+
 /// Maximum size of a request or answer body.
 pub const MAX_BODY: usize = 64 * 1024;
 /// Time limit for the rest of an answer once it has begun: it is small and complete when its first byte is
@@ -33,53 +38,11 @@
 const IDLE_SHARE: f64 = 0.5;
 /// The same share where a backend states its idle timeout.
 const STATED_IDLE_SHARE: f64 = 0.8;
-/// Reused connections are grouped by idle time into this many groups; the first ends at `FIRST_GROUP_END`,
-/// each other at `GROUP_FACTOR` times the end of the one before.
-const IDLE_GROUPS: usize = 6;
-const GROUP_FACTOR: u128 = 4;
-const FIRST_GROUP_END: Duration = Duration::from_millis(25);
 /// Delay before a connection is retried when no file descriptor was available.
 const SHORTAGE_PAUSE: Duration = Duration::from_millis(5);
-/// Weight of the newest outcome in the moving average of a group's break rate.
-const BREAK_RATE_WEIGHT: f64 = 0.1;
-/// Reused connections are trusted while their break rate exceeds that of new ones by at most this much; for
-/// requests that must not be repeated the limit is lower.
-const MAX_EXCESS_BREAK_RATE: f64 = 0.05;
-const MAX_EXCESS_BREAK_RATE_UNSAFE: f64 = 0.02;
-/// The break rate of an untrusted group decays by this share with each connection rejected, so that the group
-/// is tried again.
-const BREAK_RATE_DECAY: f64 = 0.02;
 /// The answer header that holds a load report.
 const LOAD_HEADER: &str = "srv-load";
 
-/// The parts of a client's request that are forwarded to a backend.
-#[derive(Clone, Debug)]
-pub struct Message {
-    /// The method.
-    pub method: Method,
-    /// Path and query as received.
-    pub target: hyper::http::uri::PathAndQuery,
-    /// The request id.
-    pub id: HeaderValue,
-    /// Whether the request may be sent again if its connection breaks.
-    pub repeatable: bool,
-    /// The forwarded headers; [`Protocol::build_request`] adds its own.
-    pub headers: HeaderMap,
-    /// The request body.
-    pub body: Bytes,
-}
-
-/// A backend's answer to be sent to the client.
-#[derive(Debug)]
-pub struct Answer {
-    /// The HTTP status.
-    pub status: StatusCode,
-    /// The headers without the hop-by-hop ones.
-    pub headers: HeaderMap,
-    /// The response body.
-    pub body: Bytes,
-}
-
 /// The result of an attempt or a probe.
 #[derive(Debug)]
 pub struct AttemptResult {
@@ -110,61 +73,6 @@
     write_by: Option<Instant>,
 }
 
-/// What an answer says about the execution of its request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Verdict {
-    /// The answer is sent to the client.
-    Served,
-    /// The backend rejected the request without executing it.
-    Rejected,
-    /// Another backend has the address by now; the request was not executed.
-    Misdirected,
-    /// The answer is not usable; the request may have been executed.
-    Error,
-}
-
-/// A deployment's protocol with its backends on top of HTTP.
-pub trait Protocol {
-    /// Builds the head of a request; `remaining` is the time until its client times out.
-    fn build_request(
-        &self, message: &Message, backend: &Name, address: SocketAddr, remaining: Duration,
-    ) -> Builder;
-    /// Classifies an answer. If the request is `repeatable`, an answer may be rejected in favour of a retry
-    /// on another backend.
-    fn verdict(&self, head: &response::Parts, repeatable: bool) -> Verdict;
-    /// Records that an attempt ended without an answer of its own, and how far its request got.
-    fn record_break(&self, _id: &HeaderValue, _progress: Progress) {}
-    /// The path probed for liveness, or for a load report where backends give them.
-    fn probe_path(&self) -> &str;
-}
-
-/// Counts of exchanges with backends that did not go as they should.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ExchangeCounts {
-    /// Exchanges without an answer of their own of which no byte was written.
-    pub unsent: u64,
-    /// Exchanges without an answer of their own whose request was written in part.
-    pub part_written: u64,
-    /// Exchanges whose request was written whole and that brought nothing.
-    pub written: u64,
-    /// Exchanges that brought bytes, but no answer that can be used.
-    pub unusable_answer: u64,
-    /// Answers that began before the last byte of their request was written.
-    pub early_answers: u64,
-}
-
-impl ExchangeCounts {
-    fn record_break(&mut self, progress: Progress) {
-        let count = match progress {
-            Progress::Unsent => &mut self.unsent,
-            Progress::Partly => &mut self.part_written,
-            Progress::Whole => &mut self.written,
-            Progress::Spoilt => &mut self.unusable_answer,
-        };
-        *count += 1;
-    }
-}
-
 struct Backend {
     address: SocketAddr,
     ready: bool,
@@ -200,41 +108,6 @@
     timeout.trim().parse().ok().map(Duration::from_secs)
 }
 
-/// How often connections break before any answer: new ones, and reused ones by their idle time.
-///
-/// This guards against peers or middleboxes that drop idle connections earlier than stated, which shows only
-/// when the next request is sent. It also covers connections that are closed right after an answer. New
-/// connections are the baseline, because random resets are no reason to reconnect. Drawback: if a few of many
-/// backends drop connections early, all pay with handshakes.
-#[derive(Default)]
-struct BreakRates {
-    new: f64,
-    reused: [f64; IDLE_GROUPS],
-}
-
-impl BreakRates {
-    fn group(idle: Duration) -> usize {
-        let steps = idle.as_millis() / FIRST_GROUP_END.as_millis();
-        steps.checked_ilog(GROUP_FACTOR).map_or(0, |step| (step as usize + 1).min(IDLE_GROUPS - 1))
-    }
-
-    fn record(&mut self, idle: Option<Duration>, broke: bool) {
-        let rate = idle.map_or(&mut self.new, |idle| &mut self.reused[Self::group(idle)]);
-        *rate += BREAK_RATE_WEIGHT * (f64::from(u8::from(broke)) - *rate);
-    }
-
-    /// Whether a connection with this idle time is about as reliable as a new one.
-    fn trusts(&mut self, idle: Duration, repeatable: bool) -> bool {
-        let rate = &mut self.reused[Self::group(idle)];
-        let trusted =
-            *rate <= self.new + if repeatable { MAX_EXCESS_BREAK_RATE } else { MAX_EXCESS_BREAK_RATE_UNSAFE };
-        if !trusted {
-            *rate *= 1.0 - BREAK_RATE_DECAY;
-        }
-        trusted
-    }
-}
-
 /// Counts a busy connection until it is dropped.
 struct Slot(Rc<Cell<usize>>);
 
@@ -262,43 +135,6 @@
     }
 }
 
-/// Requests that a backend may be executing.
-#[derive(Default)]
-struct Workload {
-    open: usize,
-    /// Until when a request that ended without an answer may still be executing.
-    uncertain_until: Option<Instant>,
-}
-
-/// Counts a request at a backend until it is dropped.
-struct WorkloadGuard<'a> {
-    workloads: &'a RefCell<HashMap<Name, Workload>>,
-    name: Name,
-    until: Instant,
-    finished: bool,
-}
-
-impl<'a> WorkloadGuard<'a> {
-    fn new(workloads: &'a RefCell<HashMap<Name, Workload>>, name: &Name, until: Instant) -> Self {
-        workloads.borrow_mut().entry(name.clone()).or_default().open += 1;
-        Self { workloads, name: name.clone(), until, finished: false }
-    }
-}
-
-impl Drop for WorkloadGuard<'_> {
-    fn drop(&mut self) {
-        let mut workloads = self.workloads.borrow_mut();
-        let Some(workload) = workloads.get_mut(&self.name) else { return };
-        workload.open -= 1;
-        if !self.finished {
-            workload.uncertain_until = workload.uncertain_until.max(Some(self.until));
-        }
-        if workload.open == 0 && workload.uncertain_until.is_none_or(|until| until <= Instant::now()) {
-            workloads.remove(&self.name);
-        }
-    }
-}
-
 /// All backends known to this gateway, with their connection pools.
 pub struct Backends {
     known: RefCell<HashMap<Name, Backend>>,
@@ -310,7 +146,7 @@
     limits: ConnectionLimits,
     busy_count: Rc<Cell<usize>>,
     break_rates: RefCell<BreakRates>,
-    workloads: RefCell<HashMap<Name, Workload>>,
+    workloads: Workloads,
     exchange_counts: RefCell<ExchangeCounts>,
     /// Called when no file descriptor is available for a connection.
     shortage_handler: RefCell<Option<Rc<dyn Fn()>>>,
@@ -332,7 +168,7 @@
             limits,
             busy_count: Rc::default(),
             break_rates: RefCell::default(),
-            workloads: RefCell::default(),
+            workloads: Workloads::default(),
             exchange_counts: RefCell::default(),
             shortage_handler: RefCell::default(),
         })
@@ -384,12 +220,7 @@
     /// Backends that may be executing a request of this gateway: one in flight, or one that ended without an
     /// answer and whose deadline has not passed.
     pub fn busy_backends(&self) -> Vec<Name> {
-        let now = Instant::now();
-        let mut workloads = self.workloads.borrow_mut();
-        workloads.retain(|_, workload| {
-            workload.open > 0 || workload.uncertain_until.is_some_and(|until| now < until)
-        });
-        workloads.keys().cloned().collect()
+        self.workloads.busy_backends()
     }
 
     /// Applies a backend list. Idle connections to backends that drain, are gone or have a new address are
@@ -455,7 +286,7 @@
         let requirements =
             ConnectionRequirements { repeatable, must_be_new, id: Some(&message.id), write_by };
         let started_at = Instant::now();
-        let mut workload_guard = WorkloadGuard::new(&self.workloads, name, until);
+        let mut workload_guard = self.workloads.begin(name, until);
         // Each branch ends the exchange, which closes its connection, before the result is returned.
         let lifecycle = Lifecycle::new(Attempt::Decided);
         let answer = tokio::select! {
--- a/crates/dataplane/src/back/mod.rs
+++ b/crates/dataplane/src/back/mod.rs
@@ -1,4 +1,9 @@
 //! Backend side: connection pools, connections and attempts.
 
 pub mod backends;
+mod break_rates;
 pub mod connection;
+mod exchange_counts;
+mod protocol;
+mod tracked_stream;
+mod workload;
