--- a/system/proxy/tests/helper/mod.rs
+++ b/system/proxy/tests/helper/mod.rs
@@ -34,6 +34,8 @@
 
 /// Time limit of a condition, long enough for a busy machine.
 const TIMEOUT: Duration = Duration::from_secs(30);
+/// How long clients wait for an answer, unless a test says otherwise.
+const DEADLINE: Duration = Duration::from_secs(100);
 /// Interval between two checks of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// The only region, and the zone of the proxy under test.
@@ -121,26 +123,31 @@
     /// Sends a request with a body of this size on its own connection; the task returns the status and the body of
     /// the answer, if there was one.
     pub fn upload(&self, path: &str, size: usize) -> JoinHandle<Option<(u16, String)>> {
+        self.upload_as(&self.next_id(), path, size, DEADLINE)
+    }
+
+    /// The same with this request id and deadline.
+    pub fn upload_as(
+        &self, id: &str, path: &str, size: usize, deadline: Duration,
+    ) -> JoinHandle<Option<(u16, String)>> {
         let frontend = self.at(PROXY, FRONTEND_PORT);
-        let request = self.next_request(path).body(Full::from(vec![b'x'; size])).expect("a request");
-        spawn_local(exchange(frontend, request))
+        let request = request_head(id, path, deadline).body(Full::from(vec![b'x'; size]));
+        spawn_local(exchange(frontend, request.expect("a request")))
     }
 
-    /// The head of a new request.
-    fn next_request(&self, path: &str) -> Builder {
+    /// The id of a new request.
+    pub fn next_id(&self) -> String {
         let number = self.next_request.get();
         self.next_request.set(number + 1);
-        Request::post(path)
-            .header("Host", HOST)
-            .header("Fennelscale-Request-Id", format!("{number:016x}"))
-            .header("Fennelscale-Deadline-Ms", "100000")
+        format!("{number:016x}")
     }
 
     /// Sends a request on its own connection; the task returns the status of the answer, or 0 without one.
     pub fn request(&self, path: &str) -> JoinHandle<u16> {
         let frontend = self.at(PROXY, FRONTEND_PORT);
-        let request =
-            self.next_request(path).body(Full::new(Bytes::from_static(b"body"))).expect("a request");
+        let request = request_head(&self.next_id(), path, DEADLINE)
+            .body(Full::new(Bytes::from_static(b"body")))
+            .expect("a request");
         spawn_local(async move { exchange(frontend, request).await.map_or(0, |(status, _)| status) })
     }
 
@@ -261,6 +268,13 @@
     }
 }
 
+fn request_head(id: &str, path: &str, deadline: Duration) -> Builder {
+    Request::post(path)
+        .header("Host", HOST)
+        .header("Fennelscale-Request-Id", id)
+        .header("Fennelscale-Deadline-Ms", deadline.as_millis().to_string())
+}
+
 async fn exchange(to: SocketAddr, request: Request<Full<Bytes>>) -> Option<(u16, String)> {
     let stream = TcpStream::connect(to).await.ok()?;
     let (mut sender, connection) = client::handshake(TokioIo::new(stream)).await.ok()?;
--- a/system/proxy/tests/helper/upload_backend.rs
+++ b/system/proxy/tests/helper/upload_backend.rs
@@ -21,7 +21,7 @@
     None,
     /// It writes bytes, then goes on with what follows. `{id}` in them becomes the id of the request.
     Write(String, Box<EarlyAction>),
-    /// It reads this much of the body, then goes on with what follows.
+    /// It reads this much of the body, or all of it, then goes on with what follows.
     Read(usize, Box<EarlyAction>),
     /// It reads the rest of the body and writes nothing more.
     ReadRest,
@@ -52,6 +52,9 @@
     }
 }
 
+/// What a backend does with an upload, by its id.
+type ActionChoice = Box<dyn FnMut(&str) -> EarlyAction>;
+
 /// The head of a request.
 struct Head {
     request_line: String,
@@ -63,8 +66,7 @@
 pub struct UploadBackend {
     id: String,
     at: SocketAddr,
-    action: RefCell<EarlyAction>,
-    acts_once: Cell<bool>,
+    choice: RefCell<ActionChoice>,
     arrivals: Cell<usize>,
     connections: Cell<usize>,
     complete_bodies: Cell<usize>,
@@ -75,8 +77,7 @@
         let backend = Rc::new(Self {
             id: id.to_owned(),
             at: listener.local_addr().expect("an address"),
-            action: RefCell::new(EarlyAction::None),
-            acts_once: Cell::new(false),
+            choice: RefCell::new(Box::new(|_| EarlyAction::None)),
             arrivals: Cell::new(0),
             connections: Cell::new(0),
             complete_bodies: Cell::new(0),
@@ -97,13 +98,18 @@
 
     /// Does this with every upload from now on.
     pub fn act(&self, action: EarlyAction) {
-        *self.action.borrow_mut() = action;
+        self.choose(move |_| action.clone());
     }
 
     /// Does this with the next upload, and nothing early after it.
     pub fn act_once(&self, action: EarlyAction) {
-        self.act(action);
-        self.acts_once.set(true);
+        let mut next = Some(action);
+        self.choose(move |_| next.take().unwrap_or(EarlyAction::None));
+    }
+
+    /// Chooses what to do with each upload by its id from now on.
+    pub fn choose(&self, choice: impl FnMut(&str) -> EarlyAction + 'static) {
+        *self.choice.borrow_mut() = Box::new(choice);
     }
 
     /// Number of requests whose head arrived.
@@ -135,10 +141,7 @@
             self.arrivals.set(self.arrivals.get() + 1);
             self.connections.set(self.connections.get() + usize::from(!is_counted));
             is_counted = true;
-            let action = self.action.borrow().clone();
-            if self.acts_once.take() {
-                self.act(EarlyAction::None);
-            }
+            let action = (self.choice.borrow_mut())(&head.id);
             if !self.act_early(&mut stream, &head, received, action).await? {
                 return Ok(());
             }
@@ -164,7 +167,7 @@
                     action = *next;
                 }
                 EarlyAction::Read(size, next) => {
-                    received = read_until(stream, received, size).await?;
+                    received = read_until(stream, received, size.min(head.body_size)).await?;
                     action = *next;
                 }
                 EarlyAction::ReadRest => {
