Proxy: metrics of whose promise a client was given

Incident REFUSED, observability: an answer of 503 that a backend gave and that was passed on counted as served, as a 200 does, so a promise of a backend could not be told from one of the proxy. backend_answers_total counts by status and by how the answer was taken, client_answers_total by status and author. Decisions are unchanged.

--- a/system/proxy/src/backend_protocol.rs
+++ b/system/proxy/src/backend_protocol.rs
@@ -1,6 +1,7 @@
 //! The protocol between proxy and backends on top of HTTP: headers, verdicts on answers, and the health
 //! probe.
 
+use crate::answer_counts::AnswerCounts;
 use crate::request_trace::RequestTrace;
 use doorcourse::Name;
 use fennelscale_dataplane::back::backends::{Message, Protocol, Verdict};
@@ -35,6 +36,8 @@
     pub trace: Rc<RefCell<RequestTrace>>,
     /// Zero of the clock of the trace.
     pub started_at: Instant,
+    /// Counts of the answers of backends.
+    pub answer_counts: Rc<AnswerCounts>,
 }
 
 impl Protocol for BackendProtocol {
@@ -62,13 +65,14 @@
 
     fn verdict(&self, head: &response::Parts, repeatable: bool) -> Verdict {
         let verdict = verdict(head, repeatable);
+        let outcome = match verdict {
+            Verdict::Misdirected => "not-it",
+            Verdict::Rejected => "full",
+            Verdict::Error => "unusable",
+            Verdict::Served => "served",
+        };
+        self.answer_counts.record_received(head.status, outcome);
         if let Some(id) = head.headers.get(REQUEST_ID) {
-            let outcome = match verdict {
-                Verdict::Misdirected => "not-it",
-                Verdict::Rejected => "full",
-                Verdict::Error => "unusable",
-                _ => "served",
-            };
             let status = head.status.as_u16();
             self.trace.borrow_mut().record_answer(fennelscale_messages::hash(id.as_bytes()), status, outcome);
         }
--- a/system/proxy/src/frontend.rs
+++ b/system/proxy/src/frontend.rs
@@ -1,5 +1,6 @@
 //! The client side of the proxy: connections, requests and answers.
 
+use crate::answer_counts::Author;
 use crate::backend_protocol::{REQUEST_ID, TENANT};
 use crate::decision_input::PLAN;
 use crate::failure_injection::{self, ConnectionCut, InjectedFailure, ResponseBody};
@@ -282,6 +283,7 @@
             request.headers().contains_key(TRANSFER_ENCODING) && !request.body().is_end_stream();
         let has_body = !request.body().is_end_stream();
         let id = single(request.headers(), &REQUEST_ID).map(|id| fennelscale_messages::hash(id.as_bytes()));
+        let mut author = Author::Proxy;
         let mut response = match self.accept(request, client).await {
             Ok(accepted) => {
                 client.request_received();
@@ -289,7 +291,10 @@
                 // A request without an id has been refused.
                 let trace = TraceGuard::new(&self.proxy, id.unwrap_or_default(), &accepted);
                 match self.dispatch(accepted).await {
-                    Ok(response) => trace.finish(response.status(), "served", response),
+                    Ok(response) => {
+                        author = Author::Backend;
+                        trace.finish(response.status(), "served", response)
+                    }
                     Err(refusal) => {
                         let response = refusal.to_response();
                         trace.finish(response.status(), &refusal.failure.text, response)
@@ -306,6 +311,7 @@
                 refusal.to_response()
             }
         };
+        self.proxy.services.answer_counts.record_given(response.status(), author);
         if must_close || self.proxy.must_close_connections() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
--- a/system/proxy/src/lib.rs
+++ b/system/proxy/src/lib.rs
@@ -2,6 +2,7 @@
 //! one. It looks up the route, checks the API key, takes a unit of the tenant's quota lease, and has the
 //! decision module choose a backend.
 
+mod answer_counts;
 mod backend_protocol;
 pub mod cold_owners;
 pub mod decision_input;
--- a/system/proxy/src/metrics.rs
+++ b/system/proxy/src/metrics.rs
@@ -3,6 +3,7 @@
 //!
 //! A scrape reads the counters from where they are kept; nothing is counted here.
 
+use crate::answer_counts::AnswerCounts;
 use crate::backend_protocol::break_name;
 use crate::proxy::Proxy;
 use crate::service_engines::ServiceEngine;
@@ -50,6 +51,18 @@
     progress: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Hash, PartialEq, Eq)]
+struct ReceivedLabels {
+    status: &'static str,
+    taken: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Hash, PartialEq, Eq)]
+struct GivenLabels {
+    status: &'static str,
+    author: &'static str,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Hash, PartialEq, Eq)]
 struct CopyLabel {
     what: &'static str,
@@ -63,6 +76,8 @@
     ends: Family<EndLabels, Counter>,
     breaks: Family<BreakLabels, Counter>,
     early_answers: Family<ServiceLabel, Counter>,
+    received: Family<ReceivedLabels, Counter>,
+    given: Family<GivenLabels, Counter>,
     queued: Family<ServiceLabel, Gauge>,
     list_number: Gauge,
     ready_proxies: Gauge,
@@ -97,6 +112,18 @@
             "Answers that began before the last byte of their request was written",
             early_answers.clone(),
         );
+        let received = Family::<ReceivedLabels, Counter>::default();
+        let given = Family::<GivenLabels, Counter>::default();
+        registry.register(
+            "backend_answers",
+            "Answers of backends, by status and by how they were taken",
+            received.clone(),
+        );
+        registry.register(
+            "client_answers",
+            "Answers given to clients, by status and by who made them",
+            given.clone(),
+        );
         registry.register(
             "held_requests",
             "Requests held because no backend may be sent one",
@@ -131,6 +158,8 @@
             ends,
             breaks,
             early_answers,
+            received,
+            given,
             queued,
             list_number,
             ready_proxies,
@@ -146,6 +175,7 @@
     pub fn render(&self, proxy: &Proxy) -> String {
         let state = proxy.routing_state.borrow();
         proxy.services.for_each(|name, service| self.read_service(name, service));
+        self.read_answers(&proxy.services.answer_counts);
         self.contact_age.set(proxy.contact_age().map_or(-1, |age| age as i64));
         self.contested.set(state.table.contested_claims() as i64);
         let copies = proxy.copies();
@@ -170,6 +200,17 @@
         }
     }
 
+    fn read_answers(&self, counts: &AnswerCounts) {
+        counts.for_each_received(|status, taken, count| {
+            let labels = ReceivedLabels { status, taken };
+            self.received.get_or_create(&labels).inner().store(count, Ordering::Relaxed);
+        });
+        counts.for_each_given(|status, author, count| {
+            let labels = GivenLabels { status, author: author.name() };
+            self.given.get_or_create(&labels).inner().store(count, Ordering::Relaxed);
+        });
+    }
+
     fn read_service(&self, name: &str, service: &ServiceEngine) {
         let label = ServiceLabel { service: name.to_owned() };
         let sends = service.counts().sends;
--- a/system/proxy/src/service_engines.rs
+++ b/system/proxy/src/service_engines.rs
@@ -1,6 +1,7 @@
 //! One engine for each service: the decision module with its backends, kept up to date with the routing
 //! state.
 
+use crate::answer_counts::AnswerCounts;
 use crate::backend_protocol::{BackendProtocol, REQUEST_ID};
 use crate::decision_input::{self, DEFAULT_CLASS, DecisionInput};
 use crate::request_trace::RequestTrace;
@@ -58,6 +59,8 @@
     seed: Cell<u64>,
     trace: Rc<RefCell<RequestTrace>>,
     started_at: Instant,
+    /// Counts of the answers of all backends and to all clients.
+    pub answer_counts: Rc<AnswerCounts>,
 }
 
 impl ServiceEngines {
@@ -68,7 +71,16 @@
         started_at: Instant,
     ) -> Self {
         let seed = Cell::new(seed);
-        Self { all: RefCell::default(), zone: zone.into(), connections, retry, seed, trace, started_at }
+        Self {
+            all: RefCell::default(),
+            zone: zone.into(),
+            connections,
+            retry,
+            seed,
+            trace,
+            started_at,
+            answer_counts: Rc::default(),
+        }
     }
 
     /// The engine of a service, if it is known.
@@ -118,8 +130,12 @@
         let identity = IdentityRule { header: REQUEST_ID.as_str().to_owned(), required: true };
         let reuse = ReusePolicy::new(&Upstream { identity: Some(identity), ..Upstream::default() });
         let max_connections = (self.connections / service_count).max(16);
-        let protocol =
-            BackendProtocol { health_path, trace: self.trace.clone(), started_at: self.started_at };
+        let protocol = BackendProtocol {
+            health_path,
+            trace: self.trace.clone(),
+            started_at: self.started_at,
+            answer_counts: self.answer_counts.clone(),
+        };
         let bounds =
             ConnectionLimits { max_connections, max_body: MAX_ANSWER, answer_timeout: ANSWER_TIMEOUT };
         let backends = Backends::new(
