--- /dev/null
+++ b/system/proxy/tests/promises.rs
@@ -0,0 +1,162 @@
+//! Tests a whole proxy on loopback: backends that run a request, read all of it and answer with any status. Only a
+//! backend that says so has not run a request, and only then may a client be told so.
+
+mod helper;
+
+use helper::upload_backend::{EarlyAction, UploadBackend, answer, signed_answer};
+use helper::{Proxy, SERVICE, TestBed, listed_at};
+use std::rc::Rc;
+
+/// Statuses that promise a client that its request has not run and never will.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+/// The size of the requests' bodies: they are written at once.
+const BODY: usize = 300;
+
+/// A proxy with a backend in its own zone, which is preferred, and a spare one in another zone.
+struct Deployment {
+    test_bed: TestBed,
+    proxy: Proxy,
+    preferred: Rc<UploadBackend>,
+    spare: Rc<UploadBackend>,
+}
+
+/// Reads the whole request, then answers with `text` and keeps the connection.
+fn runs_and_answers(text: &str) -> EarlyAction {
+    EarlyAction::read_then(usize::MAX, EarlyAction::answer(text))
+}
+
+fn turned_away(status: &str) -> String {
+    answer(status, "Fennelscale-Request-Id: {id}\r\nFennelscale-Not-Executed: 1\r\n", "full\n")
+}
+
+impl Deployment {
+    async fn start(number: u8) -> Self {
+        let test_bed = TestBed::new(number);
+        let preferred = test_bed.upload_backend(1, "preferred").await;
+        let spare = test_bed.upload_backend(2, "spare").await;
+        let proxy = Proxy::start(&test_bed, &[]).await;
+        let list = [(&preferred, "a"), (&spare, "b")]
+            .map(|(backend, zone)| listed_at(SERVICE, backend.id(), backend.address(), zone, 0));
+        proxy.send_list(1, list.to_vec()).await;
+        Self { test_bed, proxy, preferred, spare }
+    }
+
+    /// Has both backends do the same with each request from now on.
+    fn both_act(&self, action: &EarlyAction) {
+        self.preferred.act(action.clone());
+        self.spare.act(action.clone());
+    }
+
+    async fn request(&self, path: &str) -> (u16, String) {
+        self.test_bed.upload(path, BODY).await.expect("a task").expect("an answer")
+    }
+
+    /// Number of requests that reached a backend.
+    fn arrivals(&self) -> usize {
+        self.preferred.arrivals() + self.spare.arrivals()
+    }
+}
+
+/// Guards against REFUSED: a client was given the 503, 429 or 408 of a backend that had run its request.
+#[test]
+fn a_status_that_promises_is_not_given_for_a_request_that_its_backend_ran() {
+    helper::run(async {
+        let deployment = Deployment::start(1).await;
+        for path in ["/take", "/upload/take"] {
+            for line in ["503 Service Unavailable", "429 Too Many Requests", "408 Request Timeout"] {
+                deployment.both_act(&runs_and_answers(&signed_answer(line, "ran\n")));
+                let before = deployment.arrivals();
+                let (status, _) = deployment.request(path).await;
+                assert_eq!(deployment.arrivals() - before, 1, "{path}, {line}: sent again");
+                assert!(!PROMISES.contains(&status), "{path}, {line}: the client got {status}");
+            }
+        }
+    });
+}
+
+/// A status that promises nothing is the answer of its request, unchanged.
+#[test]
+fn other_statuses_of_a_backend_reach_the_client_unchanged() {
+    helper::run(async {
+        let deployment = Deployment::start(2).await;
+        for status in (200..600).filter(|status| !PROMISES.contains(status)) {
+            // Answers of 204 and 304 have no body.
+            let body = if [204, 205, 304].contains(&status) { "" } else { "ran\n" };
+            deployment.both_act(&runs_and_answers(&signed_answer(&format!("{status} Any"), body)));
+            let before = deployment.arrivals();
+            assert_eq!(deployment.request("/take").await, (status, body.to_owned()));
+            assert_eq!(deployment.arrivals() - before, 1, "{status}: sent again");
+        }
+    });
+}
+
+/// Guards against refusals that are too careful: a backend that says that it did not run a request is believed, whatever
+/// the status of its answer.
+#[test]
+fn a_request_that_all_backends_turn_away_is_refused_with_a_promise() {
+    helper::run(async {
+        let deployment = Deployment::start(3).await;
+        for line in ["503 Full", "429 Too Many Requests", "408 Request Timeout", "400 Bad Request"] {
+            deployment.both_act(&runs_and_answers(&turned_away(line)));
+            let (status, _) = deployment.request("/take").await;
+            assert_eq!(status, 503, "{line}");
+        }
+        deployment.both_act(&EarlyAction::None);
+        assert_eq!(deployment.request("/take").await, (200, "kept\n".to_owned()));
+    });
+}
+
+/// Guards against REFUSED: a rejection behind an attempt in doubt does not take the doubt away.
+#[test]
+fn a_repeatable_request_goes_on_after_a_status_that_its_backend_did_not_vouch_for() {
+    helper::run(async {
+        let deployment = Deployment::start(4).await;
+        for line in ["503 Service Unavailable", "429 Too Many Requests", "408 Request Timeout"] {
+            deployment.spare.act(EarlyAction::None);
+            deployment.preferred.act_once(runs_and_answers(&signed_answer(line, "ran\n")));
+            assert_eq!(deployment.request("/repeatable/take").await, (200, "kept\n".to_owned()), "{line}");
+        }
+    });
+}
+
+/// Guards against TWICE and REFUSED: a rejection that names no request or another one, or that comes with a success, says
+/// nothing of the request that waits.
+#[test]
+fn a_rejection_that_is_not_clearly_of_its_request_is_not_believed() {
+    helper::run(async {
+        let deployment = Deployment::start(5).await;
+        let not_executed = "Fennelscale-Not-Executed: 1\r\n";
+        let foreign = format!("Fennelscale-Request-Id: 00000000000000ff\r\n{not_executed}");
+        let own = format!(
+            "Fennelscale-Request-Id: {{id}}\r\nFennelscale-Response-Signature: signed\r\n{not_executed}"
+        );
+        let answers = [
+            ("of another request", answer("503 Full", &foreign, "x")),
+            ("of no request", answer("503 Full", not_executed, "x")),
+            ("421 of another", answer("421 Misdirected Request", &foreign, "x")),
+            ("421 of none", answer("421 Misdirected Request", "", "x")),
+            ("with a success", answer("200 OK", &own, "x")),
+        ];
+        for (what, text) in answers {
+            deployment.both_act(&runs_and_answers(&text));
+            let before = deployment.arrivals();
+            let (status, _) = deployment.request("/take").await;
+            assert_eq!(deployment.arrivals() - before, 1, "{what}: sent again");
+            assert_eq!(status, 502, "{what}");
+        }
+    });
+}
+
+/// What an operator sees of it: whose promise it was, and how it was taken.
+#[test]
+fn metrics_tell_whose_promise_a_client_was_given() {
+    helper::run(async {
+        let deployment = Deployment::start(6).await;
+        deployment.both_act(&runs_and_answers(&turned_away("503 Full")));
+        assert_eq!(deployment.request("/take").await.0, 503);
+        let count = async |name: &str, labels: &str| deployment.proxy.metric(name, labels).await;
+        assert_eq!(count("backend_answers_total", "status=\"503\",taken=\"full\"").await, 2.0);
+        assert_eq!(count("client_answers_total", "status=\"503\",author=\"proxy\"").await, 1.0);
+        assert_eq!(count("client_answers_total", "author=\"backend\"").await, 0.0);
+    });
+}
