Proxy: a status that promises that nothing ran is the proxy's own, never a backend's

Callers saw (REFUSED): 503, 429 or 408 for a request that can't be repeated and that a backend had run. Fix: such an answer leaves its request in doubt, as a lost one does: 502, which promises nothing, or another attempt where the request is repeatable. So every promise that a client is given is made by the proxy, from attempts that certainly never ran. The same for two answers that contradict themselves: a success with the header, and a final 1xx.

--- a/system/proxy/src/backend_protocol.rs
+++ b/system/proxy/src/backend_protocol.rs
@@ -1,7 +1,7 @@
 //! The protocol between proxy and backends on top of HTTP: headers, verdicts on answers, and the health
 //! probe.
 
-use crate::answer_counts::AnswerCounts;
+use crate::answer_counts::{AnswerCounts, PROMISING_STATUSES};
 use crate::request_trace::RequestTrace;
 use doorcourse::Name;
 use fennelscale_dataplane::back::backends::{Message, Protocol, Verdict};
@@ -103,11 +103,15 @@
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         return Verdict::Misdirected;
     }
-    if head.headers.contains_key(NOT_EXECUTED) {
-        return Verdict::Rejected;
-    }
     let is_valid = head.headers.contains_key(SIGNATURE) && !head.headers.contains_key(CONTENT_ENCODING);
     match head.status {
+        // The two contradict each other.
+        status if status.is_success() && head.headers.contains_key(NOT_EXECUTED) => Verdict::Error,
+        _ if head.headers.contains_key(NOT_EXECUTED) => Verdict::Rejected,
+        // Only the header says that a request was not executed, but the client would read that from the status.
+        status if PROMISING_STATUSES.contains(&status) => Verdict::Error,
+        // An interim answer is not the answer to a request.
+        status if status.is_informational() => Verdict::Error,
         status if status.is_success() && !is_valid => Verdict::Error,
         // The request was executed and failed. A repeatable one is retried on another backend.
         status if status.is_server_error() && repeatable => Verdict::Error,
@@ -137,4 +141,29 @@
         assert_eq!(verdict_of(500, &[], true), Verdict::Error);
         assert_eq!(verdict_of(404, &[signed], true), Verdict::Served);
     }
+
+    /// Guards against REFUSED: a client was given the 503, 429 or 408 of a backend that had run its request.
+    #[test]
+    fn a_status_that_promises_is_never_served() {
+        let signed = ("fennelscale-response-signature", "s");
+        let not_executed = ("fennelscale-not-executed", "1");
+        for repeatable in [false, true] {
+            for status in 100..600 {
+                let is_promise = [408, 421, 429, 503].contains(&status);
+                for headers in [&[signed][..], &[]] {
+                    let verdict = verdict_of(status, headers, repeatable);
+                    assert!(!is_promise || verdict != Verdict::Served, "{status}, {headers:?}");
+                    assert!(verdict != Verdict::Rejected, "{status}, {headers:?}: nobody said so");
+                    assert!(status >= 200 || verdict == Verdict::Error, "{status} is interim");
+                }
+                let verdict = verdict_of(status, &[signed, not_executed], repeatable);
+                let expected = match status {
+                    421 => Verdict::Misdirected,
+                    200..300 => Verdict::Error,
+                    _ => Verdict::Rejected,
+                };
+                assert_eq!(verdict, expected, "{status}, not executed");
+            }
+        }
+    }
 }
--- a/system/proxy/tests/promises.rs
+++ b/system/proxy/tests/promises.rs
@@ -106,7 +106,7 @@
     });
 }
 
-/// Guards against REFUSED: a rejection behind an attempt in doubt does not take the doubt away.
+/// Guards against lost retries: a 429 or 408 that its backend did not vouch for ended a repeatable request.
 #[test]
 fn a_repeatable_request_goes_on_after_a_status_that_its_backend_did_not_vouch_for() {
     helper::run(async {
