--- a/system/demo/src/machines.rs
+++ b/system/demo/src/machines.rs
@@ -4,6 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
+use std::time::Duration;
 use tokio::process::{Child, Command};
 
 /// Zones and their regions.
@@ -16,10 +17,26 @@
 pub const SECOND: u8 = 3;
 pub const SECOND_PROXY: &str = "fennelscale-proxy-2";
 const PROXY_PROGRAM: &str = "fennelscale-proxy";
+/// The programs of core machines.
+pub const STORE: &str = "fennelscale-config-store";
+pub const REGISTRY: &str = "fennelscale-registry";
+/// The further core machines of a zone have numbers from here on, behind those of all proxies.
+const FURTHER_CORE: u8 = 90;
+/// How long a program may take to end after SIGTERM, as its settings say, unless a run needs another time.
+const GRACE: Duration = Duration::from_secs(3);
 
 /// The name by which a zone's proxy of this number is started, the first being 0.
 pub fn proxy_program(number: usize) -> String {
-    if number == 0 { PROXY_PROGRAM.to_owned() } else { format!("{PROXY_PROGRAM}-{}", number + 1) }
+    numbered(PROXY_PROGRAM, number)
+}
+
+/// The name by which a program is started on the zone's machine of this number, the first being 0.
+pub fn numbered(program: &str, number: usize) -> String {
+    if number == 0 { program.to_owned() } else { format!("{program}-{}", number + 1) }
+}
+
+fn core_machine(number: usize) -> u8 {
+    if number == 0 { CORE } else { FURTHER_CORE + number as u8 }
 }
 
 /// Its machine.
@@ -27,12 +44,12 @@
     PROXY + number as u8
 }
 
-/// The program that a name starts, and the number of the zone's proxy.
+/// The program that a name starts, and the number of the zone's machine.
 fn program_of(name: &str) -> (&str, usize) {
-    match name.strip_prefix(PROXY_PROGRAM).and_then(|rest| rest.strip_prefix('-')) {
-        Some(number) => (PROXY_PROGRAM, number.parse().unwrap_or(1) - 1),
-        None => (name, 0),
-    }
+    let number_behind = |program: &&str| name.strip_prefix(program)?.strip_prefix('-')?.parse::<usize>().ok();
+    let known = [PROXY_PROGRAM, STORE, REGISTRY];
+    let numbered = known.iter().find_map(|program| Some((*program, number_behind(program)?)));
+    numbered.map_or((name, 0), |(program, number)| (program, number.saturating_sub(1)))
 }
 
 /// All machines.
@@ -43,6 +60,10 @@
     platform: SocketAddr,
     logs: bool,
     running: Vec<(usize, String, Child)>,
+    /// How long a program may take to end after SIGTERM.
+    pub grace: Duration,
+    /// The executable whose programs are run, where it is not this one.
+    pub programs: Option<PathBuf>,
 }
 
 impl Machines {
@@ -53,7 +74,16 @@
         let net = 1 + ((u64::from(number / 600) + turn) % 250) as u8;
         let base = 20_000 + (number % 600) as u16 * 16;
         let platform = SocketAddr::new(Ipv4Addr::new(127, net, 9, 9).into(), base);
-        Self { folder: folder.to_owned(), base, net, platform, logs, running: Vec::new() }
+        Self {
+            folder: folder.to_owned(),
+            base,
+            net,
+            platform,
+            logs,
+            running: Vec::new(),
+            grace: GRACE,
+            programs: None,
+        }
     }
 
     pub fn platform(&self) -> SocketAddr {
@@ -70,7 +100,12 @@
     }
 
     pub fn control(&self, zone: usize) -> SocketAddr {
-        SocketAddr::new(self.ip(zone, CORE).into(), self.base + 10)
+        self.control_of(zone, 0)
+    }
+
+    /// The control address of the zone's core machine of this number, the first being 0.
+    pub fn control_of(&self, zone: usize, number: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(zone, core_machine(number)).into(), self.base + 10)
     }
 
     pub fn directory(&self, zone: usize) -> SocketAddr {
@@ -97,17 +132,17 @@
         let (name, region) = ZONES[zone];
         let (kind, number) = program_of(program);
         let core = kind != PROXY_PROGRAM;
-        let ip = self.ip(zone, if core { CORE } else { proxy_machine(number) });
+        let ip = self.ip(zone, if core { core_machine(number) } else { proxy_machine(number) });
         let at = |port: u16| SocketAddr::new(ip.into(), self.base + port);
         let seeds: Vec<String> = (0..ZONES.len()).map(|z| format!("\"{}\"", self.control(z))).collect();
         let zones: Vec<String> =
             ZONES.iter().map(|(zone, region)| format!("{zone} = \"{region}\"\n")).collect();
         let listen = if core {
-            format!("controlPlane = \"{}\"\ndirectory = \"{}\"", self.control(zone), self.directory(zone))
+            format!("controlPlane = \"{}\"\ndirectory = \"{}\"", at(10), at(11))
         } else {
             format!("frontend = \"{}\"\nreadiness = \"{}\"", at(12), at(13))
         };
-        let data = self.folder.join(format!("disk-{zone}"));
+        let data = self.folder.join(format!("disk-{zone}-{number}"));
         format!(
             r#"nodeName = "{program}-{name}"
 role = "{program}"
@@ -122,7 +157,7 @@
 countsTowardQuorum = {core}
 dataDirectory = "{data}"
 heartbeatInterval = "1500ms"
-bounds = ["drain=4000ms", "gracePeriod=3s"]
+bounds = ["drain=4000ms", "gracePeriod={grace}ms"]
 [zones]
 {zones}
 [listenAddresses]
@@ -150,6 +185,7 @@
             last = self.base + 8,
             seeds = seeds.join(", "),
             data = data.display(),
+            grace = self.grace.as_millis(),
             zones = zones.concat(),
             platform = self.platform,
         )
@@ -171,8 +207,11 @@
         let file = self.folder.join(format!("{program}-{zone}.toml"));
         let failed = |error: std::io::Error| miette::miette!("{program} in {}: {error}", ZONES[zone].0);
         std::fs::write(&file, self.settings(zone, program, bootstrap)).map_err(failed)?;
-        let me = std::env::current_exe().map_err(failed)?;
-        let mut command = Command::new(me);
+        let executable = match &self.programs {
+            Some(programs) => programs.clone(),
+            None => std::env::current_exe().map_err(failed)?,
+        };
+        let mut command = Command::new(executable);
         command.arg(program_of(program).0).env("FENNELSCALE_CONFIG", &file).kill_on_drop(true);
         if !self.logs {
             command.stderr(Stdio::null());
--- a/system/demo/src/main.rs
+++ b/system/demo/src/main.rs
@@ -41,6 +41,19 @@
     proxies: usize,
     #[options(no_short, help = "a soak without faults")]
     calm: bool,
+    #[options(
+        no_short,
+        help = "core machines of each zone in a soak; with two or more, faults of one zone's overlap and all may restart at once",
+        meta = "COUNT",
+        default = "1"
+    )]
+    cores: usize,
+    #[options(
+        no_short,
+        help = "the executable whose programs a soak runs, in place of this one",
+        meta = "FILE"
+    )]
+    programs: Option<std::path::PathBuf>,
     #[options(
         no_short,
         help = "the first night's number, or a soak's: faults are drawn by it",
@@ -77,11 +90,13 @@
             return ExitCode::from(2);
         }
     };
-    let Arguments { logs, stay, nights, failures, seed, pairs, soak, proxies, calm, .. } = arguments;
+    let Arguments { logs, stay, nights, failures, seed, pairs, soak, proxies, calm, cores, programs, .. } =
+        arguments;
     let walked = tokio::task::LocalSet::new().block_on(&runtime, async move {
         match nights {
             0 if soak > 0 => {
-                soak::soak(soak::Plan { seed, seconds: soak, proxies, faults: !calm }, logs).await
+                let plan = soak::Plan { seed, seconds: soak, proxies, cores, faults: !calm, programs };
+                soak::soak(plan, logs).await
             }
             0 if failures > 0 => failures::rehearsals(seed, failures, pairs, logs).await,
             0 => steps::walk(logs, stay).await,
--- a/system/demo/src/soak/clients.rs
+++ b/system/demo/src/soak/clients.rs
@@ -7,6 +7,7 @@
 use crate::steps::HOST;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
+use hyper::body::Body;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Method, Request, Response};
 use hyper_util::rt::TokioIo;
@@ -14,6 +15,7 @@
 use rand::seq::IndexedRandom;
 use sonic_rs::{JsonContainerTrait, JsonValueTrait, Value};
 use std::collections::BTreeMap;
+use std::error::Error;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -42,7 +44,7 @@
     pub async fn keep_asking(self: Rc<Self>, proxy: usize) {
         let at = self.proxies[proxy].frontend;
         while !self.closed.get() {
-            let Some(mut line) = connect(at).await else {
+            let Some(mut line) = connect::<Empty<Bytes>>(at).await else {
                 sleep(PAUSE).await;
                 continue;
             };
@@ -91,7 +93,7 @@
         }
         let Ok(request) = request.body(Empty::new()) else { return false };
         let life = self.proxies[proxy].life.get();
-        let (sent, in_touch) = (self.now(), self.in_touch(proxy));
+        let (sent, in_touch, stretch) = (self.now(), self.in_touch(proxy), self.stretch());
         let answer = timeout(PATIENCE, async {
             let (head, body) = line.send_request(request).await.ok()?.into_parts();
             body.collect().await.ok()?;
@@ -107,7 +109,7 @@
         {
             let by = self.proxies[proxy].name();
             let (subject, answered) = (wish.subject, self.now());
-            let sight = Sight { subject, by, life: Some(life), sent, answered, state, in_touch };
+            let sight = Sight { subject, by, life: Some(life), sent, answered, state, in_touch, stretch };
             self.sights.borrow_mut().push(sight);
         }
         true
@@ -136,14 +138,19 @@
         for (name, subject) in self.read_back() {
             let state = shown.get(&name).map_or(State::Absent, |revision| State::Is(revision.clone()));
             let by = format!("control {to}");
-            let sight = Sight { subject, by, life: None, sent, answered, state, in_touch: true };
+            let stretch = Duration::ZERO;
+            let sight = Sight { subject, by, life: None, sent, answered, state, in_touch: true, stretch };
             self.sights.borrow_mut().push(sight);
         }
         true
     }
 }
 
-async fn connect(at: SocketAddr) -> Option<SendRequest<Empty<Bytes>>> {
+pub(super) async fn connect<B>(at: SocketAddr) -> Option<SendRequest<B>>
+where
+    B: Body<Data = Bytes> + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
     let stream = timeout(PATIENCE, TcpStream::connect(at)).await.ok()?.ok()?;
     let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
     spawn_local(async move { drop(connection.await) });
--- a/system/demo/src/soak/faults.rs
+++ b/system/demo/src/soak/faults.rs
@@ -1,8 +1,8 @@
 //! Faults of a soak: signals to proxies and core machines, in series that overlap, with calm between.
 
 use super::Soak;
-use super::judge::CONTACT;
-use crate::machines::ZONES;
+use super::judge::{CONTACT, STRETCH};
+use crate::machines::{REGISTRY, STORE, ZONES, numbered};
 use crate::steps::until_ready;
 use rand::rngs::ChaCha8Rng;
 use rand::{RngExt, SeedableRng};
@@ -12,11 +12,6 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-const STORE: &str = "fennelscale-config-store";
-const REGISTRY: &str = "fennelscale-registry";
-/// After SIGTERM a process has so long.
-const GRACE: Duration = Duration::from_secs(4);
-
 /// For how long something is struck, at the most.
 const LONGEST_AT_PROXY: Duration = Duration::from_millis(2500);
 const LONGEST_AT_CORE: Duration = Duration::from_secs(9);
@@ -25,14 +20,16 @@
 
 /// One strike, as it was drawn.
 #[derive(Clone, Copy, Debug)]
-struct Strike {
-    pause: Duration,
-    proxy: usize,
-    zone: usize,
+pub(super) struct Strike {
+    pub(super) pause: Duration,
+    pub(super) proxy: usize,
+    pub(super) zone: usize,
+    /// The core machine of the zone.
+    pub(super) core: usize,
     /// Of a hundred: what is done.
-    dice: u32,
+    pub(super) dice: u32,
     /// Of the longest time.
-    share: f64,
+    pub(super) share: f64,
 }
 
 /// Whom a fault strikes.
@@ -42,6 +39,8 @@
     Proxy(usize),
     /// A core machine, and with it whoever goes by the core.
     Core,
+    /// All core machines at once.
+    WholeCore,
 }
 
 /// From when to when something was struck.
@@ -60,17 +59,30 @@
     pub fn in_touch(&self, proxy: usize) -> bool {
         let now = self.now();
         let lately = |trouble: &Trouble| trouble.to.is_none_or(|to| to + CONTACT > now);
-        let here = |trouble: &&Trouble| trouble.struck == Struck::Proxy(proxy);
+        let here = |trouble: &&Trouble| {
+            trouble.struck == Struck::Proxy(proxy) || trouble.struck == Struck::WholeCore
+        };
         !self.troubles.borrow().iter().filter(here).any(lately)
     }
 
-    fn begin(&self, struck: Struck, what: String) -> usize {
+    /// How much later than usual a change may be in force now. With one core machine in each zone one at a time is struck, and that
+    /// excuses nobody; with several the core counts as settled by the rules alone.
+    pub fn stretch(&self) -> Duration {
+        let now = self.now();
+        let unsettles = |trouble: &Trouble| {
+            trouble.struck == Struck::Core && trouble.to.is_none_or(|to| to + CONTACT > now)
+        };
+        let is_unsettled = self.cores > 1 && self.troubles.borrow().iter().any(unsettles);
+        if is_unsettled { STRETCH } else { Duration::ZERO }
+    }
+
+    pub(super) fn begin(&self, struck: Struck, what: String) -> usize {
         let mut troubles = self.troubles.borrow_mut();
         troubles.push(Trouble { struck, what, from: self.now(), to: None });
         troubles.len() - 1
     }
 
-    fn end(&self, trouble: usize) {
+    pub(super) fn end(&self, trouble: usize) {
         let now = self.now();
         self.troubles.borrow_mut()[trouble].to = Some(now);
     }
@@ -84,6 +96,7 @@
                 pause: Duration::from_millis(chance.random_range(150..900)),
                 proxy: chance.random_range(0..self.proxies.len()),
                 zone: chance.random_range(0..ZONES.len()),
+                core: 0,
                 dice: chance.random_range(0..100),
                 share: f64::from(chance.random_range(0..1000)) / 1000.0,
             };
@@ -102,7 +115,7 @@
         }
     }
 
-    async fn strike_proxy(self: Rc<Self>, strike: Strike) {
+    pub(super) async fn strike_proxy(self: Rc<Self>, strike: Strike) {
         let number = strike.proxy;
         let proxy = &self.proxies[number];
         let (zone, program) = (proxy.zone, proxy.program.clone());
@@ -119,9 +132,9 @@
                 let trouble = self.begin(Struck::Proxy(number), format!("terminate {program} in {zone}"));
                 self.machines.borrow().signal(zone, &program, Signal::TERM);
                 // Told twice while it leaves, as impatient operators do.
-                sleep(span.min(GRACE)).await;
+                sleep(span.min(self.grace)).await;
                 self.machines.borrow().signal(zone, &program, Signal::TERM);
-                sleep(GRACE.saturating_sub(span)).await;
+                sleep(self.grace.saturating_sub(span)).await;
                 self.end_process(zone, &program, Signal::KILL).await;
                 self.start_proxy(number).await;
                 self.end(trouble);
@@ -151,7 +164,7 @@
         }
     }
 
-    async fn end_process(&self, zone: usize, program: &str, signal: Signal) {
+    pub(super) async fn end_process(&self, zone: usize, program: &str, signal: Signal) {
         self.machines.borrow().signal(zone, program, signal);
         let ending = self.machines.borrow_mut().take(zone, program);
         if let Some(mut child) = ending {
@@ -159,14 +172,15 @@
         }
     }
 
-    async fn strike_core(self: Rc<Self>, strike: Strike) {
-        let Strike { zone, dice, .. } = strike;
+    pub(super) async fn strike_core(self: Rc<Self>, strike: Strike) {
+        let Strike { zone, core, dice, .. } = strike;
         let span = LONGEST_AT_CORE.mul_f64(strike.share);
-        let programs: &[&str] = match dice % 3 {
+        let kinds: &[&str] = match dice % 3 {
             0 => &[STORE, REGISTRY],
             1 => &[STORE],
             _ => &[REGISTRY],
         };
+        let programs: Vec<String> = kinds.iter().map(|program| numbered(program, core)).collect();
         let (signal, how) = [(Signal::KILL, "kill"), (Signal::TERM, "terminate"), (Signal::STOP, "stop")]
             [dice as usize / 3 % 3];
         let trouble = self.begin(Struck::Core, format!("{how} {} in {zone}", programs.join(" and ")));
@@ -175,11 +189,11 @@
             sleep(span).await;
             programs.iter().for_each(|program| self.machines.borrow().signal(zone, program, Signal::CONT));
         } else {
-            for program in programs {
+            for program in &programs {
                 self.machines.borrow().signal(zone, program, signal);
             }
             sleep(span).await;
-            for program in programs {
+            for program in &programs {
                 self.end_process(zone, program, Signal::KILL).await;
                 let started = self.machines.borrow_mut().start(zone, program, false);
                 if let Err(report) = started {
--- a/system/demo/src/soak/judge/tests.rs
+++ b/system/demo/src/soak/judge/tests.rs
@@ -24,7 +24,16 @@
 
 fn sight(sent: u64, state: State) -> Sight {
     let (sent, answered) = (at(sent), at(sent + 5));
-    Sight { subject: 0, by: "proxy".into(), life: Some(1), sent, answered, state, in_touch: true }
+    Sight {
+        subject: 0,
+        by: "proxy".into(),
+        life: Some(1),
+        sent,
+        answered,
+        state,
+        in_touch: true,
+        stretch: Duration::ZERO,
+    }
 }
 
 fn found(sights: &[Sight]) -> Vec<Breach> {
@@ -38,6 +47,10 @@
     assert_eq!(found(&[sight(bound + 1, is("a"))]), [Breach::Late]);
     assert_eq!(found(&[Sight { in_touch: false, ..sight(bound + 1, is("a")) }]), []);
     assert_eq!(found(&[sight(bound + 1, is("b"))]), []);
+    let unsettled = |sent: u64| Sight { stretch: STRETCH, ..sight(sent, is("a")) };
+    let bound = bound + STRETCH.as_millis() as u64;
+    assert_eq!(found(&[unsettled(bound)]), []);
+    assert_eq!(found(&[unsettled(bound + 1)]), [Breach::Late]);
 }
 
 #[test]
--- a/system/demo/src/soak/mod.rs
+++ b/system/demo/src/soak/mod.rs
@@ -6,19 +6,23 @@
 mod faults;
 mod judge;
 mod operator;
+mod promises;
+mod storm;
 
-use crate::machines::{Machines, ZONES, proxy_machine, proxy_program};
+use crate::machines::{Machines, REGISTRY, STORE, ZONES, numbered, proxy_machine, proxy_program};
 use crate::standins::{Listed, Outside, backend, platform};
 use crate::steps::until_ready;
 use faults::{Struck, Trouble};
 use judge::{APPLY, Breach, CONTACT, Sight, State, Subject, breaches, longest_lag};
 use miette::{Result, miette};
 use operator::{Operator, SERVICES};
+use promises::{Try, broken_promises};
 use rand::SeedableRng;
 use rand::rngs::ChaCha8Rng;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::task::spawn_local;
@@ -35,8 +39,12 @@
 /// Before the last reading all that is under way ends.
 const SETTLE: Duration = Duration::from_secs(12);
 
+/// After SIGTERM a process of a soak has so long, with one core machine in each zone and with more.
+const GRACE: Duration = Duration::from_secs(4);
+const LONG_GRACE: Duration = Duration::from_secs(6);
+
 /// How a soak is played.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Plan {
     /// All that is drawn is drawn by it.
     pub seed: u64,
@@ -44,8 +52,12 @@
     pub seconds: u64,
     /// Proxies of each zone.
     pub proxies: usize,
+    /// Core machines of each zone.
+    pub cores: usize,
     /// Whether anything is struck.
     pub faults: bool,
+    /// The executable whose programs are run, where it is not this one.
+    pub programs: Option<PathBuf>,
 }
 
 /// One proxy and its lives.
@@ -80,6 +92,12 @@
     bad: Vec<usize>,
     troubles: RefCell<Vec<Trouble>>,
     core_struck: Cell<bool>,
+    /// Core machines of each zone, and those that are struck now where there are several.
+    cores: usize,
+    struck_cores: RefCell<storm::StruckCores>,
+    grace: Duration,
+    outside: Rc<Outside>,
+    tries: RefCell<Vec<Try>>,
     answers: RefCell<BTreeMap<String, usize>>,
     requests: Cell<u64>,
     /// No more changes and faults; then no more requests.
@@ -130,11 +148,18 @@
 pub async fn soak(plan: Plan, logs: bool) -> Result<()> {
     let folder = tempfile::tempdir().map_err(|error| miette!("no folder for disks: {error}"))?;
     let mut machines = Machines::new(folder.path(), logs, plan.seed);
-    let _outside = outside(&machines).await?;
+    let outside = outside(&machines).await?;
+    machines.programs.clone_from(&plan.programs);
+    let grace = if plan.cores > 1 { LONG_GRACE } else { GRACE };
+    if plan.cores > 1 {
+        machines.grace = grace;
+    }
     let proxies = proxy_places(&machines, plan.proxies);
-    for zone in 0..ZONES.len() {
-        machines.start(zone, "fennelscale-config-store", true)?;
-        machines.start(zone, "fennelscale-registry", true)?;
+    let cores: Vec<(usize, usize)> =
+        (0..ZONES.len()).flat_map(|zone| (0..plan.cores).map(move |core| (zone, core))).collect();
+    for (zone, core) in &cores {
+        machines.start(*zone, &numbered(STORE, *core), true)?;
+        machines.start(*zone, &numbered(REGISTRY, *core), true)?;
     }
     for proxy in &proxies {
         machines.start(proxy.zone, &proxy.program, true)?;
@@ -143,7 +168,7 @@
         begun: Instant::now(),
         seed: plan.seed,
         chance: RefCell::new(ChaCha8Rng::seed_from_u64(plan.seed)),
-        controls: (0..ZONES.len()).map(|zone| machines.control(zone)).collect(),
+        controls: cores.iter().map(|(zone, core)| machines.control_of(*zone, *core)).collect(),
         machines: RefCell::new(machines),
         proxies,
         operator: RefCell::default(),
@@ -153,6 +178,11 @@
         bad: Vec::new(),
         troubles: RefCell::default(),
         core_struck: Cell::new(false),
+        cores: plan.cores,
+        struck_cores: RefCell::default(),
+        grace,
+        outside,
+        tries: RefCell::default(),
         answers: RefCell::default(),
         requests: Cell::new(0),
         over: Cell::new(false),
@@ -170,18 +200,21 @@
     for proxy in &soak.proxies {
         until_ready(proxy.readiness).await?;
     }
-    play(&soak, plan).await;
-    judge_all(&soak, plan)
+    play(&soak, &plan).await;
+    judge_all(&soak, &plan)
 }
 
-async fn play(soak: &Rc<Soak>, plan: Plan) {
+async fn play(soak: &Rc<Soak>, plan: &Plan) {
     let begins = soak.now();
     for proxy in 0..soak.proxies.len() {
         spawn_local(soak.clone().keep_asking(proxy));
+        spawn_local(soak.clone().keep_sending_once(proxy));
     }
     spawn_local(soak.clone().operate());
     spawn_local(soak.clone().keep_reading());
-    if plan.faults {
+    if plan.faults && plan.cores > 1 {
+        spawn_local(soak.clone().storm());
+    } else if plan.faults {
         spawn_local(soak.clone().strike());
     }
     sleep(Duration::from_secs(plan.seconds)).await;
@@ -222,7 +255,7 @@
         trouble.from < sight.answered && trouble.to.is_none_or(|to| to + 2 * CONTACT > sight.sent)
     };
     let here = |trouble: &&Trouble| match trouble.struck {
-        Struck::Core => true,
+        Struck::Core | Struck::WholeCore => true,
         Struck::Proxy(proxy) => soak.proxies[proxy].name() == sight.by,
     };
     for trouble in soak.troubles.borrow().iter().filter(near).filter(here) {
@@ -235,7 +268,22 @@
     }
 }
 
-fn judge_all(soak: &Soak, plan: Plan) -> Result<()> {
+/// Tells which promises to clients were broken; how many.
+fn judge_promises(soak: &Soak) -> usize {
+    let (tries, all_runs) = (soak.tries.borrow(), soak.outside.runs.borrow());
+    let mut runs: HashMap<&str, usize> = HashMap::new();
+    for run in all_runs.iter() {
+        *runs.entry(&run.id).or_default() += 1;
+    }
+    let found = broken_promises(&tries, &runs);
+    for (how, one, ran) in found.iter().take(TOLD) {
+        println!("  {how:?}: {} ({}) was answered {:?} and ran {ran} times", one.id, one.deed, one.status);
+    }
+    println!("  {} requests that can't be repeated, {} promises broken", tries.len(), found.len());
+    found.len()
+}
+
+fn judge_all(soak: &Soak, plan: &Plan) -> Result<()> {
     let (subjects, sights) = (soak.subjects.borrow(), soak.sights.borrow());
     let found = breaches(&subjects, &sights);
     let operator = soak.operator.borrow();
@@ -256,13 +304,14 @@
         of_kind.take(TOLD).for_each(|(breach, sight)| tell(soak, *breach, sight));
     }
     operator.wrong.iter().take(TOLD).for_each(|wrong| println!("  {wrong}"));
-    if found.is_empty() && operator.wrong.is_empty() {
+    let broken = judge_promises(soak);
+    if found.is_empty() && operator.wrong.is_empty() && broken == 0 {
         return Ok(());
     }
     let count = |kind| found.iter().filter(|(breach, _)| *breach == kind).count();
     let (late, back) = (count(Breach::Late), count(Breach::Back));
     Err(miette!(
-        "seed {}: {late} late, {back} gone back, {} otherwise wrong",
+        "seed {}: {late} late, {back} gone back, {broken} promises broken, {} otherwise wrong",
         plan.seed,
         operator.wrong.len()
     ))
--- a/system/demo/src/soak/operator.rs
+++ b/system/demo/src/soak/operator.rs
@@ -1,6 +1,7 @@
 //! The operator of a soak: changes that follow each other, several at once, each sent until it has a clear answer.
 
 use super::judge::{State, Subject, Version};
+use super::promises::ONCE_PREFIX;
 use super::{BAD_PLACES, Soak};
 use crate::client::send;
 use crate::steps::HOST;
@@ -167,6 +168,8 @@
             .map(|name| format!(r#"{{"name":"{name}","healthCheckPath":"/health","maxConnections":200,"coldStart":"1s","coldPerS":50,"revision":"00000001"}}"#))
             .collect();
         draft.rules.push(rule("keyed", "/keyed/", SERVICES[0], 1, false));
+        let once = rule("once", ONCE_PREFIX, SERVICES[3], 1, true);
+        draft.rules.push(once.replace("\"idempotent\"", "\"non_idempotent\""));
         self.places = vec![None; PLACES];
         self.keys = vec![None; KEYS];
         for place in 0..PLACES / 2 {
