Replication: an invalid call is rejected also where later versions have overtaken it

Cause: entries_for() checked only what a call changes. An item whose version was skipped is recorded without effect, and nothing looked at its content beside its form. Fix: the items of a call are sorted into changed, repeated and overtaken, and what was never valid at any time is rejected: items of one call that exclude each other, and references to items that never existed. What may have been valid when it was sent (a path that another route has by now, a service that is gone) is confirmed without effect as before, and a call that only repeats is never rejected. The path and key checks of ConfigIndex::check and check_consistency are one type now. The soak's operator sends such calls too.

--- a/system/config/src/config_index.rs
+++ b/system/config/src/config_index.rs
@@ -42,6 +42,40 @@
 /// The host and the path prefix of a route.
 type RouteKey = (String, String);
 
+/// The path prefixes and API keys of items that are to be there together, each with the item that has it.
+#[derive(Debug, Default)]
+pub(crate) struct ExclusiveKeys<'a> {
+    routes: HashMap<(&'a str, &'a str), &'a str>,
+    api_keys: HashMap<&'a str, &'a str>,
+}
+
+impl<'a> ExclusiveKeys<'a> {
+    /// Adds the keys of an item.
+    ///
+    /// # Errors
+    /// When another item has one of them.
+    pub(crate) fn add(&mut self, name: &'a str, item: &'a ParsedItem) -> Result<(), InvalidConfig> {
+        match item {
+            ParsedItem::Route(route) => {
+                let other = self.routes.insert((&route.host, &route.path_prefix), name);
+                match other.filter(|other| *other != name) {
+                    Some(other) => Err(duplicate_route(other, name, &route.host, &route.path_prefix)),
+                    None => Ok(()),
+                }
+            }
+            ParsedItem::Tenant(tenant) => {
+                for key in &tenant.api_keys {
+                    if let Some(other) = self.api_keys.insert(key, name).filter(|other| *other != name) {
+                        return Err(duplicate_key(other, name));
+                    }
+                }
+                Ok(())
+            }
+            _ => Ok(()),
+        }
+    }
+}
+
 /// The current items and their indexes.
 #[derive(Clone, Default)]
 pub struct ConfigIndex {
@@ -133,8 +167,7 @@
     /// When a route names a service that does not exist, two routes share a host and path prefix, two tenants
     /// share a key, an order names a contract that does not exist, or there are too many orders.
     pub fn check(&self, changes: &ItemChanges) -> Result<(), InvalidConfig> {
-        let (mut new_routes, mut new_keys): (HashMap<RouteKey, &str>, HashMap<&str, &str>) =
-            Default::default();
+        let mut new_keys = ExclusiveKeys::default();
         for (name, item) in changes.iter().filter_map(|(name, item)| Some((name, item.as_ref()?))) {
             match item {
                 ParsedItem::Route(route) => {
@@ -144,22 +177,15 @@
                         return Err(missing_service(name, service));
                     }
                     let route_key = (route.host.clone(), route.path_prefix.clone());
-                    let other = self
-                        .routes
-                        .holder(&route_key, changes)
-                        .or_else(|| new_routes.get(&route_key).copied());
-                    if let Some(other) = other {
+                    if let Some(other) = self.routes.holder(&route_key, changes) {
                         return Err(duplicate_route(other, name, &route.host, &route.path_prefix));
                     }
-                    new_routes.insert(route_key, name);
                 }
                 ParsedItem::Tenant(tenant) => {
                     for key in &tenant.api_keys {
-                        let known = new_keys.get(key.as_str()).copied().filter(|other| other != name);
-                        if let Some(other) = self.api_keys.holder(key, changes).or(known) {
+                        if let Some(other) = self.api_keys.holder(key, changes) {
                             return Err(duplicate_key(other, name));
                         }
-                        new_keys.insert(key, name);
                     }
                 }
                 ParsedItem::WorkOrder(order)
@@ -169,6 +195,7 @@
                 }
                 _ => {}
             }
+            new_keys.add(name, item)?;
         }
         self.check_removed(changes)?;
         self.check_counts(changes)
@@ -213,6 +240,52 @@
     }
 }
 
+/// The items of a call by what became of them.
+#[derive(Debug, Default)]
+pub struct CallItems {
+    /// They have an effect.
+    pub changed: ItemChanges,
+    /// They were applied before; the call repeats them.
+    pub repeated: ItemChanges,
+    /// Later versions have overtaken them, so they have no effect.
+    pub overtaken: ItemChanges,
+}
+
+/// Checks the items of a call that have no effect, for themselves and beside those that have one. An overtaken
+/// item may have been valid among the items of its time, so only what was never valid is rejected: items of
+/// one call that exclude each other, and references to items that never existed. `existed` tells whether there
+/// ever was an item with a name.
+///
+/// # Errors
+/// When the call cannot have been valid at any time.
+pub fn check_without_effect(call: &CallItems, existed: impl Fn(&str) -> bool) -> Result<(), InvalidConfig> {
+    // A call that only repeats is confirmed again, whatever has changed since.
+    if call.changed.is_empty() && call.overtaken.is_empty() {
+        return Ok(());
+    }
+    let parts = [&call.changed, &call.repeated, &call.overtaken];
+    let mut keys = ExclusiveKeys::default();
+    for (name, item) in parts.into_iter().flatten() {
+        item.as_ref().map_or(Ok(()), |item| keys.add(name, item))?;
+    }
+    let may_have_existed = |name: &str| existed(name) || parts.iter().any(|part| part.contains_key(name));
+    for (name, item) in call.overtaken.iter().filter_map(|(name, item)| Some((name, item.as_ref()?))) {
+        match item {
+            ParsedItem::Route(route) => {
+                let missing = |(service, _): &&(String, f64)| !may_have_existed(&service_item(service));
+                if let Some((service, _)) = route.services.iter().find(missing) {
+                    return Err(missing_service(name, service));
+                }
+            }
+            ParsedItem::WorkOrder(order) if !may_have_existed(&contract_item(&order.contract)) => {
+                return Err(missing_contract(&order.name, &order.contract));
+            }
+            _ => {}
+        }
+    }
+    Ok(())
+}
+
 pub(crate) fn missing_service(route: &str, service: &str) -> InvalidConfig {
     InvalidConfig(format!("route {route}: there is no service {service}; add it in the same call"))
 }
--- a/system/config/src/lib.rs
+++ b/system/config/src/lib.rs
@@ -15,13 +15,14 @@
 mod routing_table;
 
 pub use call::{parse_call, render_items};
-pub use config_index::{ConfigIndex, ItemChanges};
+pub use config_index::{CallItems, ConfigIndex, ItemChanges, check_without_effect};
 pub use item::{Limits, ParsedItem, Route, RouteKind, Service, Tenant, parse_item};
 pub use routing_table::RoutingTable;
 
+use config_index::ExclusiveKeys;
 use fennelscale_maintenance::order::MAX_ORDERS;
 use fennelscale_messages::store::{DIGEST_PARTS, Entry, NamedEntry};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashSet};
 
 /// The name of the limits, of which there is one item.
 pub const LIMITS_KEY: &str = "l:limits";
@@ -80,8 +81,7 @@
             _ => None,
         })
         .collect();
-    let mut routes: HashMap<(&str, &str), &str> = HashMap::new();
-    let mut keys: HashMap<&str, &str> = HashMap::new();
+    let mut keys = ExclusiveKeys::default();
     let (mut work_orders, mut contracts, mut failure_orders) = (Vec::new(), HashSet::new(), 0);
     for (name, item) in items {
         match item {
@@ -91,17 +91,8 @@
                 {
                     return Err(config_index::missing_service(name, service));
                 }
-                if let Some(other) = routes.insert((&route.host, &route.path_prefix), name) {
-                    return Err(config_index::duplicate_route(other, name, &route.host, &route.path_prefix));
-                }
-            }
-            ParsedItem::Tenant(tenant) => {
-                for key in &tenant.api_keys {
-                    if let Some(other) = keys.insert(key, name).filter(|other| *other != name) {
-                        return Err(config_index::duplicate_key(other, name));
-                    }
-                }
             }
+            ParsedItem::Tenant(_) => {}
             ParsedItem::WorkOrder(order) => work_orders.push(order),
             ParsedItem::MaintenanceContract(contract) => drop(contracts.insert(contract.name.as_str())),
             ParsedItem::FailureOrder(_) => failure_orders += 1,
@@ -111,6 +102,7 @@
             | ParsedItem::Drain(_)
             | ParsedItem::MaintenanceRecord => {}
         }
+        keys.add(name, item)?;
     }
     if failure_orders > fennelscale_fault_injection::MAX_ORDERS {
         return Err(config_index::too_many_failure_orders(failure_orders));
--- a/system/demo/src/soak/operator.rs
+++ b/system/demo/src/soak/operator.rs
@@ -19,6 +19,9 @@
 const TENANTS: usize = 6;
 pub const PLACES: usize = 12;
 pub const KEYS: usize = 12;
+/// A route that stays at this revision: invalid calls bring lower ones.
+const OVERTAKEN: &str = "overtaken";
+const OVERTAKEN_REVISION: u64 = 0x10;
 /// Calls that are under way at once, at the most.
 const AT_ONCE: usize = 6;
 /// Quick and slow changes take turns of so many seconds.
@@ -168,6 +171,7 @@
             .map(|name| format!(r#"{{"name":"{name}","healthCheckPath":"/health","maxConnections":200,"coldStart":"1s","coldPerS":50,"revision":"00000001"}}"#))
             .collect();
         draft.rules.push(rule("keyed", "/keyed/", SERVICES[0], 1, false));
+        draft.rules.push(rule(OVERTAKEN, "/overtaken/", SERVICES[0], OVERTAKEN_REVISION, true));
         let once = rule("once", ONCE_PREFIX, SERVICES[3], 1, true);
         draft.rules.push(once.replace("\"idempotent\"", "\"non_idempotent\""));
         self.places = vec![None; PLACES];
@@ -341,7 +345,7 @@
     fn invalid(&mut self, soak: &Soak) -> String {
         let (place, how) = {
             let mut chance = soak.chance.borrow_mut();
-            (chance.random_range(0..BAD_PLACES), chance.random_range(0..4))
+            (chance.random_range(0..BAD_PLACES), chance.random_range(0..5))
         };
         let (name, at) = (format!("bad{place}"), format!("/bad{place}/"));
         let mut draft = Draft::default();
@@ -355,6 +359,7 @@
                 draft.rules.push(rule(&name, &at, SERVICES[0], 9, true));
                 draft.rules.push(rule("bad-twin", &at, SERVICES[1], 9, true));
             }
+            3 => draft.rules.push(rule(OVERTAKEN, "/overtaken/", "nowhere", 1 + place as u64, true)),
             _ => {
                 draft.rules.push(rule(&name, &at, SERVICES[0], 9, true));
                 draft.tenants.push(tenant(100, &["\"shared\"".into()], 1));
--- a/system/replication/src/calls.rs
+++ b/system/replication/src/calls.rs
@@ -3,7 +3,7 @@
 use crate::leader::Role;
 use crate::versions::{self, VersionStatus};
 use crate::{MEMBERS_KEY, Millis, Output, Replica};
-use fennelscale_config::ItemChanges;
+use fennelscale_config::{CallItems, InvalidConfig, ParsedItem, check_without_effect, parse_item};
 use fennelscale_messages::Host;
 use fennelscale_messages::store::{
     CallId, Change, Entry, NamedEntry, Stamp, StoreMessage, StoreRequest, StoreResponse,
@@ -243,32 +243,33 @@
     /// is not possible, none of them is made.
     pub(crate) fn entries_for(&self, changes: Vec<Change>) -> Result<Vec<NamedEntry>, StoreResponse> {
         let mut entries = Vec::new();
-        let mut parsed_items = ItemChanges::new();
+        let mut call = CallItems::default();
         for change in changes {
             let known = self.latest_entry(&change.name);
             match known.map_or(VersionStatus::Newer, |known| versions::status(known, &change)) {
-                VersionStatus::AlreadyApplied => continue,
+                VersionStatus::AlreadyApplied => {
+                    call.repeated.insert(change.name.clone(), parse_change(&change, &change.host)?);
+                }
                 VersionStatus::Conflicting => return Err(conflict(&change)),
                 VersionStatus::Expired => return Err(StoreResponse::Forgotten),
                 VersionStatus::Skipped => {
-                    entries.extend(
-                        known.map(|known| {
-                            (change.name.clone(), versions::with_skipped_version(known, &change))
-                        }),
-                    );
-                    continue;
+                    call.overtaken.insert(change.name.clone(), parse_change(&change, &change.host)?);
+                    let record = known.map(|known| versions::with_skipped_version(known, &change));
+                    entries.extend(record.map(|entry| (change.name.clone(), entry)));
+                }
+                VersionStatus::Newer => {
+                    let history =
+                        known.map_or_else(Vec::new, |known| versions::history_after(&change.name, known));
+                    let host = self.host_for(&change);
+                    call.changed.insert(change.name.clone(), parse_change(&change, &host)?);
+                    let Change { name, revision, body, .. } = change;
+                    entries.push((name, Entry { revision, host, body, history, ..Entry::default() }));
                 }
-                VersionStatus::Newer => {}
             }
-            let history = known.map_or_else(Vec::new, |known| versions::history_after(&change.name, known));
-            let host = self.host_for(&change);
-            let Change { name, revision, body, .. } = change;
-            let parsed = body.as_deref().map(|body| fennelscale_config::parse_item(&name, &host, body));
-            let parsed = parsed.transpose().map_err(|invalid| StoreResponse::Invalid(invalid.0))?;
-            parsed_items.insert(name.clone(), parsed);
-            entries.push((name, Entry { revision, host, body, history, ..Entry::default() }));
         }
-        self.latest_config.check(&parsed_items).map_err(|invalid| StoreResponse::Invalid(invalid.0))?;
+        let existed = |name: &str| self.latest_entry(name).is_some();
+        check_without_effect(&call, existed).map_err(invalid)?;
+        self.latest_config.check(&call.changed).map_err(invalid)?;
         Ok(entries)
     }
 
@@ -315,6 +316,16 @@
     }
 }
 
+/// The content that a change gives its item; none if it removes the item.
+fn parse_change(change: &Change, host: &str) -> Result<Option<ParsedItem>, StoreResponse> {
+    let parsed = change.body.as_deref().map(|body| parse_item(&change.name, host, body));
+    parsed.transpose().map_err(invalid)
+}
+
+fn invalid(cause: InvalidConfig) -> StoreResponse {
+    StoreResponse::Invalid(cause.0)
+}
+
 fn conflict(change: &Change) -> StoreResponse {
     let Change { name, revision, .. } = change;
     StoreResponse::Conflict(format!("{name}: version {revision:08x} was given to another content"))
