--- a/system/demo/src/main.rs
+++ b/system/demo/src/main.rs
@@ -48,6 +48,11 @@
         default = "1"
     )]
     cores: usize,
+    #[options(
+        no_short,
+        help = "in a soak, processes get their share of a core as a quota of each tenth of a second"
+    )]
+    shares: bool,
     #[options(
         no_short,
         help = "the executable whose programs a soak runs, in place of this one",
@@ -90,12 +95,26 @@
             return ExitCode::from(2);
         }
     };
-    let Arguments { logs, stay, nights, failures, seed, pairs, soak, proxies, calm, cores, programs, .. } =
-        arguments;
+    let Arguments {
+        logs,
+        stay,
+        nights,
+        failures,
+        seed,
+        pairs,
+        soak,
+        proxies,
+        calm,
+        cores,
+        shares,
+        programs,
+        ..
+    } = arguments;
     let walked = tokio::task::LocalSet::new().block_on(&runtime, async move {
         match nights {
             0 if soak > 0 => {
-                let plan = soak::Plan { seed, seconds: soak, proxies, cores, faults: !calm, programs };
+                let plan =
+                    soak::Plan { seed, seconds: soak, proxies, cores, faults: !calm, shares, programs };
                 soak::soak(plan, logs).await
             }
             0 if failures > 0 => failures::rehearsals(seed, failures, pairs, logs).await,
--- a/system/demo/src/soak/faults.rs
+++ b/system/demo/src/soak/faults.rs
@@ -141,9 +141,9 @@
             }
             55..80 => {
                 let trouble = self.begin(Struck::Proxy(number), format!("stop {program} in {zone}"));
-                self.machines.borrow().signal(zone, &program, Signal::STOP);
+                self.stop(zone, &program);
                 sleep(span).await;
-                self.machines.borrow().signal(zone, &program, Signal::CONT);
+                self.resume(zone, &program);
                 self.end(trouble);
             }
             _ => self.machines.borrow().signal(zone, &program, Signal::HUP),
@@ -185,9 +185,9 @@
             [dice as usize / 3 % 3];
         let trouble = self.begin(Struck::Core, format!("{how} {} in {zone}", programs.join(" and ")));
         if signal == Signal::STOP {
-            programs.iter().for_each(|program| self.machines.borrow().signal(zone, program, Signal::STOP));
+            programs.iter().for_each(|program| self.stop(zone, program));
             sleep(span).await;
-            programs.iter().for_each(|program| self.machines.borrow().signal(zone, program, Signal::CONT));
+            programs.iter().for_each(|program| self.resume(zone, program));
         } else {
             for program in &programs {
                 self.machines.borrow().signal(zone, program, signal);
--- a/system/demo/src/soak/mod.rs
+++ b/system/demo/src/soak/mod.rs
@@ -6,6 +6,7 @@
 mod faults;
 mod judge;
 mod operator;
+mod processor_share;
 mod promises;
 mod storm;
 
@@ -20,7 +21,7 @@
 use rand::SeedableRng;
 use rand::rngs::ChaCha8Rng;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -56,6 +57,8 @@
     pub cores: usize,
     /// Whether anything is struck.
     pub faults: bool,
+    /// Whether processes get their share of a core as a quota of each tenth of a second.
+    pub shares: bool,
     /// The executable whose programs are run, where it is not this one.
     pub programs: Option<PathBuf>,
 }
@@ -95,6 +98,8 @@
     /// Core machines of each zone, and those that are struck now where there are several.
     cores: usize,
     struck_cores: RefCell<storm::StruckCores>,
+    /// Processes that a fault has stopped.
+    stopped: RefCell<BTreeSet<(usize, String)>>,
     grace: Duration,
     outside: Rc<Outside>,
     tries: RefCell<Vec<Try>>,
@@ -180,6 +185,7 @@
         core_struck: Cell::new(false),
         cores: plan.cores,
         struck_cores: RefCell::default(),
+        stopped: RefCell::default(),
         grace,
         outside,
         tries: RefCell::default(),
@@ -212,6 +218,9 @@
     }
     spawn_local(soak.clone().operate());
     spawn_local(soak.clone().keep_reading());
+    if plan.shares {
+        soak.limit_processor_shares();
+    }
     if plan.faults && plan.cores > 1 {
         spawn_local(soak.clone().storm());
     } else if plan.faults {
