Proxy: drawn statuses that promise, interim final answers and held requests in the tests

Related paths of REFUSED. A request that its backend holds until the deadline ends with 504 on both.

--- a/system/proxy/tests/drawn_early_answers.rs
+++ b/system/proxy/tests/drawn_early_answers.rs
@@ -1,5 +1,5 @@
 //! Tests a whole proxy on loopback with drawn uploads: their sizes, and what each backend does with each of them before
-//! or after it has read the body. Judged by what backends ran and clients got.
+//! or after it has read the body, with statuses that promise among them. Judged by what backends ran and clients got.
 //!
 //! `EARLY_ANSWERS_SEEDS=FIRST..LAST` plays other seeds than the usual ones, at most 50.
 
@@ -40,12 +40,16 @@
     AnswersAnotherEarly,
     AnswersCutEarly,
     TurnsAwayEarly,
+    TurnsAway,
+    RunsAndSays503,
+    RunsAndSays429,
+    RunsAndSays408,
     Resets,
     Closes,
     HalfCloses,
 }
 
-const DEEDS: [Deed; 11] = [
+const DEEDS: [Deed; 15] = [
     Deed::Serves,
     Deed::ServesEarly,
     Deed::ServesEarlyAndCloses,
@@ -54,6 +58,10 @@
     Deed::AnswersAnotherEarly,
     Deed::AnswersCutEarly,
     Deed::TurnsAwayEarly,
+    Deed::TurnsAway,
+    Deed::RunsAndSays503,
+    Deed::RunsAndSays429,
+    Deed::RunsAndSays408,
     Deed::Resets,
     Deed::Closes,
     Deed::HalfCloses,
@@ -62,7 +70,7 @@
 impl Deed {
     /// Whether the backend ran the upload.
     fn runs(self) -> bool {
-        self != Self::TurnsAwayEarly
+        !matches!(self, Self::TurnsAwayEarly | Self::TurnsAway)
     }
 
     /// Whether the backend gave a whole success.
@@ -76,8 +84,18 @@
     fn action(self, id: &str, body_part: usize) -> EarlyAction {
         let own = format!("Fennelscale-Request-Id: {id}\r\nFennelscale-Response-Signature: signed\r\n");
         let success = answer("200 OK", &own, &body_of(id));
+        let when_read = |text: &str| EarlyAction::Read(usize::MAX, Box::new(EarlyAction::answer(text)));
+        let turned_away = answer(
+            "503 Full",
+            &format!("Fennelscale-Request-Id: {id}\r\nFennelscale-Not-Executed: 1\r\n"),
+            "full",
+        );
         let action = match self {
-            Self::Serves => EarlyAction::Read(usize::MAX, Box::new(EarlyAction::answer(&success))),
+            Self::Serves => when_read(&success),
+            Self::TurnsAway => when_read(&turned_away),
+            Self::RunsAndSays503 => when_read(&answer("503 Service Unavailable", &own, "ran")),
+            Self::RunsAndSays429 => when_read(&answer("429 Too Many Requests", &own, "ran")),
+            Self::RunsAndSays408 => when_read(&answer("408 Request Timeout", &own, "ran")),
             Self::ServesEarly => EarlyAction::answer(&success),
             Self::ServesEarlyAndCloses => EarlyAction::answer_then(&success, EarlyAction::Close),
             Self::ServesEarlyWithoutLength => {
@@ -93,10 +111,7 @@
                 let cut = &success[..success.len() - 2];
                 EarlyAction::answer_then(cut, EarlyAction::Close)
             }
-            Self::TurnsAwayEarly => {
-                let headers = format!("Fennelscale-Request-Id: {id}\r\nFennelscale-Not-Executed: 1\r\n");
-                EarlyAction::answer(&answer("503 Full", &headers, "full"))
-            }
+            Self::TurnsAwayEarly => EarlyAction::answer(&turned_away),
             Self::Resets => EarlyAction::Reset,
             Self::Closes => EarlyAction::Close,
             Self::HalfCloses => EarlyAction::HalfClose,
--- a/system/proxy/tests/promises.rs
+++ b/system/proxy/tests/promises.rs
@@ -6,11 +6,14 @@
 use helper::upload_backend::{EarlyAction, UploadBackend, answer, signed_answer};
 use helper::{Proxy, SERVICE, TestBed, listed_at};
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Statuses that promise a client that its request has not run and never will.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 /// The size of the requests' bodies: they are written at once.
 const BODY: usize = 300;
+/// Passes while a backend holds a request.
+const SHORT_DEADLINE: Duration = Duration::from_millis(700);
 
 /// A proxy with a backend in its own zone, which is preferred, and a spare one in another zone.
 struct Deployment {
@@ -147,6 +150,36 @@
     });
 }
 
+/// Guards against REFUSED: a request that its backend holds may run at any time, so its end is no promise.
+#[test]
+fn a_request_that_a_backend_holds_ends_without_a_promise() {
+    helper::run(async {
+        let deployment = Deployment::start(7).await;
+        // Before its body is read, and after that.
+        for action in [EarlyAction::Stall, EarlyAction::read_then(usize::MAX, EarlyAction::Stall)] {
+            deployment.both_act(&action);
+            let id = deployment.test_bed.next_id();
+            let answer = deployment.test_bed.upload_as(&id, "/take", BODY, SHORT_DEADLINE);
+            let (status, _) = answer.await.expect("a task").expect("an answer");
+            assert_eq!(status, 504, "{action:?}");
+        }
+        assert_eq!(deployment.arrivals(), 2);
+    });
+}
+
+/// Guards against MIXED and REFUSED: an interim answer in the place of the final one says nothing of its request.
+#[test]
+fn an_interim_answer_is_never_the_final_one() {
+    helper::run(async {
+        let deployment = Deployment::start(8).await;
+        let own = "Fennelscale-Request-Id: {id}\r\nFennelscale-Response-Signature: signed\r\n";
+        let switching = format!("HTTP/1.1 101 Switching Protocols\r\n{own}Upgrade: x\r\n\r\n");
+        deployment.both_act(&runs_and_answers(&switching));
+        let (status, _) = deployment.request("/take").await;
+        assert_eq!((status, deployment.arrivals()), (502, 1));
+    });
+}
+
 /// What an operator sees of it: whose promise it was, and how it was taken.
 #[test]
 fn metrics_tell_whose_promise_a_client_was_given() {
