Proxy: a changed idle timeout holds, for open connections too

Callers saw: connections that rested were closed after the default of 15 s, whatever idleTimeout the configuration had (limits are items as routes and keys are). Cause: the limits on slow clients were made once, from the defaults, when the proxy started. Sizes were looked up for each request and were right.

--- a/crates/admission/src/slow_clients.rs
+++ b/crates/admission/src/slow_clients.rs
@@ -33,6 +33,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct SlowClientLimits {
     request_timeout: Time,
+    idle_timeout: Time,
     head_timeout: Time,
     min_body_rate: f64,
     min_response_rate: f64,
@@ -56,6 +57,7 @@
     pub fn new(settings: &Settings) -> Self {
         Self {
             request_timeout: to_duration(settings.request.0),
+            idle_timeout: to_duration(settings.request.0),
             head_timeout: to_duration(settings.head.0),
             min_body_rate: settings.body.0,
             min_response_rate: settings.answer.0,
@@ -63,6 +65,12 @@
         }
     }
 
+    /// The same limits, but connections may be idle for this time.
+    #[must_use]
+    pub fn with_idle_timeout(self, idle_timeout: Time) -> Self {
+        Self { idle_timeout, ..self }
+    }
+
     /// The deadline of a connection; none while its request is in progress. `since` is its start, its last
     /// response or the first byte of its next request: further bytes do not extend the deadline, they only
     /// sustain a rate.
@@ -70,7 +78,7 @@
         let request_deadline = since.saturating_add(self.request_timeout);
         match activity {
             Activity::Processing => None,
-            Activity::Idle => Some(request_deadline),
+            Activity::Idle => Some(since.saturating_add(self.idle_timeout)),
             Activity::ReadingHead => Some(request_deadline.min(since.saturating_add(self.head_timeout))),
             Activity::ReadingBody { since, bytes } => {
                 Some(request_deadline.min(rate_deadline(since, bytes, self.min_body_rate, self.grace)))
--- a/crates/admission/tests/parts.rs
+++ b/crates/admission/tests/parts.rs
@@ -231,6 +231,9 @@
     ] {
         assert_eq!(neutral.deadline(activity, since), Some(at(3500)), "{activity:?}");
     }
+    let patient = pace.with_idle_timeout(at(60_000));
+    assert_eq!(patient.deadline(Activity::Idle, since), Some(at(61_000)));
+    assert_eq!(patient.deadline(Activity::ReadingHead, since), Some(at(2500)));
 }
 
 #[test]
--- a/crates/dataplane/src/front/acceptor.rs
+++ b/crates/dataplane/src/front/acceptor.rs
@@ -94,6 +94,12 @@
         &self.settings
     }
 
+    /// Changes how long connections may be idle, also those that are open.
+    pub fn set_idle_timeout(&self, idle_timeout: Duration) {
+        self.admission.set_idle_timeout(idle_timeout);
+        self.clients.borrow().values().for_each(|client| client.limits_changed());
+    }
+
     /// Whether no connection is being served or waits to be.
     pub fn is_empty(&self) -> bool {
         self.clients.borrow().is_empty() && self.pending.borrow().is_empty()
--- a/crates/dataplane/src/front/client_connection.rs
+++ b/crates/dataplane/src/front/client_connection.rs
@@ -32,13 +32,18 @@
 pub struct AdmissionControl {
     admission: RefCell<Admission>,
     start: Instant,
-    pace: SlowClientLimits,
+    pace: Cell<SlowClientLimits>,
 }
 
 impl AdmissionControl {
     /// Creates the admission control with a clock that starts now.
     pub fn new(admission: Admission, pace: SlowClientLimits) -> Rc<Self> {
-        Rc::new(Self { admission: RefCell::new(admission), start: Instant::now(), pace })
+        Rc::new(Self { admission: RefCell::new(admission), start: Instant::now(), pace: Cell::new(pace) })
+    }
+
+    /// Changes how long connections may be idle.
+    pub fn set_idle_timeout(&self, idle_timeout: Duration) {
+        self.pace.update(|pace| pace.with_idle_timeout(idle_timeout));
     }
 
     /// The time since the start.
@@ -114,6 +119,7 @@
     fn deadline(&self) -> Time {
         self.admission
             .pace
+            .get()
             .deadline(self.activity(), self.since.get())
             .unwrap_or_else(|| self.admission.now() + OPEN_REQUEST_CHECK)
     }
@@ -133,6 +139,11 @@
         }
     }
 
+    /// Wakes the timer because the limits have changed.
+    pub fn limits_changed(&self) {
+        self.deadline_changed.notify_one();
+    }
+
     /// Wakes the timer if the current activity has an earlier deadline than the previous one.
     fn update_timer(&self) {
         if self.deadline() < self.timer_deadline.get() {
--- a/system/proxy/src/proxy.rs
+++ b/system/proxy/src/proxy.rs
@@ -9,7 +9,7 @@
 use crate::service_engines::ServiceEngines;
 use crate::session;
 use fennelscale_admission::budget::Budget;
-use fennelscale_config::Tenant;
+use fennelscale_config::{LIMITS_KEY, Tenant};
 use fennelscale_dataplane::front::acceptor::Acceptor;
 use fennelscale_fault_injection::{Caller, FaultInjector, ORDER_PREFIX, OutcomeCounts, Verdict};
 use fennelscale_host::link::Writer;
@@ -488,6 +488,9 @@
                         .borrow_mut()
                         .set_orders(self.routing_state.borrow().table.failure_orders.values());
                 }
+                if changed.iter().any(|name| name == LIMITS_KEY) {
+                    self.apply_limits();
+                }
                 self.forget_removed_limits(&changed);
                 if !changed.is_empty() {
                     tracing::debug!(event = "items", whole = complete, news = changed.len());
@@ -529,6 +532,16 @@
         }
     }
 
+    /// Applies the limits of the configuration to open connections. Sizes are looked up for each request.
+    fn apply_limits(&self) {
+        let idle_timeout = self.routing_state.borrow().table.limits.idle_timeout;
+        if let (Some(acceptor), Ok(idle_timeout)) =
+            (self.acceptor.borrow().as_ref(), Duration::try_from_secs_f64(idle_timeout / 1000.0))
+        {
+            acceptor.set_idle_timeout(idle_timeout);
+        }
+    }
+
     /// Drops the leases of tenants whose limit was removed.
     fn forget_removed_limits(&self, changed: &[String]) {
         let mut admissions = Vec::new();
--- a/system/proxy/tests/helper/mod.rs
+++ b/system/proxy/tests/helper/mod.rs
@@ -10,7 +10,7 @@
 use fennelscale_host::start::Signals;
 use fennelscale_messages::Host;
 use fennelscale_messages::session::{Backend, BackendList, ProxyInfo, ProxyToRegistry, RegistryToProxy};
-use fennelscale_messages::store::{Entry, NamedEntry};
+use fennelscale_messages::store::{Change, Entry, NamedEntry, Stamp};
 use fennelscale_node_settings::{Port, Settings};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -135,6 +135,11 @@
         spawn_local(exchange(frontend, request.expect("a request")))
     }
 
+    /// A connection of a client to the proxy.
+    pub async fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.at(PROXY, FRONTEND_PORT)).await.expect("the proxy accepts")
+    }
+
     /// The id of a new request.
     pub fn next_id(&self) -> String {
         let number = self.next_request.get();
@@ -355,6 +360,29 @@
         assert!(self.session.writer.borrow().as_ref().is_some_and(|writer| writer.send(message)));
     }
 
+    /// Sends limits by which connections may be idle for this many ms.
+    pub fn send_idle_timeout(&self, revision: u64, idle_ms: u64) {
+        let call = format!(
+            r#"{{"upsert":{{"limits":{{"idleTimeout":"{idle_ms}ms","revision":"{revision:08x}"}}}}}}"#
+        );
+        let changes = parse_call(call.as_bytes()).expect("limits");
+        let entry = |change: Change| {
+            let stamp = Stamp { sequence: revision, ..Stamp::default() };
+            (
+                change.name,
+                Entry {
+                    stamp,
+                    revision: change.revision,
+                    host: change.host,
+                    body: change.body,
+                    ..Entry::default()
+                },
+            )
+        };
+        let entries = changes.into_iter().map(entry).collect();
+        self.send(&RegistryToProxy::Items { complete: false, up_to_date: false, entries });
+    }
+
     /// Sends the list of proxies: these others, and the proxy itself.
     pub fn send_proxies(&self, others: &[(Host, &str)]) {
         let me = self.session.proxy_info.borrow().clone().expect("the proxy has sent its description");
