--- a/system/proxy/src/frontend.rs
+++ b/system/proxy/src/frontend.rs
@@ -1,6 +1,7 @@
 //! The client side of the proxy: connections, requests and answers.
 
 use crate::answer_counts::Author;
+use crate::answers::{Refusal, response_headers};
 use crate::backend_protocol::{REQUEST_ID, TENANT};
 use crate::decision_input::PLAN;
 use crate::failure_injection::{self, ConnectionCut, InjectedFailure, ResponseBody};
@@ -15,16 +16,13 @@
 use fennelscale_dataplane::front::acceptor::Acceptor;
 use fennelscale_dataplane::front::client_connection::{ClientConnection, ClientStream, READ_BUFFER_SIZE};
 use fennelscale_fault_injection::{Caller, FailureKind, Verdict};
-use fennelscale_host::call::{ApiRequest, error_response};
-use fennelscale_host::error::{Failure, Kind};
+use fennelscale_host::call::ApiRequest;
+use fennelscale_host::error::Kind;
 use fennelscale_settings::admission::Admission;
 use fennelscale_settings::units::Quantity;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, TRAILER,
-    TRANSFER_ENCODING, UPGRADE,
-};
+use hyper::header::{CONNECTION, HOST, HeaderValue, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -57,7 +55,6 @@
 const MAX_BODY: usize = 64 << 20;
 /// Maximum share of the memory limit for all bodies together.
 const BODY_MEMORY_SHARE: f64 = 0.4;
-const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// The client side of the proxy.
 pub struct Frontend {
@@ -81,32 +78,6 @@
     Some(response)
 }
 
-/// A request that the proxy answers itself: the reason, and when to retry if the request was not executed.
-struct Refusal {
-    failure: Failure,
-    retry_after: Option<f64>,
-}
-
-impl Refusal {
-    fn new(kind: Kind, text: &str) -> Self {
-        Self { failure: Failure::new(kind, text), retry_after: None }
-    }
-
-    /// The request was not executed and will not be; it is best retried after this many ms.
-    fn with_retry_after(kind: Kind, text: &str, retry_after: f64) -> Self {
-        Self { failure: Failure::new(kind, text), retry_after: Some(retry_after) }
-    }
-
-    fn to_response(&self) -> Response<Full<Bytes>> {
-        let mut response = error_response(&self.failure);
-        let seconds = self.retry_after.map(|ms| format!("{:.3}", ms.max(0.0) / 1000.0));
-        if let Some(value) = seconds.and_then(|seconds| HeaderValue::from_str(&seconds).ok()) {
-            response.headers_mut().insert(RETRY_AFTER, value);
-        }
-        response
-    }
-}
-
 /// A request that was read and routed, before a backend is chosen.
 struct AcceptedRequest {
     route: Rc<Route>,
@@ -519,14 +490,6 @@
     services.last().map_or("", |(service, _)| service)
 }
 
-/// The headers of a backend's answer that are forwarded to the client.
-fn response_headers(mut headers: HeaderMap) -> HeaderMap {
-    for name in [CONNECTION, KEEP_ALIVE, TRANSFER_ENCODING, CONTENT_LENGTH, TRAILER, UPGRADE] {
-        headers.remove(name);
-    }
-    headers
-}
-
 /// Keeps the trace of a request in progress. If it is dropped before the answer, as when the connection
 /// closes, it records that the client disconnected.
 struct TraceGuard<'a> {
--- a/system/proxy/src/lib.rs
+++ b/system/proxy/src/lib.rs
@@ -3,6 +3,7 @@
 //! decision module choose a backend.
 
 mod answer_counts;
+mod answers;
 mod backend_protocol;
 pub mod cold_owners;
 pub mod decision_input;
--- a/system/proxy/src/proxy.rs
+++ b/system/proxy/src/proxy.rs
@@ -1,6 +1,9 @@
 //! The proxy process: connects the routing state, the lease cache, the service engines, the session and the
 //! clients.
 
+mod failure_orders;
+mod quota;
+
 use crate::frontend::Frontend;
 use crate::metrics::{self, Metrics};
 use crate::peer_sync;
@@ -9,9 +12,9 @@
 use crate::service_engines::ServiceEngines;
 use crate::session;
 use fennelscale_admission::budget::Budget;
-use fennelscale_config::{LIMITS_KEY, Tenant};
+use fennelscale_config::LIMITS_KEY;
 use fennelscale_dataplane::front::acceptor::Acceptor;
-use fennelscale_fault_injection::{Caller, FaultInjector, ORDER_PREFIX, OutcomeCounts, Verdict};
+use fennelscale_fault_injection::{FaultInjector, ORDER_PREFIX};
 use fennelscale_host::link::Writer;
 use fennelscale_host::start::{self, Signals};
 use fennelscale_host::{call, spawn};
@@ -21,7 +24,7 @@
     ProxyInfo, ProxyMessage, ProxyToRegistry, RegistryInfo, RegistryToProxy,
 };
 use fennelscale_node_settings::{Port, Settings};
-use fennelscale_quota_lease::{Admission, LatenessDetector, LeaseCache, Quota, QuotaRequest};
+use fennelscale_quota_lease::{Admission, LatenessDetector, LeaseCache};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -34,14 +37,9 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(40);
 /// Interval at which unusual sends are logged, while there are any.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
-/// Interval at which the counts of failure orders are sent to the registry, in ms.
-const COUNT_INTERVAL: f64 = 1000.0;
 /// File descriptors reserved for everything but clients and backends: sessions, readiness checks, logs.
 const RESERVED_DESCRIPTORS: usize = 280;
 
-/// The counts of one failure order, as they are sent.
-type OrderCount = (String, [u64; 3], [[u64; 3]; 2]);
-
 /// Counts of the items that sessions have delivered.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ItemCounts {
@@ -226,43 +224,6 @@
         *self.acceptor.borrow_mut() = Some(acceptor);
     }
 
-    /// What failure orders do to a request. Logs the request if an order selects it.
-    pub fn select_failure(&self, caller: &Caller<'_>) -> Verdict {
-        let (now, state) = (self.now(), self.routing_state.borrow());
-        let verdict = self.failure_orders.borrow_mut().decide(now, state.true_time(now), caller);
-        if let Verdict::Fail(met) = &verdict {
-            let what = met.kind.name();
-            tracing::info!(event = "failure-injected", order = met.order, what, request = caller.id);
-        }
-        verdict
-    }
-
-    /// Counts a finished request that no failure order selected.
-    pub fn record_unaffected(&self, status: u16) {
-        if !self.failure_orders.borrow().is_empty() {
-            self.failure_orders
-                .borrow_mut()
-                .record_outcome(self.routing_state.borrow().true_time(self.now()), status);
-        }
-    }
-
-    /// Sends the counts of failure orders to the registry at intervals.
-    fn send_failure_counts(&self) {
-        if self.failure_orders.borrow().is_empty() || self.now() < self.next_count_at.get() {
-            return;
-        }
-        self.next_count_at.set(self.now() + COUNT_INTERVAL);
-        let outcomes = |sums: OutcomeCounts| [sums.served, sums.refused, sums.failed];
-        let counts = self.failure_orders.borrow().counts().into_iter();
-        let counts: Vec<OrderCount> = counts
-            .map(|(order, count, others)| {
-                (order, [count.matched, count.failed, count.limited], others.map(outcomes))
-            })
-            .collect();
-        // Sent even if unchanged: the session may be with another registry by now.
-        self.send(&ProxyToRegistry::FailureCounts(counts));
-    }
-
     /// Drained nodes on which this proxy has no work in progress.
     fn idle_nodes(&self) -> Vec<String> {
         let state = self.routing_state.borrow();
@@ -542,19 +503,6 @@
         }
     }
 
-    /// Drops the leases of tenants whose limit was removed.
-    fn forget_removed_limits(&self, changed: &[String]) {
-        let mut admissions = Vec::new();
-        for tenant in changed.iter().filter_map(|name| name.strip_prefix("t:")) {
-            let limited =
-                self.routing_state.borrow().table.tenant_by_name(tenant).is_some_and(|t| t.rate_per_s > 0.0);
-            if !limited {
-                self.cache.borrow_mut().remove_tenant(tenant, &mut admissions);
-            }
-        }
-        self.apply_cache_output(Vec::new(), admissions);
-    }
-
     /// Logs and sends that this proxy has become ready, if it has.
     fn announce_if_ready(&self, was_ready: bool) {
         if !was_ready && self.is_ready() {
@@ -566,60 +514,4 @@
     fn update(&self) {
         self.services.update(self.now(), &mut self.routing_state.borrow_mut());
     }
-
-    fn tick(&self) {
-        let (mut messages, mut admissions) = (Vec::new(), Vec::new());
-        self.cache.borrow_mut().tick(self.now(), &mut messages, &mut admissions);
-        self.apply_cache_output(messages, admissions);
-    }
-
-    /// Sends the messages of the lease cache, and passes its admissions to the waiting requests.
-    fn apply_cache_output(&self, messages: Vec<ProxyToRegistry>, admissions: Vec<(u64, Admission)>) {
-        messages.iter().for_each(|message| self.send(message));
-        for (request, admission) in admissions {
-            if let Some(answer) = self.waiting.borrow_mut().remove(&request) {
-                let _ = answer.send(admission);
-            }
-        }
-    }
-
-    /// Takes a unit of a tenant's lease, waiting for a grant no longer than `wait`. Fails with the time in ms
-    /// after which the client should retry. While units are scarce, requests that are too `late` for their
-    /// target latency go last.
-    pub async fn admit(&self, tenant: &Tenant, wait: Duration, late: bool) -> Result<(), f64> {
-        let terms = Quota { rate: tenant.rate_per_s, burst: tenant.burst };
-        if terms.rate <= 0.0 {
-            return Ok(());
-        }
-        let (now, request) = (self.now(), self.next_request.get());
-        self.next_request.set(request + 1);
-        let mut messages = Vec::new();
-        let until = now + wait.as_secs_f64() * 1000.0;
-        let comer = QuotaRequest { id: request, deadline: until, is_late: late };
-        let admission = self.cache.borrow_mut().admit(now, &tenant.name, terms, comer, &mut messages);
-        let receiver = (admission == Admission::Queued).then(|| {
-            let (sender, receiver) = oneshot::channel();
-            self.waiting.borrow_mut().insert(request, sender);
-            receiver
-        });
-        self.apply_cache_output(messages, Vec::new());
-        let admission = match receiver {
-            // The receiver is dropped with the request when the client disconnects; the unit is then lost for
-            // this window.
-            Some(receiver) => receiver.await.unwrap_or(Admission::Rejected(0.0)),
-            None => admission,
-        };
-        match admission {
-            Admission::Admitted => Ok(()),
-            Admission::Rejected(wait) => Err(wait),
-            Admission::Queued => Err(0.0),
-        }
-    }
-
-    /// Returns the unspent units to the registry.
-    fn return_units(&self) {
-        let mut messages = Vec::new();
-        self.cache.borrow_mut().return_units(self.now(), &mut messages);
-        self.apply_cache_output(messages, Vec::new());
-    }
 }
