Soak: names in the usual terms

Renames only: sight, wish, struck, trouble, breach and strike are Observation, ClientRequest, FaultTarget, FaultPeriod, Violation and PlannedFault; texts of the report follow.

--- a/system/demo/src/soak/clients.rs
+++ b/system/demo/src/soak/clients.rs
@@ -1,6 +1,6 @@
 //! Clients of a soak: each keeps a connection to one proxy for as long as that process is there, and asks on it for places and keys.
 
-use super::judge::{Sight, State};
+use super::judge::{Observation, State};
 use super::operator::{KEYS, PLACES, prefix};
 use super::{BAD_PLACES, Soak};
 use crate::client::send;
@@ -33,7 +33,7 @@
 const READ: Duration = Duration::from_millis(400);
 
 /// What a client asks for.
-struct Wish {
+struct ClientRequest {
     subject: usize,
     path: String,
     key: Option<String>,
@@ -49,8 +49,8 @@
                 continue;
             };
             while !self.closed.get() && line.ready().await.is_ok() {
-                let wish = self.wish();
-                if !self.ask(proxy, &mut line, &wish).await {
+                let wanted = self.wanted();
+                if !self.ask(proxy, &mut line, &wanted).await {
                     break;
                 }
                 sleep(PACE).await;
@@ -58,37 +58,45 @@
         }
     }
 
-    fn wish(&self) -> Wish {
+    fn wanted(&self) -> ClientRequest {
         let mut chance = self.chance.borrow_mut();
         let added = self.added.borrow();
         match chance.random_range(0..20) {
             0..9 => {
                 let place = chance.random_range(0..PLACES);
-                Wish { subject: place, path: format!("{}x", prefix(place)), key: None }
+                ClientRequest { subject: place, path: format!("{}x", prefix(place)), key: None }
             }
             9..17 => {
                 let key = chance.random_range(0..KEYS);
-                Wish { subject: PLACES + key, path: "/keyed/x".into(), key: Some(format!("key{key}")) }
+                ClientRequest {
+                    subject: PLACES + key,
+                    path: "/keyed/x".into(),
+                    key: Some(format!("key{key}")),
+                }
             }
             17 => {
                 let place = chance.random_range(0..BAD_PLACES);
-                Wish { subject: self.bad[place], path: format!("/bad{place}/x"), key: None }
+                ClientRequest { subject: self.bad[place], path: format!("/bad{place}/x"), key: None }
             }
             _ => {
                 let subject = added.choose(&mut *chance).copied().unwrap_or(0);
-                Wish { subject, path: format!("{}x", self.subjects.borrow()[subject].name), key: None }
+                ClientRequest {
+                    subject,
+                    path: format!("{}x", self.subjects.borrow()[subject].name),
+                    key: None,
+                }
             }
         }
     }
 
     /// One request and what it shows. Whether the connection goes on.
-    async fn ask(&self, proxy: usize, line: &mut SendRequest<Empty<Bytes>>, wish: &Wish) -> bool {
+    async fn ask(&self, proxy: usize, line: &mut SendRequest<Empty<Bytes>>, wanted: &ClientRequest) -> bool {
         let number = self.requests.replace(self.requests.get() + 1);
-        let mut request = Request::get(&wish.path)
+        let mut request = Request::get(&wanted.path)
             .header("Host", HOST)
             .header("Fennelscale-Request-Id", format!("soak{number:08}"))
             .header("Fennelscale-Deadline-Ms", "5000");
-        if let Some(key) = &wish.key {
+        if let Some(key) = &wanted.key {
             request = request.header("X-Api-Key", key);
         }
         let Ok(request) = request.body(Empty::new()) else { return false };
@@ -104,13 +112,14 @@
             return false;
         };
         self.count(&response.status().as_u16().to_string());
-        if let Some(state) = shown(&response, wish)
+        if let Some(state) = shown(&response, wanted)
             && life == self.proxies[proxy].life.get()
         {
             let by = self.proxies[proxy].name();
-            let (subject, answered) = (wish.subject, self.now());
-            let sight = Sight { subject, by, life: Some(life), sent, answered, state, in_touch, stretch };
-            self.sights.borrow_mut().push(sight);
+            let (subject, answered) = (wanted.subject, self.now());
+            let observation =
+                Observation { subject, by, life: Some(life), sent, answered, state, in_touch, stretch };
+            self.observations.borrow_mut().push(observation);
         }
         true
     }
@@ -129,7 +138,7 @@
         }
     }
 
-    /// One reading; each item that it shows, or does not, is a sight. Whether there was one.
+    /// One reading; each item that it shows, or does not, is an observation. Whether there was one.
     pub async fn read(self: Rc<Self>, to: SocketAddr) -> bool {
         let sent = self.now();
         let reply = send(to, Method::GET, "/fennelscale/config", &[], "").await;
@@ -139,8 +148,9 @@
             let state = shown.get(&name).map_or(State::Absent, |revision| State::Is(revision.clone()));
             let by = format!("control {to}");
             let stretch = Duration::ZERO;
-            let sight = Sight { subject, by, life: None, sent, answered, state, in_touch: true, stretch };
-            self.sights.borrow_mut().push(sight);
+            let observation =
+                Observation { subject, by, life: None, sent, answered, state, in_touch: true, stretch };
+            self.observations.borrow_mut().push(observation);
         }
         true
     }
@@ -158,9 +168,9 @@
 }
 
 /// What an answer shows of what was asked for; nothing where it is neither served nor refused by the configuration.
-fn shown(response: &Response<()>, wish: &Wish) -> Option<State> {
+fn shown(response: &Response<()>, wanted: &ClientRequest) -> Option<State> {
     let header = |name: &str| response.headers().get(name)?.to_str().ok();
-    match (response.status().as_u16(), &wish.key) {
+    match (response.status().as_u16(), &wanted.key) {
         (200, Some(_)) => Some(State::Is(header("fennelscale-tenant-name")?.to_owned())),
         (200, None) => {
             let backend = header("fennelscale-instance-id")?.strip_prefix("i-")?;
--- a/system/demo/src/soak/faults.rs
+++ b/system/demo/src/soak/faults.rs
@@ -12,15 +12,15 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-/// For how long something is struck, at the most.
+/// For how long something is faulty, at the most.
 const LONGEST_AT_PROXY: Duration = Duration::from_millis(2500);
 const LONGEST_AT_CORE: Duration = Duration::from_secs(9);
-/// Core machines are struck in every second span of so many seconds.
+/// Core machines are faulty in every second span of so many seconds.
 const CORE_TURN: u64 = 10;
 
-/// One strike, as it was drawn.
+/// One fault, as it was drawn.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Strike {
+pub(super) struct PlannedFault {
     pub(super) pause: Duration,
     pub(super) proxy: usize,
     pub(super) zone: usize,
@@ -32,9 +32,9 @@
     pub(super) share: f64,
 }
 
-/// Whom a fault strikes.
+/// Where a fault is injected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Struck {
+pub enum FaultTarget {
     /// A proxy.
     Proxy(usize),
     /// A core machine, and with it whoever goes by the core.
@@ -43,10 +43,10 @@
     WholeCore,
 }
 
-/// From when to when something was struck.
+/// From when to when something was faulty.
 #[derive(Clone, Debug)]
-pub struct Trouble {
-    pub struck: Struck,
+pub struct FaultPeriod {
+    pub target: FaultTarget,
     pub what: String,
     pub from: Duration,
     /// None while it lasts.
@@ -54,45 +54,45 @@
 }
 
 impl Soak {
-    /// Whether a proxy has been well for long enough. One core machine is struck at a time, and the loss of one is to be borne: that
+    /// Whether a proxy has been well for long enough. One core machine is faulty at a time, and the loss of one is to be borne: that
     /// excuses nobody else.
     pub fn in_touch(&self, proxy: usize) -> bool {
         let now = self.now();
-        let lately = |trouble: &Trouble| trouble.to.is_none_or(|to| to + CONTACT > now);
-        let here = |trouble: &&Trouble| {
-            trouble.struck == Struck::Proxy(proxy) || trouble.struck == Struck::WholeCore
+        let lately = |period: &FaultPeriod| period.to.is_none_or(|to| to + CONTACT > now);
+        let here = |period: &&FaultPeriod| {
+            period.target == FaultTarget::Proxy(proxy) || period.target == FaultTarget::WholeCore
         };
-        !self.troubles.borrow().iter().filter(here).any(lately)
+        !self.fault_periods.borrow().iter().filter(here).any(lately)
     }
 
-    /// How much later than usual a change may be in force now. With one core machine in each zone one at a time is struck, and that
+    /// How much later than usual a change may be in force now. With one core machine in each zone one at a time is faulty, and that
     /// excuses nobody; with several the core counts as settled by the rules alone.
     pub fn stretch(&self) -> Duration {
         let now = self.now();
-        let unsettles = |trouble: &Trouble| {
-            trouble.struck == Struck::Core && trouble.to.is_none_or(|to| to + CONTACT > now)
+        let unsettles = |period: &FaultPeriod| {
+            period.target == FaultTarget::Core && period.to.is_none_or(|to| to + CONTACT > now)
         };
-        let is_unsettled = self.cores > 1 && self.troubles.borrow().iter().any(unsettles);
+        let is_unsettled = self.cores > 1 && self.fault_periods.borrow().iter().any(unsettles);
         if is_unsettled { STRETCH } else { Duration::ZERO }
     }
 
-    pub(super) fn begin(&self, struck: Struck, what: String) -> usize {
-        let mut troubles = self.troubles.borrow_mut();
-        troubles.push(Trouble { struck, what, from: self.now(), to: None });
-        troubles.len() - 1
+    pub(super) fn begin(&self, target: FaultTarget, what: String) -> usize {
+        let mut fault_periods = self.fault_periods.borrow_mut();
+        fault_periods.push(FaultPeriod { target, what, from: self.now(), to: None });
+        fault_periods.len() - 1
     }
 
-    pub(super) fn end(&self, trouble: usize) {
+    pub(super) fn end(&self, period: usize) {
         let now = self.now();
-        self.troubles.borrow_mut()[trouble].to = Some(now);
+        self.fault_periods.borrow_mut()[period].to = Some(now);
     }
 
-    /// Proxies are struck again and again, core machines in every second span of ten seconds. All that is drawn of a strike is drawn
-    /// before anything else is looked at: the same seed strikes at the same times, whatever the machine.
-    pub async fn strike(self: Rc<Self>) {
+    /// Proxies are faulty again and again, core machines in every second span of ten seconds. All that is drawn of a fault is drawn
+    /// before anything else is looked at: the same seed has the same faults at the same times, whatever the machine.
+    pub async fn inject_faults(self: Rc<Self>) {
         let mut chance = ChaCha8Rng::seed_from_u64(self.seed);
         while !self.over.get() {
-            let strike = Strike {
+            let planned = PlannedFault {
                 pause: Duration::from_millis(chance.random_range(150..900)),
                 proxy: chance.random_range(0..self.proxies.len()),
                 zone: chance.random_range(0..ZONES.len()),
@@ -100,36 +100,36 @@
                 dice: chance.random_range(0..100),
                 share: f64::from(chance.random_range(0..1000)) / 1000.0,
             };
-            sleep(strike.pause).await;
+            sleep(planned.pause).await;
             if self.over.get() {
                 return;
             }
             let core_turn = self.now().as_secs() / CORE_TURN % 2 == 1;
-            if core_turn && strike.dice < 40 {
-                if !self.core_struck.replace(true) {
-                    spawn_local(self.clone().strike_core(strike));
+            if core_turn && planned.dice < 40 {
+                if !self.core_is_faulty.replace(true) {
+                    spawn_local(self.clone().inject_at_core_machine(planned));
                 }
-            } else if !self.proxies[strike.proxy].struck.replace(true) {
-                spawn_local(self.clone().strike_proxy(strike));
+            } else if !self.proxies[planned.proxy].is_faulty.replace(true) {
+                spawn_local(self.clone().inject_at_proxy(planned));
             }
         }
     }
 
-    pub(super) async fn strike_proxy(self: Rc<Self>, strike: Strike) {
-        let number = strike.proxy;
+    pub(super) async fn inject_at_proxy(self: Rc<Self>, planned: PlannedFault) {
+        let number = planned.proxy;
         let proxy = &self.proxies[number];
         let (zone, program) = (proxy.zone, proxy.program.clone());
-        let span = LONGEST_AT_PROXY.mul_f64(strike.share);
-        match strike.dice {
+        let span = LONGEST_AT_PROXY.mul_f64(planned.share);
+        match planned.dice {
             0..30 => {
-                let trouble = self.begin(Struck::Proxy(number), format!("kill {program} in {zone}"));
+                let period = self.begin(FaultTarget::Proxy(number), format!("kill {program} in {zone}"));
                 self.end_process(zone, &program, Signal::KILL).await;
                 sleep(span).await;
                 self.start_proxy(number).await;
-                self.end(trouble);
+                self.end(period);
             }
             30..55 => {
-                let trouble = self.begin(Struck::Proxy(number), format!("terminate {program} in {zone}"));
+                let period = self.begin(FaultTarget::Proxy(number), format!("terminate {program} in {zone}"));
                 self.machines.borrow().signal(zone, &program, Signal::TERM);
                 // Told twice while it leaves, as impatient operators do.
                 sleep(span.min(self.grace)).await;
@@ -137,18 +137,18 @@
                 sleep(self.grace.saturating_sub(span)).await;
                 self.end_process(zone, &program, Signal::KILL).await;
                 self.start_proxy(number).await;
-                self.end(trouble);
+                self.end(period);
             }
             55..80 => {
-                let trouble = self.begin(Struck::Proxy(number), format!("stop {program} in {zone}"));
+                let period = self.begin(FaultTarget::Proxy(number), format!("stop {program} in {zone}"));
                 self.stop(zone, &program);
                 sleep(span).await;
                 self.resume(zone, &program);
-                self.end(trouble);
+                self.end(period);
             }
             _ => self.machines.borrow().signal(zone, &program, Signal::HUP),
         }
-        proxy.struck.set(false);
+        proxy.is_faulty.set(false);
     }
 
     async fn start_proxy(&self, number: usize) {
@@ -172,9 +172,9 @@
         }
     }
 
-    pub(super) async fn strike_core(self: Rc<Self>, strike: Strike) {
-        let Strike { zone, core, dice, .. } = strike;
-        let span = LONGEST_AT_CORE.mul_f64(strike.share);
+    pub(super) async fn inject_at_core_machine(self: Rc<Self>, planned: PlannedFault) {
+        let PlannedFault { zone, core, dice, .. } = planned;
+        let span = LONGEST_AT_CORE.mul_f64(planned.share);
         let kinds: &[&str] = match dice % 3 {
             0 => &[STORE, REGISTRY],
             1 => &[STORE],
@@ -183,7 +183,7 @@
         let programs: Vec<String> = kinds.iter().map(|program| numbered(program, core)).collect();
         let (signal, how) = [(Signal::KILL, "kill"), (Signal::TERM, "terminate"), (Signal::STOP, "stop")]
             [dice as usize / 3 % 3];
-        let trouble = self.begin(Struck::Core, format!("{how} {} in {zone}", programs.join(" and ")));
+        let period = self.begin(FaultTarget::Core, format!("{how} {} in {zone}", programs.join(" and ")));
         if signal == Signal::STOP {
             programs.iter().for_each(|program| self.stop(zone, program));
             sleep(span).await;
@@ -201,7 +201,7 @@
                 }
             }
         }
-        self.end(trouble);
-        self.core_struck.set(false);
+        self.end(period);
+        self.core_is_faulty.set(false);
     }
 }
--- a/system/demo/src/soak/judge.rs
+++ b/system/demo/src/soak/judge.rs
@@ -13,7 +13,7 @@
 pub const ROLLBACK: Duration = Duration::from_millis(250);
 /// While the core is not settled, a change may be in force so much later.
 pub const STRETCH: Duration = Duration::from_millis(10_000);
-/// Whoever was in trouble is in touch again after this.
+/// Whoever was faulty is in touch again after this.
 pub const CONTACT: Duration = Duration::from_millis(5000);
 
 /// What a subject is by one version.
@@ -43,7 +43,7 @@
 
 /// What one request showed of a subject.
 #[derive(Clone, Debug)]
-pub struct Sight {
+pub struct Observation {
     pub subject: usize,
     /// Who answered.
     pub by: String,
@@ -58,9 +58,9 @@
     pub stretch: Duration,
 }
 
-/// How a sight breaks the rule.
+/// How an observation breaks the rule.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Breach {
+pub enum Violation {
     /// A change that was acknowledged was not in force in time.
     Late,
     /// A process went back to an older version.
@@ -74,65 +74,73 @@
         self.versions.iter().rposition(due).unwrap_or(0)
     }
 
-    /// The versions that a sight may be of, by what it shows and when.
-    fn matching(&self, sight: &Sight) -> impl DoubleEndedIterator<Item = usize> {
-        let shows = |version: &Version| version.sent <= sight.answered && version.state == sight.state;
+    /// The versions that an observation may be of, by what it shows and when.
+    fn matching(&self, observation: &Observation) -> impl DoubleEndedIterator<Item = usize> {
+        let shows =
+            |version: &Version| version.sent <= observation.answered && version.state == observation.state;
         self.versions.iter().enumerate().filter(move |(_, version)| shows(version)).map(|(at, _)| at)
     }
 }
 
-/// The sights that break the rule.
-pub fn breaches<'a>(subjects: &[Subject], sights: &'a [Sight]) -> Vec<(Breach, &'a Sight)> {
-    let mut found: Vec<(Breach, &Sight)> = Vec::new();
-    for sight in sights.iter().filter(|sight| sight.in_touch) {
-        let subject = &subjects[sight.subject];
+/// The observations that break the rule.
+pub fn violations<'a>(
+    subjects: &[Subject], observations: &'a [Observation],
+) -> Vec<(Violation, &'a Observation)> {
+    let mut found: Vec<(Violation, &Observation)> = Vec::new();
+    for observation in observations.iter().filter(|observation| observation.in_touch) {
+        let subject = &subjects[observation.subject];
         if subject
-            .matching(sight)
+            .matching(observation)
             .next_back()
-            .is_none_or(|newest| newest < subject.due(sight.sent, APPLY + sight.stretch))
+            .is_none_or(|newest| newest < subject.due(observation.sent, APPLY + observation.stretch))
         {
-            found.push((Breach::Late, sight));
+            found.push((Violation::Late, observation));
         }
     }
-    let mut lives: BTreeMap<(&str, u32, usize), Vec<&Sight>> = BTreeMap::new();
-    for sight in sights {
-        if let Some(life) = sight.life {
-            lives.entry((&sight.by, life, sight.subject)).or_default().push(sight);
+    let mut lives: BTreeMap<(&str, u32, usize), Vec<&Observation>> = BTreeMap::new();
+    for observation in observations {
+        if let Some(life) = observation.life {
+            lives.entry((&observation.by, life, observation.subject)).or_default().push(observation);
         }
     }
     for ((_, _, subject), shown) in lives {
-        found.extend(gone_back(&subjects[subject], shown).into_iter().map(|sight| (Breach::Back, sight)));
+        found.extend(
+            gone_back(&subjects[subject], shown)
+                .into_iter()
+                .map(|observation| (Violation::Back, observation)),
+        );
     }
-    found.sort_by_key(|(breach, sight)| (sight.sent, *breach));
+    found.sort_by_key(|(violation, observation)| (observation.sent, *violation));
     found
 }
 
 /// The longest time after which whoever was in touch still showed what an acknowledged change had ended.
-pub fn longest_lag(subjects: &[Subject], sights: &[Sight]) -> Duration {
-    let lag = |sight: &Sight| {
-        let subject = &subjects[sight.subject];
-        let shown = subject.matching(sight).next_back()?;
+pub fn longest_lag(subjects: &[Subject], observations: &[Observation]) -> Duration {
+    let lag = |observation: &Observation| {
+        let subject = &subjects[observation.subject];
+        let shown = subject.matching(observation).next_back()?;
         let ended = subject.versions[shown + 1..].iter().filter_map(|version| version.acknowledged).min()?;
-        sight.sent.checked_sub(ended)
+        observation.sent.checked_sub(ended)
     };
-    sights.iter().filter(|sight| sight.in_touch).filter_map(lag).max().unwrap_or_default()
+    observations.iter().filter(|observation| observation.in_touch).filter_map(lag).max().unwrap_or_default()
 }
 
 /// Sights of one life that show an older version than one that it had shown before they were sent.
-fn gone_back<'a>(subject: &Subject, mut shown: Vec<&'a Sight>) -> Vec<&'a Sight> {
-    shown.sort_by_key(|sight| sight.answered);
+fn gone_back<'a>(subject: &Subject, mut shown: Vec<&'a Observation>) -> Vec<&'a Observation> {
+    shown.sort_by_key(|observation| observation.answered);
     let mut newest = 0;
     let mut known: Vec<(Duration, usize)> = Vec::new();
-    for sight in &shown {
-        newest = newest.max(subject.matching(sight).next().unwrap_or(0));
-        known.push((sight.answered, newest));
+    for observation in &shown {
+        newest = newest.max(subject.matching(observation).next().unwrap_or(0));
+        known.push((observation.answered, newest));
     }
-    let before = |sight: &Sight| {
-        let past = known.partition_point(|(answered, _)| *answered + ROLLBACK < sight.sent);
+    let before = |observation: &Observation| {
+        let past = known.partition_point(|(answered, _)| *answered + ROLLBACK < observation.sent);
         past.checked_sub(1).map_or(0, |last| known[last].1)
     };
-    let older =
-        |sight: &&Sight| subject.matching(sight).next_back().is_some_and(|newest| newest < before(sight));
+    let older = |observation: &&Observation| {
+        subject.matching(observation).next_back().is_some_and(|newest| newest < before(observation))
+    };
     shown.into_iter().filter(older).collect()
 }
 
--- a/system/demo/src/soak/mod.rs
+++ b/system/demo/src/soak/mod.rs
@@ -13,8 +13,8 @@
 use crate::machines::{Machines, REGISTRY, STORE, ZONES, numbered, proxy_machine, proxy_program};
 use crate::standins::{Listed, Outside, backend, platform};
 use crate::steps::until_ready;
-use faults::{Struck, Trouble};
-use judge::{APPLY, Breach, CONTACT, Sight, State, Subject, breaches, longest_lag};
+use faults::{FaultPeriod, FaultTarget};
+use judge::{APPLY, CONTACT, Observation, State, Subject, Violation, longest_lag, violations};
 use miette::{Result, miette};
 use operator::{Operator, SERVICES};
 use promises::{Try, broken_promises};
@@ -33,10 +33,10 @@
 const BACKENDS: usize = 1;
 /// Places of invalid routes.
 const BAD_PLACES: usize = 4;
-/// The most breaches of one kind that are told one by one.
-const TOLD: usize = 6;
-/// Of a breach's subject so many versions are told.
-const VERSIONS_TOLD: usize = 4;
+/// The most violations of one kind that are reported one by one.
+const MAX_REPORTED: usize = 6;
+/// Of a violation's subject so many versions are reported.
+const VERSIONS_REPORTED: usize = 4;
 /// Before the last reading all that is under way ends.
 const SETTLE: Duration = Duration::from_secs(12);
 
@@ -55,7 +55,7 @@
     pub proxies: usize,
     /// Core machines of each zone.
     pub cores: usize,
-    /// Whether anything is struck.
+    /// Whether anything is faulty.
     pub faults: bool,
     /// Whether processes get their share of a core as a quota of each tenth of a second.
     pub shares: bool,
@@ -70,7 +70,7 @@
     frontend: SocketAddr,
     readiness: SocketAddr,
     life: Cell<u32>,
-    struck: Cell<bool>,
+    is_faulty: Cell<bool>,
 }
 
 impl ProxyPlace {
@@ -89,15 +89,15 @@
     controls: Vec<SocketAddr>,
     operator: RefCell<Operator>,
     subjects: RefCell<Vec<Subject>>,
-    sights: RefCell<Vec<Sight>>,
+    observations: RefCell<Vec<Observation>>,
     /// Subjects of places that were added with many others, and of those where nothing may ever be.
     added: RefCell<Vec<usize>>,
     bad: Vec<usize>,
-    troubles: RefCell<Vec<Trouble>>,
-    core_struck: Cell<bool>,
-    /// Core machines of each zone, and those that are struck now where there are several.
+    fault_periods: RefCell<Vec<FaultPeriod>>,
+    core_is_faulty: Cell<bool>,
+    /// Core machines of each zone, and those that are faulty now where there are several.
     cores: usize,
-    struck_cores: RefCell<storm::StruckCores>,
+    faulty_cores: RefCell<storm::FaultyCores>,
     /// Processes that a fault has stopped.
     stopped: RefCell<BTreeSet<(usize, String)>>,
     grace: Duration,
@@ -144,7 +144,7 @@
         frontend: machines.clients_of(zone, proxy_machine(number)),
         readiness: machines.readiness_of(zone, proxy_machine(number)),
         life: Cell::new(0),
-        struck: Cell::new(false),
+        is_faulty: Cell::new(false),
     };
     (0..ZONES.len()).flat_map(|zone| (0..each).map(move |number| place(zone, number))).collect()
 }
@@ -178,13 +178,13 @@
         proxies,
         operator: RefCell::default(),
         subjects: RefCell::default(),
-        sights: RefCell::default(),
+        observations: RefCell::default(),
         added: RefCell::default(),
         bad: Vec::new(),
-        troubles: RefCell::default(),
-        core_struck: Cell::new(false),
+        fault_periods: RefCell::default(),
+        core_is_faulty: Cell::new(false),
         cores: plan.cores,
-        struck_cores: RefCell::default(),
+        faulty_cores: RefCell::default(),
         stopped: RefCell::default(),
         grace,
         outside,
@@ -224,7 +224,7 @@
     if plan.faults && plan.cores > 1 {
         spawn_local(soak.clone().storm());
     } else if plan.faults {
-        spawn_local(soak.clone().strike());
+        spawn_local(soak.clone().inject_faults());
     }
     sleep(Duration::from_secs(plan.seconds)).await;
     soak.over.set(true);
@@ -243,41 +243,41 @@
     format!("{:.3}", at.as_secs_f64())
 }
 
-/// Tells what a sight was, what should have been there, and what was struck around it.
-fn tell(soak: &Soak, breach: Breach, sight: &Sight) {
-    let subject = &soak.subjects.borrow()[sight.subject];
+/// Reports what an observation was, what should have been there, and what was faulty around it.
+fn report(soak: &Soak, violation: Violation, observation: &Observation) {
+    let subject = &soak.subjects.borrow()[observation.subject];
     println!(
-        "  {breach:?}: {} by {} (life {:?}) showed {:?}; asked at {}, answered at {}",
+        "  {violation:?}: {} by {} (life {:?}) showed {:?}; asked at {}, answered at {}",
         subject.name,
-        sight.by,
-        sight.life,
-        sight.state,
-        seconds(sight.sent),
-        seconds(sight.answered)
+        observation.by,
+        observation.life,
+        observation.state,
+        seconds(observation.sent),
+        seconds(observation.answered)
     );
-    let there = subject.versions.partition_point(|version| version.sent < sight.answered);
-    for version in &subject.versions[there.saturating_sub(VERSIONS_TOLD)..there] {
+    let there = subject.versions.partition_point(|version| version.sent < observation.answered);
+    for version in &subject.versions[there.saturating_sub(VERSIONS_REPORTED)..there] {
         let acknowledged = version.acknowledged.map_or("not acknowledged".into(), seconds);
         println!("    sent {}, acknowledged {acknowledged}: {:?}", seconds(version.sent), version.state);
     }
-    let near = |trouble: &&Trouble| {
-        trouble.from < sight.answered && trouble.to.is_none_or(|to| to + 2 * CONTACT > sight.sent)
+    let near = |period: &&FaultPeriod| {
+        period.from < observation.answered && period.to.is_none_or(|to| to + 2 * CONTACT > observation.sent)
     };
-    let here = |trouble: &&Trouble| match trouble.struck {
-        Struck::Core | Struck::WholeCore => true,
-        Struck::Proxy(proxy) => soak.proxies[proxy].name() == sight.by,
+    let here = |period: &&FaultPeriod| match period.target {
+        FaultTarget::Core | FaultTarget::WholeCore => true,
+        FaultTarget::Proxy(proxy) => soak.proxies[proxy].name() == observation.by,
     };
-    for trouble in soak.troubles.borrow().iter().filter(near).filter(here) {
+    for period in soak.fault_periods.borrow().iter().filter(near).filter(here) {
         println!(
             "    {} from {} to {}",
-            trouble.what,
-            seconds(trouble.from),
-            trouble.to.map_or("the end".into(), seconds)
+            period.what,
+            seconds(period.from),
+            period.to.map_or("the end".into(), seconds)
         );
     }
 }
 
-/// Tells which promises to clients were broken; how many.
+/// Reports which promises to clients were broken; how many.
 fn judge_promises(soak: &Soak) -> usize {
     let (tries, all_runs) = (soak.tries.borrow(), soak.outside.runs.borrow());
     let mut runs: HashMap<&str, usize> = HashMap::new();
@@ -285,7 +285,7 @@
         *runs.entry(&run.id).or_default() += 1;
     }
     let found = broken_promises(&tries, &runs);
-    for (how, one, ran) in found.iter().take(TOLD) {
+    for (how, one, ran) in found.iter().take(MAX_REPORTED) {
         println!("  {how:?}: {} ({}) was answered {:?} and ran {ran} times", one.id, one.deed, one.status);
     }
     println!("  {} requests that can't be repeated, {} promises broken", tries.len(), found.len());
@@ -293,32 +293,32 @@
 }
 
 fn judge_all(soak: &Soak, plan: &Plan) -> Result<()> {
-    let (subjects, sights) = (soak.subjects.borrow(), soak.sights.borrow());
-    let found = breaches(&subjects, &sights);
+    let (subjects, observations) = (soak.subjects.borrow(), soak.observations.borrow());
+    let found = violations(&subjects, &observations);
     let operator = soak.operator.borrow();
-    let in_touch = sights.iter().filter(|sight| sight.in_touch).count();
+    let in_touch = observations.iter().filter(|observation| observation.in_touch).count();
     println!(
-        "  seed {}: {} proxies, {} changes acknowledged, {} strikes, {} sights ({in_touch} in touch), answers {:?}",
+        "  seed {}: {} proxies, {} changes acknowledged, {} faults, {} observations ({in_touch} in touch), answers {:?}",
         plan.seed,
         soak.proxies.len(),
         operator.acknowledged,
-        soak.troubles.borrow().len(),
-        sights.len(),
+        soak.fault_periods.borrow().len(),
+        observations.len(),
         soak.answers.borrow()
     );
-    let lag = longest_lag(&subjects, &sights);
+    let lag = longest_lag(&subjects, &observations);
     println!("  the longest that an acknowledged change was not in force: {} ms", lag.as_millis());
-    for kind in [Breach::Late, Breach::Back] {
-        let of_kind = found.iter().filter(|(breach, _)| *breach == kind);
-        of_kind.take(TOLD).for_each(|(breach, sight)| tell(soak, *breach, sight));
+    for kind in [Violation::Late, Violation::Back] {
+        let of_kind = found.iter().filter(|(violation, _)| *violation == kind);
+        of_kind.take(MAX_REPORTED).for_each(|(violation, observation)| report(soak, *violation, observation));
     }
-    operator.wrong.iter().take(TOLD).for_each(|wrong| println!("  {wrong}"));
+    operator.wrong.iter().take(MAX_REPORTED).for_each(|wrong| println!("  {wrong}"));
     let broken = judge_promises(soak);
     if found.is_empty() && operator.wrong.is_empty() && broken == 0 {
         return Ok(());
     }
-    let count = |kind| found.iter().filter(|(breach, _)| *breach == kind).count();
-    let (late, back) = (count(Breach::Late), count(Breach::Back));
+    let count = |kind| found.iter().filter(|(violation, _)| *violation == kind).count();
+    let (late, back) = (count(Violation::Late), count(Violation::Back));
     Err(miette!(
         "seed {}: {late} late, {back} gone back, {broken} promises broken, {} otherwise wrong",
         plan.seed,
