--- a/system/proxy/tests/early_answers.rs
+++ b/system/proxy/tests/early_answers.rs
@@ -3,9 +3,8 @@
 
 mod helper;
 
-use helper::upload_backend::{EarlyAction, UploadBackend, answer, signed_answer};
-use helper::{Proxy, SERVICE, TestBed, listed_at};
-use std::rc::Rc;
+use helper::two_backends::TwoBackends;
+use helper::upload_backend::{EarlyAction, answer, signed_answer};
 
 /// Larger than the buffers of a connection, so that the last byte is not written when the backend acts.
 const LONG_BODY: usize = 32 << 20;
@@ -13,37 +12,25 @@
 const PART_OF_BODY: usize = 1 << 20;
 const FAILED: &str = "500 Internal Server Error";
 
-/// A proxy with a backend in its own zone, which is preferred, and a spare one in another zone.
-struct Deployment {
-    test_bed: TestBed,
-    proxy: Proxy,
-    preferred: Rc<UploadBackend>,
-    spare: Rc<UploadBackend>,
-}
+/// Two backends with a proxy; requests have long bodies.
+struct Deployment(TwoBackends);
 
 impl Deployment {
     async fn start(number: u8) -> Self {
-        let test_bed = TestBed::new(number);
-        let preferred = test_bed.upload_backend(1, "preferred").await;
-        let spare = test_bed.upload_backend(2, "spare").await;
-        let proxy = Proxy::start(&test_bed, &[]).await;
-        let list = [(&preferred, "a"), (&spare, "b")]
-            .map(|(backend, zone)| listed_at(SERVICE, backend.id(), backend.address(), zone, 0));
-        proxy.send_list(1, list.to_vec()).await;
-        Self { test_bed, proxy, preferred, spare }
+        Self(TwoBackends::start(number).await)
     }
 
     async fn upload(&self, path: &str) -> (u16, String) {
-        self.test_bed.upload(path, LONG_BODY).await.expect("a task").expect("an answer")
+        self.0.request(path, LONG_BODY).await
     }
 
     /// Number of backends that an upload reached since the counts `before` of both.
     fn arrivals(&self) -> (usize, usize) {
-        (self.preferred.arrivals(), self.spare.arrivals())
+        (self.0.preferred.arrivals(), self.0.spare.arrivals())
     }
 
     async fn breaks(&self, progress: &str) -> f64 {
-        self.proxy.metric("exchange_breaks_total", progress).await
+        self.0.proxy.metric("exchange_breaks_total", progress).await
     }
 }
 
@@ -54,19 +41,23 @@
         let deployment = Deployment::start(1).await;
         let cases = [(FAILED, 500), ("404 Not Found", 404), ("200 OK", 200)];
         for (number, (line, status)) in cases.into_iter().enumerate() {
-            deployment.preferred.act(EarlyAction::answer(&signed_answer(line, "early\n")));
+            deployment.0.preferred.act(EarlyAction::answer(&signed_answer(line, "early\n")));
             let (got, body) = deployment.upload("/upload/take").await;
             assert_eq!((got, body.as_str()), (status, "early\n"), "{line}");
             assert_eq!(deployment.arrivals(), (number + 1, 0), "{line}: sent to a second backend");
             // The preferred backend may still be reading the request before.
             assert_eq!(
-                deployment.preferred.connections(),
+                deployment.0.preferred.connections(),
                 number + 1,
                 "{line}: the connection was used again"
             );
         }
-        assert_eq!(deployment.preferred.complete_bodies(), 1, "the body is sent whole behind a success only");
-        assert_eq!(deployment.proxy.metric("early_answers_total", "service").await, cases.len() as f64);
+        assert_eq!(
+            deployment.0.preferred.complete_bodies(),
+            1,
+            "the body is sent whole behind a success only"
+        );
+        assert_eq!(deployment.0.proxy.metric("early_answers_total", "service").await, cases.len() as f64);
     });
 }
 
@@ -81,7 +72,7 @@
         });
         let mut uploads = 0;
         for action in actions {
-            deployment.preferred.act(action.clone());
+            deployment.0.preferred.act(action.clone());
             let before = deployment.arrivals();
             let (status, _) = deployment.upload("/upload/take").await;
             let after = deployment.arrivals();
@@ -121,7 +112,7 @@
         ];
         let deployment = Deployment::start(3).await;
         for (what, action) in actions {
-            deployment.preferred.act(action);
+            deployment.0.preferred.act(action);
             let before = deployment.arrivals();
             let (status, body) = deployment.upload("/upload/take").await;
             let after = deployment.arrivals();
@@ -138,10 +129,10 @@
         let deployment = Deployment::start(4).await;
         let own = "Fennelscale-Request-Id: {id}\r\n";
         let turned_away = answer("503 Full", &format!("{own}Fennelscale-Not-Executed: 1\r\n"), "full\n");
-        deployment.preferred.act(EarlyAction::answer(&turned_away));
+        deployment.0.preferred.act(EarlyAction::answer(&turned_away));
         assert_eq!(deployment.upload("/upload/take").await, (200, "kept\n".to_owned()));
         assert_eq!(deployment.arrivals(), (1, 1));
-        deployment.preferred.act(EarlyAction::answer(&answer("421 Misdirected Request", own, "")));
+        deployment.0.preferred.act(EarlyAction::answer(&answer("421 Misdirected Request", own, "")));
         assert_eq!(deployment.upload("/upload/take").await, (200, "kept\n".to_owned()));
         assert_eq!(deployment.arrivals(), (2, 2));
     });
@@ -157,8 +148,8 @@
             (EarlyAction::read_then(PART_OF_BODY, EarlyAction::Reset), 502),
         ];
         for (number, (action, expected)) in actions.into_iter().enumerate() {
-            deployment.preferred.act(action.clone());
-            deployment.spare.act(action.clone());
+            deployment.0.preferred.act(action.clone());
+            deployment.0.spare.act(action.clone());
             let (status, _) = deployment.upload("/upload/take").await;
             let (preferred, spare) = deployment.arrivals();
             assert_eq!((status, preferred + spare), (expected, number + 1), "{action:?}");
@@ -184,7 +175,7 @@
             ("no length, half-closes", EarlyAction::answer_then(&without_length, EarlyAction::HalfClose)),
         ];
         for (number, (what, action)) in actions.into_iter().enumerate() {
-            deployment.preferred.act(action);
+            deployment.0.preferred.act(action);
             assert_eq!(deployment.upload("/upload/take").await, (200, "early\n".to_owned()), "{what}");
             assert_eq!(deployment.arrivals(), (number + 1, 0), "{what}");
         }
@@ -205,11 +196,11 @@
             ),
         );
         for action in [EarlyAction::answer_then(interim, EarlyAction::None), in_parts] {
-            deployment.preferred.act(action.clone());
+            deployment.0.preferred.act(action.clone());
             assert_eq!(deployment.upload("/upload/take").await, (200, "kept\n".to_owned()), "{action:?}");
         }
         assert_eq!(deployment.arrivals(), (2, 0));
-        assert_eq!(deployment.preferred.complete_bodies(), 2);
+        assert_eq!(deployment.0.preferred.complete_bodies(), 2);
     });
 }
 
@@ -223,7 +214,7 @@
             EarlyAction::read_then(PART_OF_BODY, EarlyAction::Reset),
         ];
         for (number, action) in actions.into_iter().enumerate() {
-            deployment.preferred.act_once(action.clone());
+            deployment.0.preferred.act_once(action.clone());
             let answer = deployment.upload("/repeatable/take").await;
             assert_eq!(answer, (200, "kept\n".to_owned()), "{action:?}");
             let (preferred, spare) = deployment.arrivals();
--- a/system/proxy/tests/helper/mod.rs
+++ b/system/proxy/tests/helper/mod.rs
@@ -2,6 +2,7 @@
 //! process.
 #![allow(dead_code)]
 
+pub mod two_backends;
 pub mod upload_backend;
 
 use bytes::Bytes;
--- a/system/proxy/tests/promises.rs
+++ b/system/proxy/tests/promises.rs
@@ -3,9 +3,8 @@
 
 mod helper;
 
-use helper::upload_backend::{EarlyAction, UploadBackend, answer, signed_answer};
-use helper::{Proxy, SERVICE, TestBed, listed_at};
-use std::rc::Rc;
+use helper::two_backends::TwoBackends;
+use helper::upload_backend::{EarlyAction, answer, signed_answer};
 use std::time::Duration;
 
 /// Statuses that promise a client that its request has not run and never will.
@@ -15,13 +14,8 @@
 /// Passes while a backend holds a request.
 const SHORT_DEADLINE: Duration = Duration::from_millis(700);
 
-/// A proxy with a backend in its own zone, which is preferred, and a spare one in another zone.
-struct Deployment {
-    test_bed: TestBed,
-    proxy: Proxy,
-    preferred: Rc<UploadBackend>,
-    spare: Rc<UploadBackend>,
-}
+/// Two backends with a proxy; requests have small bodies.
+struct Deployment(TwoBackends);
 
 /// Reads the whole request, then answers with `text` and keeps the connection.
 fn runs_and_answers(text: &str) -> EarlyAction {
@@ -34,29 +28,22 @@
 
 impl Deployment {
     async fn start(number: u8) -> Self {
-        let test_bed = TestBed::new(number);
-        let preferred = test_bed.upload_backend(1, "preferred").await;
-        let spare = test_bed.upload_backend(2, "spare").await;
-        let proxy = Proxy::start(&test_bed, &[]).await;
-        let list = [(&preferred, "a"), (&spare, "b")]
-            .map(|(backend, zone)| listed_at(SERVICE, backend.id(), backend.address(), zone, 0));
-        proxy.send_list(1, list.to_vec()).await;
-        Self { test_bed, proxy, preferred, spare }
+        Self(TwoBackends::start(number).await)
     }
 
     /// Has both backends do the same with each request from now on.
     fn both_act(&self, action: &EarlyAction) {
-        self.preferred.act(action.clone());
-        self.spare.act(action.clone());
+        self.0.preferred.act(action.clone());
+        self.0.spare.act(action.clone());
     }
 
     async fn request(&self, path: &str) -> (u16, String) {
-        self.test_bed.upload(path, BODY).await.expect("a task").expect("an answer")
+        self.0.request(path, BODY).await
     }
 
     /// Number of requests that reached a backend.
     fn arrivals(&self) -> usize {
-        self.preferred.arrivals() + self.spare.arrivals()
+        self.0.preferred.arrivals() + self.0.spare.arrivals()
     }
 }
 
@@ -115,8 +102,8 @@
     helper::run(async {
         let deployment = Deployment::start(4).await;
         for line in ["503 Service Unavailable", "429 Too Many Requests", "408 Request Timeout"] {
-            deployment.spare.act(EarlyAction::None);
-            deployment.preferred.act_once(runs_and_answers(&signed_answer(line, "ran\n")));
+            deployment.0.spare.act(EarlyAction::None);
+            deployment.0.preferred.act_once(runs_and_answers(&signed_answer(line, "ran\n")));
             assert_eq!(deployment.request("/repeatable/take").await, (200, "kept\n".to_owned()), "{line}");
         }
     });
@@ -158,8 +145,8 @@
         // Before its body is read, and after that.
         for action in [EarlyAction::Stall, EarlyAction::read_then(usize::MAX, EarlyAction::Stall)] {
             deployment.both_act(&action);
-            let id = deployment.test_bed.next_id();
-            let answer = deployment.test_bed.upload_as(&id, "/take", BODY, SHORT_DEADLINE);
+            let id = deployment.0.test_bed.next_id();
+            let answer = deployment.0.test_bed.upload_as(&id, "/take", BODY, SHORT_DEADLINE);
             let (status, _) = answer.await.expect("a task").expect("an answer");
             assert_eq!(status, 504, "{action:?}");
         }
@@ -187,7 +174,7 @@
         let deployment = Deployment::start(6).await;
         deployment.both_act(&runs_and_answers(&turned_away("503 Full")));
         assert_eq!(deployment.request("/take").await.0, 503);
-        let count = async |name: &str, labels: &str| deployment.proxy.metric(name, labels).await;
+        let count = async |name: &str, labels: &str| deployment.0.proxy.metric(name, labels).await;
         assert_eq!(count("backend_answers_total", "status=\"503\",taken=\"full\"").await, 2.0);
         assert_eq!(count("client_answers_total", "status=\"503\",author=\"proxy\"").await, 1.0);
         assert_eq!(count("client_answers_total", "author=\"backend\"").await, 0.0);
