--- a/system/proxy/tests/limits.rs
+++ b/system/proxy/tests/limits.rs
@@ -16,9 +16,10 @@
     helper::run(async {
         let test_bed = TestBed::new(1);
         let proxy = Proxy::start(&test_bed, &[]).await;
+        // Before the first connection, whose idle time counts from its own start.
+        let started_at = Instant::now();
         let mut open = test_bed.connect().await;
         proxy.send_idle_timeout(2, 500);
-        let started_at = Instant::now();
         let end = timeout(SOON, open.read_u8()).await;
         assert!(end.is_ok_and(|read| read.is_err()), "an open connection outlasts the new idle timeout");
         let mut new = test_bed.connect().await;
