Proxy: metrics of ended sessions and of waiting tasks; soak with pressing clients

Nothing told a proxy that is short of processor time from one whose registry or link is down: a session that ended was a log line, and how long tasks wait for their turn was not to be seen. session_ends_total by reason, task_delay_milliseconds. The soak gets clients that send without a pause (--pressing) and the share of a proxy (--proxy-share); its proxies have the 4,100 descriptors of the deployments (2,000 before).

--- a/system/demo/src/machines.rs
+++ b/system/demo/src/machines.rs
@@ -164,7 +164,7 @@
 {listen}
 [limits]
 memoryMb = 256
-maxFileDescriptors = 2000
+maxFileDescriptors = 4100
 diskMb = 256
 [faultTolerance]
 machineLosses = 1
--- a/system/demo/src/main.rs
+++ b/system/demo/src/main.rs
@@ -53,6 +53,15 @@
         help = "in a soak, processes get their share of a core as a quota of each tenth of a second"
     )]
     shares: bool,
+    #[options(
+        no_short,
+        help = "share of a core of each proxy with --shares",
+        meta = "SHARE",
+        default = "0.17"
+    )]
+    proxy_share: f64,
+    #[options(no_short, help = "in a soak, clients of each proxy that send without a pause", meta = "COUNT")]
+    pressing: usize,
     #[options(
         no_short,
         help = "the executable whose programs a soak runs, in place of this one",
@@ -107,14 +116,24 @@
         calm,
         cores,
         shares,
+        proxy_share,
+        pressing,
         programs,
         ..
     } = arguments;
     let walked = tokio::task::LocalSet::new().block_on(&runtime, async move {
         match nights {
             0 if soak > 0 => {
-                let plan =
-                    soak::Plan { seed, seconds: soak, proxies, cores, faults: !calm, shares, programs };
+                let plan = soak::Plan {
+                    seed,
+                    seconds: soak,
+                    proxies,
+                    cores,
+                    faults: !calm,
+                    proxy_share: shares.then_some(proxy_share),
+                    pressing,
+                    programs,
+                };
                 soak::soak(plan, logs).await
             }
             0 if failures > 0 => failures::rehearsals(seed, failures, pairs, logs).await,
--- a/system/demo/src/soak/clients.rs
+++ b/system/demo/src/soak/clients.rs
@@ -23,8 +23,8 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
-/// Between two requests of one client.
-const PACE: Duration = Duration::from_millis(25);
+/// Between two requests of a client that does not press.
+pub const PACE: Duration = Duration::from_millis(25);
 /// A proxy that is not there is tried again after this.
 const PAUSE: Duration = Duration::from_millis(50);
 /// An answer that takes longer than this is not waited for.
@@ -41,7 +41,7 @@
 
 impl Soak {
     /// A connection to a proxy, made again whenever it has ended; requests follow each other on it.
-    pub async fn keep_asking(self: Rc<Self>, proxy: usize) {
+    pub async fn keep_asking(self: Rc<Self>, proxy: usize, pace: Duration) {
         let at = self.proxies[proxy].frontend;
         while !self.closed.get() {
             let Some(mut line) = connect::<Empty<Bytes>>(at).await else {
@@ -53,7 +53,7 @@
                 if !self.ask(proxy, &mut line, &wanted).await {
                     break;
                 }
-                sleep(PACE).await;
+                sleep(pace).await;
             }
         }
     }
--- a/system/demo/src/soak/mod.rs
+++ b/system/demo/src/soak/mod.rs
@@ -13,6 +13,7 @@
 use crate::machines::{Machines, REGISTRY, STORE, ZONES, numbered, proxy_machine, proxy_program};
 use crate::standins::{Listed, Outside, backend, platform};
 use crate::steps::until_ready;
+use clients::PACE;
 use faults::{FaultPeriod, FaultTarget};
 use judge::{APPLY, CONTACT, Observation, State, Subject, Violation, longest_lag, violations};
 use miette::{Result, miette};
@@ -57,8 +58,10 @@
     pub cores: usize,
     /// Whether anything is faulty.
     pub faults: bool,
-    /// Whether processes get their share of a core as a quota of each tenth of a second.
-    pub shares: bool,
+    /// The share of a core of each proxy, where processes get their shares as quotas of each tenth of a second.
+    pub proxy_share: Option<f64>,
+    /// Clients of each proxy that send without a pause.
+    pub pressing: usize,
     /// The executable whose programs are run, where it is not this one.
     pub programs: Option<PathBuf>,
 }
@@ -213,13 +216,16 @@
 async fn play(soak: &Rc<Soak>, plan: &Plan) {
     let begins = soak.now();
     for proxy in 0..soak.proxies.len() {
-        spawn_local(soak.clone().keep_asking(proxy));
+        spawn_local(soak.clone().keep_asking(proxy, PACE));
+        for _ in 0..plan.pressing {
+            spawn_local(soak.clone().keep_asking(proxy, Duration::ZERO));
+        }
         spawn_local(soak.clone().keep_sending_once(proxy));
     }
     spawn_local(soak.clone().operate());
     spawn_local(soak.clone().keep_reading());
-    if plan.shares {
-        soak.limit_processor_shares();
+    if let Some(share) = plan.proxy_share {
+        soak.limit_processor_shares(share);
     }
     if plan.faults && plan.cores > 1 {
         spawn_local(soak.clone().storm());
--- a/system/demo/src/soak/processor_share.rs
+++ b/system/demo/src/soak/processor_share.rs
@@ -11,15 +11,14 @@
 
 /// A quota is granted anew after this.
 const PERIOD: Duration = Duration::from_millis(100);
-/// The shares of a proxy and of a process of a core machine.
-const PROXY_SHARE: f64 = 0.17;
+/// The share of a process of a core machine.
 const CORE_SHARE: f64 = 0.3;
 
 impl Soak {
     /// Holds all processes to their shares until the soak is closed.
-    pub fn limit_processor_shares(self: &Rc<Self>) {
+    pub fn limit_processor_shares(self: &Rc<Self>, proxy_share: f64) {
         for proxy in &self.proxies {
-            spawn_local(self.clone().limit_share(proxy.zone, proxy.program.clone(), PROXY_SHARE));
+            spawn_local(self.clone().limit_share(proxy.zone, proxy.program.clone(), proxy_share));
         }
         for zone in 0..ZONES.len() {
             for program in (0..self.cores).flat_map(|core| [STORE, REGISTRY].map(|kind| numbered(kind, core)))
--- a/system/proxy/src/lib.rs
+++ b/system/proxy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod routing_state;
 mod service_engines;
 mod session;
+mod session_counts;
 
 pub use proxy::run;
 
--- a/system/proxy/src/metrics.rs
+++ b/system/proxy/src/metrics.rs
@@ -7,6 +7,7 @@
 use crate::backend_protocol::break_name;
 use crate::proxy::Proxy;
 use crate::service_engines::ServiceEngine;
+use crate::session_counts::SessionEnd;
 use bytes::Bytes;
 use doorcourse::Outcome;
 use fennelscale_dataplane::back::connection::Progress;
@@ -68,6 +69,11 @@
     what: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Hash, PartialEq, Eq)]
+struct SessionEndLabel {
+    why: &'static str,
+}
+
 /// All metrics of one proxy.
 #[derive(Debug)]
 pub struct Metrics {
@@ -85,6 +91,8 @@
     contact_age: Gauge,
     contested: Gauge,
     copies: Family<CopyLabel, Counter>,
+    session_ends: Family<SessionEndLabel, Counter>,
+    task_delay: Gauge,
 }
 
 impl Default for Metrics {
@@ -152,6 +160,17 @@
             "What sessions brought of items: whole copies, entries, entries that were news, comparisons",
             copies.clone(),
         );
+        let (session_ends, task_delay) = (Family::<SessionEndLabel, Counter>::default(), Gauge::default());
+        registry.register(
+            "session_ends",
+            "Sessions with registries that ended, by reason",
+            session_ends.clone(),
+        );
+        registry.register(
+            "task_delay_milliseconds",
+            "The longest that a periodic task waited behind other tasks, in the last one to two seconds",
+            task_delay.clone(),
+        );
         Self {
             registry,
             sends,
@@ -166,6 +185,8 @@
             contact_age,
             contested,
             copies,
+            session_ends,
+            task_delay,
         }
     }
 }
@@ -188,6 +209,12 @@
         for (what, count) in counts {
             self.copies.get_or_create(&CopyLabel { what }).inner().store(count, Ordering::Relaxed);
         }
+        for end in SessionEnd::ALL {
+            let labels = SessionEndLabel { why: end.label() };
+            let count = proxy.session_counts.count(end);
+            self.session_ends.get_or_create(&labels).inner().store(count, Ordering::Relaxed);
+        }
+        self.task_delay.set(proxy.task_delay.longest().as_millis() as i64);
         self.list_number.set(i64::try_from(state.backend_list.stamp.0).unwrap_or(i64::MAX));
         self.ready_proxies.set(state.proxies.iter().filter(|proxy| proxy.ready).count() as i64);
         let mut text = String::new();
--- a/system/proxy/src/proxy.rs
+++ b/system/proxy/src/proxy.rs
@@ -11,6 +11,7 @@
 use crate::routing_state::{ProxyLocation, RoutingState, UPDATE_INTERVAL};
 use crate::service_engines::ServiceEngines;
 use crate::session;
+use crate::session_counts::{SessionCounts, TaskDelay};
 use fennelscale_admission::budget::Budget;
 use fennelscale_config::LIMITS_KEY;
 use fennelscale_dataplane::front::acceptor::Acceptor;
@@ -71,6 +72,10 @@
     last_contact: Cell<Option<f64>>,
     /// Counts of the items that sessions have delivered.
     copies: Cell<ItemCounts>,
+    /// Counts of ended sessions.
+    pub session_counts: SessionCounts,
+    /// How long the periodic task waits for its turn behind the tasks of requests.
+    pub task_delay: TaskDelay,
     /// Control addresses from the settings as read last.
     seeds: RefCell<Vec<SocketAddr>>,
     /// Idle drained nodes, as last sent to the registry.
@@ -137,6 +142,8 @@
         registries: RefCell::default(),
         last_contact: Cell::default(),
         copies: Cell::default(),
+        session_counts: SessionCounts::default(),
+        task_delay: TaskDelay::default(),
         idle_nodes: RefCell::default(),
         acceptor: RefCell::default(),
         failure_orders: RefCell::new(failure_orders),
@@ -165,12 +172,15 @@
         let (mut updated_at, mut reported_at) = (Instant::now(), Instant::now());
         let update_interval = Duration::from_secs_f64(UPDATE_INTERVAL / 1000.0);
         loop {
+            let slept_at = Instant::now();
             sleep(TICK_INTERVAL).await;
+            ticking.task_delay.record(slept_at.elapsed().saturating_sub(TICK_INTERVAL));
             ticking.tick();
             ticking.update_drains();
             ticking.send_failure_counts();
             if reported_at.elapsed() >= REPORT_INTERVAL {
                 reported_at = Instant::now();
+                ticking.task_delay.next_period();
                 ticking.services.report_unusual_sends();
             }
             if updated_at.elapsed() >= update_interval
--- a/system/proxy/src/session.rs
+++ b/system/proxy/src/session.rs
@@ -3,6 +3,7 @@
 
 use crate::proxy::Proxy;
 use crate::registry_choice::RegistryChoice;
+use crate::session_counts::SessionEnd;
 use fennelscale_host::link::{self, split};
 use fennelscale_messages::Host;
 use fennelscale_messages::session::{ProxyToRegistry, RegistryToProxy};
@@ -30,12 +31,12 @@
             continue;
         };
         let started_at = Instant::now();
-        if let Err(why) = run_session(&proxy, host, &mut choice).await
-            && why != NEARER_REGISTRY
-        {
+        let end = run_session(&proxy, host, &mut choice).await;
+        proxy.session_counts.record(end);
+        if end != SessionEnd::NearerRegistry {
             choice.record_failure(proxy.now(), host);
             let held_ms = started_at.elapsed().as_millis() as u64;
-            tracing::info!(event = "session-ended", registry = %host, why, held_ms);
+            tracing::info!(event = "session-ended", registry = %host, why = end.text(), held_ms);
         }
         if proxy.ended() {
             return;
@@ -46,9 +47,6 @@
     }
 }
 
-/// The reason of a session that ends in favour of a nearer registry.
-const NEARER_REGISTRY: &str = "a nearer registry is there";
-
 /// The result of a probe of other registries.
 struct ProbeResult {
     /// The registries that could not be reached, up to the first that could.
@@ -90,9 +88,9 @@
     ProbeDone(ProbeResult),
 }
 
-async fn run_session(proxy: &Rc<Proxy>, host: Host, choice: &mut RegistryChoice) -> Result<(), &'static str> {
+async fn run_session(proxy: &Rc<Proxy>, host: Host, choice: &mut RegistryChoice) -> SessionEnd {
     let to = proxy.settings.address_of(host.ip(), Port::Sessions);
-    let stream = link::connect(to).await.map_err(|_| "no connection")?;
+    let Ok(stream) = link::connect(to).await else { return SessionEnd::NoConnection };
     let (mut reader, writer) = split(stream);
     writer.send(&proxy.first_message());
     proxy.set_session(Some(writer.clone()));
@@ -114,24 +112,24 @@
             };
             match event {
                 SessionEvent::Message(Ok(message)) => break message,
-                SessionEvent::Message(Err(_)) => break 'session "closed",
+                SessionEvent::Message(Err(_)) => break 'session SessionEnd::Closed,
                 SessionEvent::ProbeDone(result) => {
                     result
                         .failed
                         .into_iter()
                         .for_each(|registry| choice.record_failure(proxy.now(), registry));
                     if result.reached {
-                        break 'session "its registry is out of contact";
+                        break 'session SessionEnd::OutOfContact;
                     }
                 }
                 SessionEvent::HeartbeatDue => {
                     next_heartbeat = Instant::now() + HEARTBEAT_INTERVAL;
                     if last_received.elapsed() > SESSION_TIMEOUT {
-                        break 'session "silent";
+                        break 'session SessionEnd::Silent;
                     }
                     writer.send(&proxy.heartbeat());
                     if proxy.has_nearer_registry(host, |other| choice.failed_recently(proxy.now(), other)) {
-                        break 'session NEARER_REGISTRY;
+                        break 'session SessionEnd::NearerRegistry;
                     }
                 }
             }
@@ -153,14 +151,14 @@
         if registries_changed
             && proxy.has_nearer_registry(host, |other| choice.failed_recently(proxy.now(), other))
         {
-            break NEARER_REGISTRY;
+            break SessionEnd::NearerRegistry;
         }
         if proxy.ended() {
             writer.send(&ProxyToRegistry::EndSession);
             sleep(RETRY_DELAY).await;
-            break "ended";
+            break SessionEnd::ProxyEnded;
         }
     };
     proxy.set_session(None);
-    Err(end)
+    end
 }
