Proxy: the session with the registry does not wait behind the requests of clients

Cause: all tasks of a proxy take turns in one queue, so the session's reader and writer ran once in a round of all connections, 3 s here. The registry heard no heartbeat for 1.4 s and closed the session; the proxy itself called the registry silent while its bytes waited unread. Each new session went the same way (27 ends in 46 s, up to 1.9 s each without any session), and changes arrived in none of them. Change: the session is part of the program's main future, which is polled between batches of 61 tasks, and polls its writer itself; silence is measured by bytes, and only after what has arrived was read.

--- a/system/host/src/link.rs
+++ b/system/host/src/link.rs
@@ -6,17 +6,20 @@
 
 use crate::spawn;
 use fennelscale_messages::{Host, decode_frame, encode_frame, frame_length};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt, BufReader, ReadBuf};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Time limit for connecting: two round trips between the most distant regions, and a margin.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -45,10 +48,54 @@
     Ok(())
 }
 
+/// When bytes were last received on a connection, or when it was opened.
+#[derive(Clone, Debug)]
+pub struct Activity(Rc<Cell<Instant>>);
+
+impl Activity {
+    fn started_now() -> Self {
+        Self(Rc::new(Cell::new(Instant::now())))
+    }
+
+    /// The time since bytes were last received. A message that takes long to arrive counts with each of its
+    /// bytes.
+    pub fn idle_time(&self) -> Duration {
+        self.0.get().elapsed()
+    }
+}
+
+/// A stream that records when bytes were received.
+struct ActiveStream {
+    input: OwnedReadHalf,
+    activity: Activity,
+}
+
+impl AsyncRead for ActiveStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled_before = buffer.filled().len();
+        let result = Pin::new(&mut self.input).poll_read(context, buffer);
+        if buffer.filled().len() > filled_before {
+            self.activity.0.set(Instant::now());
+        }
+        result
+    }
+}
+
 /// The receiving half of a connection.
-pub struct Reader(BufReader<OwnedReadHalf>);
+pub struct Reader(BufReader<ActiveStream>);
 
 impl Reader {
+    fn new(input: OwnedReadHalf) -> Self {
+        Self(BufReader::new(ActiveStream { input, activity: Activity::started_now() }))
+    }
+
+    /// When bytes were last received.
+    pub fn activity(&self) -> Activity {
+        self.0.get_ref().activity.clone()
+    }
+
     /// Receives the next message; an error if the connection is down or the data cannot be decoded.
     pub async fn next<T: for<'a> bitcode::Decode<'a>>(&mut self) -> io::Result<T> {
         let mut head = [0; 4];
@@ -84,10 +131,17 @@
 /// Splits a connection into its halves. Queued frames are written until the writer is dropped or the
 /// connection fails.
 pub fn split(stream: TcpStream) -> (Reader, Writer) {
+    let (reader, writer, write) = split_with_write_task(stream);
+    spawn(write);
+    (reader, writer)
+}
+
+/// As [`split`], but the caller polls the future that writes the queued frames, so that they do not wait behind
+/// the other tasks of the thread. It completes when the connection fails or the writer is dropped.
+pub fn split_with_write_task(stream: TcpStream) -> (Reader, Writer, impl Future<Output = ()>) {
     let (input, output) = stream.into_split();
     let (sender, receiver) = mpsc::channel(MAX_QUEUED_FRAMES);
-    spawn(write(output, receiver));
-    (Reader(BufReader::new(input)), Writer(sender))
+    (Reader::new(input), Writer(sender), write(output, receiver))
 }
 
 async fn write(mut output: OwnedWriteHalf, mut frames: mpsc::Receiver<Rc<Vec<u8>>>) {
@@ -176,7 +230,7 @@
         let (on_message, newest) = (on_message.clone(), newest.clone());
         async move {
             let (input, _output) = stream.into_split();
-            let mut reader = Reader(BufReader::new(input));
+            let mut reader = Reader::new(input);
             let Ok(from) = reader.next::<Host>().await else { return };
             let connection = {
                 let mut newest = newest.borrow_mut();
--- a/system/proxy/src/proxy.rs
+++ b/system/proxy/src/proxy.rs
@@ -38,6 +38,8 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(40);
 /// Interval at which unusual sends are logged, while there are any.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// After the last client has left, the session has this long to end with a message.
+const END_SESSION_TIME: Duration = Duration::from_millis(50);
 /// File descriptors reserved for everything but clients and backends: sessions, readiness checks, logs.
 const RESERVED_DESCRIPTORS: usize = 280;
 
@@ -153,7 +155,6 @@
         trace,
         started_at,
     });
-    spawn(session::run(proxy.clone()));
     peer_sync::run(proxy.clone(), peers);
     let answering = proxy.clone();
     call::listen(readiness, move |request| {
@@ -204,10 +205,18 @@
     let end = async move {
         signals.terminate.recv().await;
     };
-    frontend.serve(clients, end, grace).await;
-    proxy.return_units();
-    proxy.ended.set(true);
-    sleep(Duration::from_millis(50)).await;
+    let serve = async {
+        frontend.serve(clients, end, grace).await;
+        proxy.return_units();
+        proxy.ended.set(true);
+        sleep(END_SESSION_TIME).await;
+    };
+    // Part of the main future, which is polled between batches of spawned tasks.
+    tokio::select! {
+        biased;
+        () = session::run(proxy.clone()) => {}
+        () = serve => {}
+    }
     Ok(())
 }
 
--- a/system/proxy/tests/helper/mod.rs
+++ b/system/proxy/tests/helper/mod.rs
@@ -313,12 +313,22 @@
     }
 }
 
+fn signals() -> Signals {
+    Signals {
+        terminate: signal(SignalKind::user_defined1()).expect("a signal"),
+        hangup: signal(SignalKind::user_defined2()).expect("a signal"),
+    }
+}
+
 /// The session of the fake registry: what it has received, and the writer for messages to the proxy.
 #[derive(Default)]
 struct RegistrySession {
     writer: RefCell<Option<Writer>>,
     proxy_info: RefCell<Option<ProxyInfo>>,
+    /// How many sessions the proxy has opened.
+    sessions: Cell<u64>,
     heartbeats: Cell<u64>,
+    items_hash: Cell<u64>,
     list_number: Cell<u64>,
 }
 
@@ -333,6 +343,34 @@
     /// Starts the proxy and waits for its session. `others` are the other proxies that it is sent, with their
     /// zones.
     pub async fn start(test_bed: &TestBed, others: &[(Host, &str)]) -> Self {
+        let launch = |settings, port| {
+            let signals = signals();
+            spawn_local(async move {
+                fennelscale_proxy::run(settings, signals, Some(port)).await.expect("the proxy runs");
+            });
+        };
+        Self::start_with(test_bed, others, launch).await
+    }
+
+    /// The same with the proxy on a thread of its own, beside these tasks.
+    pub async fn start_beside<F: Future<Output = ()> + 'static>(
+        test_bed: &TestBed, tasks: usize, task: impl Fn() -> F + Send + 'static,
+    ) -> Self {
+        let launch = move |settings, port| {
+            drop(std::thread::spawn(move || {
+                run(async move {
+                    (0..tasks).for_each(|_| drop(spawn_local(task())));
+                    let signals = signals();
+                    fennelscale_proxy::run(settings, signals, Some(port)).await.expect("the proxy runs");
+                });
+            }));
+        };
+        Self::start_with(test_bed, &[], launch).await
+    }
+
+    async fn start_with(
+        test_bed: &TestBed, others: &[(Host, &str)], launch: impl FnOnce(Settings, u16),
+    ) -> Self {
         let settings = test_bed.settings();
         let session = Rc::<RegistrySession>::default();
         let listener =
@@ -341,14 +379,7 @@
         link::accept(listener.expect("an address for the registry"), move |stream| {
             receive(accepting.clone(), stream)
         });
-        let signals = Signals {
-            terminate: signal(SignalKind::user_defined1()).expect("a signal"),
-            hangup: signal(SignalKind::user_defined2()).expect("a signal"),
-        };
-        let port = test_bed.base + METRICS_PORT;
-        spawn_local(async move {
-            fennelscale_proxy::run(settings, signals, Some(port)).await.expect("the proxy runs");
-        });
+        launch(settings, test_bed.base + METRICS_PORT);
         let author = Host::from_ip(test_bed.ip(REGISTRY).into()).expect("IPv4");
         let proxy = Self { session, author, metrics: test_bed.at(PROXY, METRICS_PORT) };
         wait_until("the proxy has a session", async || proxy.session.proxy_info.borrow().is_some()).await;
@@ -384,6 +415,21 @@
         self.send(&RegistryToProxy::Items { complete: false, up_to_date: false, entries });
     }
 
+    /// How many sessions the proxy has opened.
+    pub fn sessions(&self) -> u64 {
+        self.session.sessions.get()
+    }
+
+    /// The number of heartbeats received.
+    pub fn heartbeats(&self) -> u64 {
+        self.session.heartbeats.get()
+    }
+
+    /// The checksum of the proxy's items by its last heartbeat.
+    pub fn items_hash(&self) -> u64 {
+        self.session.items_hash.get()
+    }
+
     /// Sends the list of proxies: these others, and the proxy itself.
     pub fn send_proxies(&self, others: &[(Host, &str)]) {
         let me = self.session.proxy_info.borrow().clone().expect("the proxy has sent its description");
@@ -429,9 +475,11 @@
     while let Ok(message) = reader.next::<ProxyToRegistry>().await {
         match message {
             ProxyToRegistry::Hello(info) | ProxyToRegistry::Resume(info, _) => {
-                *session.proxy_info.borrow_mut() = Some(info)
+                *session.proxy_info.borrow_mut() = Some(info);
+                session.sessions.set(session.sessions.get() + 1);
             }
-            ProxyToRegistry::Heartbeat { list_stamp, .. } => {
+            ProxyToRegistry::Heartbeat { list_stamp, items_hash, .. } => {
+                session.items_hash.set(items_hash);
                 session.list_number.set(list_stamp.0);
                 session.heartbeats.set(session.heartbeats.get() + 1);
                 writer.send(&RegistryToProxy::Heartbeat { contact_age: 0 });
