Config: an overtaken call is checked beside the items in force, not only by itself

What callers saw: an invalid call was acknowledged (200): a route at the place of another one, a tenant with another one's key, a route of a service that is gone, each at a version lower than the one in force. Cause: an overtaken item has no effect, so it was only checked for what no time allowed; a conflict with another item in force counted as "may have been valid in its time". But a confirmation says that the call was valid, and nobody knows when it was sent. Change: changed and overtaken items are checked together beside the items in force. What was confirmed before is in the history of versions, so its repeats are still confirmed; a late call that was never confirmed and does not fit any more is rejected.

--- a/system/config/src/config_index.rs
+++ b/system/config/src/config_index.rs
@@ -105,6 +105,33 @@
     format!("{}{contract}", fennelscale_maintenance::CONTRACT_PREFIX)
 }
 
+/// The items of a call by what became of them.
+#[derive(Debug, Default)]
+pub struct CallItems {
+    /// They have an effect.
+    pub changed: ItemChanges,
+    /// They were applied before; the call repeats them.
+    pub repeated: ItemChanges,
+    /// Later versions have overtaken them, so they have no effect.
+    pub overtaken: ItemChanges,
+}
+
+impl CallItems {
+    /// The items that the call would bring if none had been overtaken.
+    fn without_repeated(&self) -> ItemChanges {
+        self.changed.iter().chain(&self.overtaken).map(|(name, item)| (name.clone(), item.clone())).collect()
+    }
+
+    /// Checks that no two items of the call share a path prefix or an API key, whatever became of them.
+    fn check_exclusive_keys(&self) -> Result<(), InvalidConfig> {
+        let mut keys = ExclusiveKeys::default();
+        for (name, item) in [&self.changed, &self.repeated, &self.overtaken].into_iter().flatten() {
+            item.as_ref().map_or(Ok(()), |item| keys.add(name, item))?;
+        }
+        Ok(())
+    }
+}
+
 impl ConfigIndex {
     /// Sets the content of an item, or removes the item.
     pub fn set(&mut self, name: &str, item: Option<ParsedItem>) {
@@ -160,6 +187,22 @@
         changes.get(name).map_or_else(|| self.items.contains_key(name), Option::is_some)
     }
 
+    /// Checks a call whose items are each valid by themselves. What it changes must be consistent with the
+    /// current items. So must what later versions have overtaken: such an item has no effect, but nobody knows
+    /// whether it was valid when it was sent, and a confirmation says that it was. A call that only repeats
+    /// what was confirmed before is confirmed again, whatever has changed since.
+    ///
+    /// # Errors
+    /// As [`check`](Self::check), and when two items of the call exclude each other.
+    pub fn check_call(&self, call: &CallItems) -> Result<(), InvalidConfig> {
+        if call.changed.is_empty() && call.overtaken.is_empty() {
+            return Ok(());
+        }
+        call.check_exclusive_keys()?;
+        self.check(&call.changed)?;
+        if call.overtaken.is_empty() { Ok(()) } else { self.check(&call.without_repeated()) }
+    }
+
     /// Checks whether the items are consistent after a call has changed some of them. Each item of the call
     /// is valid by itself.
     ///
@@ -240,52 +283,6 @@
     }
 }
 
-/// The items of a call by what became of them.
-#[derive(Debug, Default)]
-pub struct CallItems {
-    /// They have an effect.
-    pub changed: ItemChanges,
-    /// They were applied before; the call repeats them.
-    pub repeated: ItemChanges,
-    /// Later versions have overtaken them, so they have no effect.
-    pub overtaken: ItemChanges,
-}
-
-/// Checks the items of a call that have no effect, for themselves and beside those that have one. An overtaken
-/// item may have been valid among the items of its time, so only what was never valid is rejected: items of
-/// one call that exclude each other, and references to items that never existed. `existed` tells whether there
-/// ever was an item with a name.
-///
-/// # Errors
-/// When the call cannot have been valid at any time.
-pub fn check_without_effect(call: &CallItems, existed: impl Fn(&str) -> bool) -> Result<(), InvalidConfig> {
-    // A call that only repeats is confirmed again, whatever has changed since.
-    if call.changed.is_empty() && call.overtaken.is_empty() {
-        return Ok(());
-    }
-    let parts = [&call.changed, &call.repeated, &call.overtaken];
-    let mut keys = ExclusiveKeys::default();
-    for (name, item) in parts.into_iter().flatten() {
-        item.as_ref().map_or(Ok(()), |item| keys.add(name, item))?;
-    }
-    let may_have_existed = |name: &str| existed(name) || parts.iter().any(|part| part.contains_key(name));
-    for (name, item) in call.overtaken.iter().filter_map(|(name, item)| Some((name, item.as_ref()?))) {
-        match item {
-            ParsedItem::Route(route) => {
-                let missing = |(service, _): &&(String, f64)| !may_have_existed(&service_item(service));
-                if let Some((service, _)) = route.services.iter().find(missing) {
-                    return Err(missing_service(name, service));
-                }
-            }
-            ParsedItem::WorkOrder(order) if !may_have_existed(&contract_item(&order.contract)) => {
-                return Err(missing_contract(&order.name, &order.contract));
-            }
-            _ => {}
-        }
-    }
-    Ok(())
-}
-
 pub(crate) fn missing_service(route: &str, service: &str) -> InvalidConfig {
     InvalidConfig(format!("route {route}: there is no service {service}; add it in the same call"))
 }
--- a/system/config/src/lib.rs
+++ b/system/config/src/lib.rs
@@ -15,7 +15,7 @@
 mod routing_table;
 
 pub use call::{parse_call, render_items};
-pub use config_index::{CallItems, ConfigIndex, ItemChanges, check_without_effect};
+pub use config_index::{CallItems, ConfigIndex, ItemChanges};
 pub use item::{Limits, ParsedItem, Route, RouteKind, Service, Tenant, parse_item};
 pub use routing_table::RoutingTable;
 
--- a/system/demo/src/soak/operator.rs
+++ b/system/demo/src/soak/operator.rs
@@ -19,9 +19,15 @@
 const TENANTS: usize = 6;
 pub const PLACES: usize = 12;
 pub const KEYS: usize = 12;
-/// A route that stays at this revision: invalid calls bring lower ones.
+/// A route and a tenant that stay at this revision: invalid calls bring lower ones.
 const OVERTAKEN: &str = "overtaken";
+const OVERTAKEN_TENANT: usize = 102;
 const OVERTAKEN_REVISION: u64 = 0x10;
+/// A route and a tenant that never change: overtaken calls bring their place and their key.
+const HOLDER: &str = "keyed";
+const HELD_PLACE: &str = "/keyed/";
+const HOLDER_TENANT: usize = 103;
+const HELD_KEY: &str = "\"held\"";
 /// Calls that are under way at once, at the most.
 const AT_ONCE: usize = 6;
 /// Quick and slow changes take turns of so many seconds.
@@ -170,8 +176,10 @@
             .iter()
             .map(|name| format!(r#"{{"name":"{name}","healthCheckPath":"/health","maxConnections":200,"coldStart":"1s","coldPerS":50,"revision":"00000001"}}"#))
             .collect();
-        draft.rules.push(rule("keyed", "/keyed/", SERVICES[0], 1, false));
+        draft.rules.push(rule(HOLDER, HELD_PLACE, SERVICES[0], 1, false));
         draft.rules.push(rule(OVERTAKEN, "/overtaken/", SERVICES[0], OVERTAKEN_REVISION, true));
+        draft.tenants.push(tenant(OVERTAKEN_TENANT, &["\"fixed\"".into()], OVERTAKEN_REVISION));
+        draft.tenants.push(tenant(HOLDER_TENANT, &[HELD_KEY.into()], 1));
         let once = rule("once", ONCE_PREFIX, SERVICES[3], 1, true);
         draft.rules.push(once.replace("\"idempotent\"", "\"non_idempotent\""));
         self.places = vec![None; PLACES];
@@ -345,7 +353,7 @@
     fn invalid(&mut self, soak: &Soak) -> String {
         let (place, how) = {
             let mut chance = soak.chance.borrow_mut();
-            (chance.random_range(0..BAD_PLACES), chance.random_range(0..5))
+            (chance.random_range(0..BAD_PLACES), chance.random_range(0..7))
         };
         let (name, at) = (format!("bad{place}"), format!("/bad{place}/"));
         let mut draft = Draft::default();
@@ -360,6 +368,8 @@
                 draft.rules.push(rule("bad-twin", &at, SERVICES[1], 9, true));
             }
             3 => draft.rules.push(rule(OVERTAKEN, "/overtaken/", "nowhere", 1 + place as u64, true)),
+            4 => draft.rules.push(rule(OVERTAKEN, HELD_PLACE, SERVICES[0], 1 + place as u64, true)),
+            5 => draft.tenants.push(tenant(OVERTAKEN_TENANT, &[HELD_KEY.into()], 1 + place as u64)),
             _ => {
                 draft.rules.push(rule(&name, &at, SERVICES[0], 9, true));
                 draft.tenants.push(tenant(100, &["\"shared\"".into()], 1));
--- a/system/replication/src/calls.rs
+++ b/system/replication/src/calls.rs
@@ -3,7 +3,7 @@
 use crate::leader::Role;
 use crate::versions::{self, VersionStatus};
 use crate::{MEMBERS_KEY, Millis, Output, Replica};
-use fennelscale_config::{CallItems, InvalidConfig, ParsedItem, check_without_effect, parse_item};
+use fennelscale_config::{CallItems, InvalidConfig, ParsedItem, parse_item};
 use fennelscale_messages::Host;
 use fennelscale_messages::store::{
     CallId, Change, Entry, NamedEntry, Stamp, StoreMessage, StoreRequest, StoreResponse,
@@ -267,9 +267,7 @@
                 }
             }
         }
-        let existed = |name: &str| self.latest_entry(name).is_some();
-        check_without_effect(&call, existed).map_err(invalid)?;
-        self.latest_config.check(&call.changed).map_err(invalid)?;
+        self.latest_config.check_call(&call).map_err(invalid)?;
         Ok(entries)
     }
 
