--- a/system/proxy/tests/helper/mod.rs
+++ b/system/proxy/tests/helper/mod.rs
@@ -27,8 +27,10 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, copy};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc::unbounded_channel;
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use tokio::time::sleep;
 use upload_backend::UploadBackend;
@@ -39,6 +41,8 @@
 const DEADLINE: Duration = Duration::from_secs(100);
 /// Interval between two checks of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// A narrow link carries so many segments a second.
+const LINK_SEGMENTS_PER_S: usize = 20;
 /// The only region, and the zone of the proxy under test.
 const REGION: &str = "r";
 const ZONE: &str = "a";
@@ -80,6 +84,8 @@
     number: u8,
     base: u16,
     next_request: Cell<u64>,
+    /// What the link from the registry to the proxy carries, if it is narrow.
+    bytes_per_s: Cell<Option<usize>>,
 }
 
 impl TestBed {
@@ -88,7 +94,7 @@
         let process = std::process::id();
         let net = 1 + (process / 600 % 250) as u8;
         let base = 20_000 + (process % 600) as u16 * 16;
-        Self { net, number, base, next_request: Cell::new(0) }
+        Self { net, number, base, next_request: Cell::new(0), bytes_per_s: Cell::new(None) }
     }
 
     /// The address of a machine.
@@ -352,6 +358,12 @@
         Self::start_with(test_bed, others, launch).await
     }
 
+    /// The same behind a link that carries so many bytes a second from the registry to the proxy.
+    pub async fn start_behind_link(test_bed: &TestBed, bytes_per_s: usize) -> Self {
+        test_bed.bytes_per_s.set(Some(bytes_per_s));
+        Self::start(test_bed, &[]).await
+    }
+
     /// The same with the proxy on a thread of its own, beside these tasks.
     pub async fn start_beside<F: Future<Output = ()> + 'static>(
         test_bed: &TestBed, tasks: usize, task: impl Fn() -> F + Send + 'static,
@@ -375,10 +387,12 @@
         let session = Rc::<RegistrySession>::default();
         let listener =
             TcpListener::bind(settings.address_of(test_bed.ip(REGISTRY).into(), Port::Sessions)).await;
+        let mut listener = listener.expect("an address for the registry");
+        if let Some(bytes_per_s) = test_bed.bytes_per_s.get() {
+            listener = behind_link(listener, bytes_per_s).await;
+        }
         let accepting = session.clone();
-        link::accept(listener.expect("an address for the registry"), move |stream| {
-            receive(accepting.clone(), stream)
-        });
+        link::accept(listener, move |stream| receive(accepting.clone(), stream));
         launch(settings, test_bed.base + METRICS_PORT);
         let author = Host::from_ip(test_bed.ip(REGISTRY).into()).expect("IPv4");
         let proxy = Self { session, author, metrics: test_bed.at(PROXY, METRICS_PORT) };
@@ -398,18 +412,29 @@
             r#"{{"upsert":{{"limits":{{"idleTimeout":"{idle_ms}ms","revision":"{revision:08x}"}}}}}}"#
         );
         let changes = parse_call(call.as_bytes()).expect("limits");
+        self.send_changes(revision, changes);
+    }
+
+    /// Sends so many new routes in one message.
+    pub fn send_routes(&self, revision: u64, count: usize) {
+        let rule = |number: usize| {
+            format!(
+                r#"{{"name":"added{number}","routeType":"idempotent","targetLatency":"1s","priority":1,"public":true,"revision":"{revision:08x}","matchCriteria":{{"pathPrefix":"/added/{number}/"}},"action":{{"service":"{SERVICE}","timeout":"1s"}}}}"#
+            )
+        };
+        let rules: Vec<String> = (0..count).map(rule).collect();
+        let call = format!(
+            r#"{{"upsert":{{"listeners":[{{"hostname":"{HOST}","policy":[{}]}}]}}}}"#,
+            rules.join(",")
+        );
+        self.send_changes(revision, parse_call(call.as_bytes()).expect("routes"));
+    }
+
+    fn send_changes(&self, revision: u64, changes: Vec<Change>) {
         let entry = |change: Change| {
             let stamp = Stamp { sequence: revision, ..Stamp::default() };
-            (
-                change.name,
-                Entry {
-                    stamp,
-                    revision: change.revision,
-                    host: change.host,
-                    body: change.body,
-                    ..Entry::default()
-                },
-            )
+            let Change { name, revision, host, body } = change;
+            (name, Entry { stamp, revision, host, body, ..Entry::default() })
         };
         let entries = changes.into_iter().map(entry).collect();
         self.send(&RegistryToProxy::Items { complete: false, up_to_date: false, entries });
@@ -469,6 +494,33 @@
     }
 }
 
+/// A listener behind a link: what connects to `outer` is relayed to it, with so many bytes a second back.
+async fn behind_link(outer: TcpListener, bytes_per_s: usize) -> TcpListener {
+    let inner = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("an address");
+    let at = inner.local_addr().expect("an address");
+    link::accept(outer, move |stream| async move {
+        let Ok(registry) = TcpStream::connect(at).await else { return };
+        let (mut from_proxy, mut to_proxy) = stream.into_split();
+        let (mut from_registry, mut to_registry) = registry.into_split();
+        spawn_local(async move { drop(copy(&mut from_proxy, &mut to_registry).await) });
+        // The link has room for all that the registry sends.
+        let (sender, mut waiting) = unbounded_channel();
+        spawn_local(async move {
+            let mut segment = vec![0; bytes_per_s / LINK_SEGMENTS_PER_S];
+            while let Ok(length @ 1..) = from_registry.read(&mut segment).await {
+                let _ = sender.send(segment[..length].to_vec());
+            }
+        });
+        while let Some(segment) = waiting.recv().await {
+            sleep(Duration::from_secs(1).mul_f64(segment.len() as f64 / bytes_per_s as f64)).await;
+            if to_proxy.write_all(&segment).await.is_err() {
+                return;
+            }
+        }
+    });
+    inner
+}
+
 async fn receive(session: Rc<RegistrySession>, stream: TcpStream) {
     let (mut reader, writer) = split(stream);
     *session.writer.borrow_mut() = Some(writer.clone());
