Soak: links that are cut without a reset, one way or both, narrow, slow or lossy

No run of real processes could express a link between machines that fails without a reset. The soak (--links) cuts one core machine at a time off from one or all others, for up to 14 s or flapping, and breaks the links of proxies; that excuses no proxy but the one whose own links are faulty.

--- a/system/demo/src/machines.rs
+++ b/system/demo/src/machines.rs
@@ -64,6 +64,8 @@
     pub grace: Duration,
     /// The executable whose programs are run, where it is not this one.
     pub programs: Option<PathBuf>,
+    /// Links between machines may be faulty.
+    pub has_link_faults: bool,
 }
 
 impl Machines {
@@ -83,6 +85,7 @@
             running: Vec::new(),
             grace: GRACE,
             programs: None,
+            has_link_faults: false,
         }
     }
 
@@ -94,6 +97,27 @@
         Ipv4Addr::new(127, self.net, zone as u8 + 1, machine)
     }
 
+    /// The address of the zone's core machine of this number, the first being 0.
+    pub fn core_ip(&self, zone: usize, number: usize) -> Ipv4Addr {
+        self.ip(zone, core_machine(number))
+    }
+
+    /// The address of the machine of a proxy.
+    pub fn proxy_ip(&self, zone: usize, program: &str) -> Ipv4Addr {
+        self.ip(zone, proxy_machine(program_of(program).1))
+    }
+
+    fn link_faults_file(&self) -> PathBuf {
+        self.folder.join("link-faults")
+    }
+
+    /// Sets which directions of links are faulty, one in each line.
+    pub fn write_link_faults(&self, lines: &str) -> std::io::Result<()> {
+        let new = self.folder.join("link-faults-new");
+        std::fs::write(&new, lines)?;
+        std::fs::rename(new, self.link_faults_file())
+    }
+
     /// An address of a zone that no process of the system uses.
     pub fn backend(&self, zone: usize, number: u8) -> SocketAddr {
         SocketAddr::new(self.ip(zone, 100 + number).into(), self.base + 9)
@@ -128,11 +152,18 @@
         SocketAddr::new(self.ip(zone, machine).into(), self.base + 13)
     }
 
+    fn machine_ip(&self, zone: usize, program: &str) -> Ipv4Addr {
+        match program_of(program) {
+            (PROXY_PROGRAM, _) => self.proxy_ip(zone, program),
+            (_, number) => self.core_ip(zone, number),
+        }
+    }
+
     fn settings(&self, zone: usize, program: &str, bootstrap: bool) -> String {
         let (name, region) = ZONES[zone];
         let (kind, number) = program_of(program);
         let core = kind != PROXY_PROGRAM;
-        let ip = self.ip(zone, if core { core_machine(number) } else { proxy_machine(number) });
+        let ip = self.machine_ip(zone, program);
         let at = |port: u16| SocketAddr::new(ip.into(), self.base + port);
         let seeds: Vec<String> = (0..ZONES.len()).map(|z| format!("\"{}\"", self.control(z))).collect();
         let zones: Vec<String> =
@@ -213,6 +244,11 @@
         };
         let mut command = Command::new(executable);
         command.arg(program_of(program).0).env("FENNELSCALE_CONFIG", &file).kill_on_drop(true);
+        #[cfg(feature = "link-faults")]
+        if self.has_link_faults {
+            command.env(fennelscale_host::LINK_FAULTS_VARIABLE, self.link_faults_file());
+            command.env(fennelscale_host::LINK_ADDRESS_VARIABLE, self.machine_ip(zone, program).to_string());
+        }
         if !self.logs {
             command.stderr(Stdio::null());
         }
--- a/system/demo/src/main.rs
+++ b/system/demo/src/main.rs
@@ -62,6 +62,11 @@
     proxy_share: f64,
     #[options(no_short, help = "in a soak, clients of each proxy that send without a pause", meta = "COUNT")]
     pressing: usize,
+    #[options(
+        no_short,
+        help = "in a soak, links are faulty instead of processes (needs a build with the feature link-faults)"
+    )]
+    links: bool,
     #[options(
         no_short,
         help = "the executable whose programs a soak runs, in place of this one",
@@ -118,6 +123,7 @@
         shares,
         proxy_share,
         pressing,
+        links,
         programs,
         ..
     } = arguments;
@@ -132,6 +138,7 @@
                     faults: !calm,
                     proxy_share: shares.then_some(proxy_share),
                     pressing,
+                    links,
                     programs,
                 };
                 soak::soak(plan, logs).await
--- a/system/demo/src/soak/mod.rs
+++ b/system/demo/src/soak/mod.rs
@@ -5,6 +5,7 @@
 mod clients;
 mod faults;
 mod judge;
+mod links;
 mod operator;
 mod processor_share;
 mod promises;
@@ -62,6 +63,8 @@
     pub proxy_share: Option<f64>,
     /// Clients of each proxy that send without a pause.
     pub pressing: usize,
+    /// Whether links are faulty, in place of processes.
+    pub links: bool,
     /// The executable whose programs are run, where it is not this one.
     pub programs: Option<PathBuf>,
 }
@@ -101,6 +104,7 @@
     /// Core machines of each zone, and those that are faulty now where there are several.
     cores: usize,
     faulty_cores: RefCell<storm::FaultyCores>,
+    link_faults: RefCell<links::LinkFaults>,
     /// Processes that a fault has stopped.
     stopped: RefCell<BTreeSet<(usize, String)>>,
     grace: Duration,
@@ -158,6 +162,10 @@
     let mut machines = Machines::new(folder.path(), logs, plan.seed);
     let outside = outside(&machines).await?;
     machines.programs.clone_from(&plan.programs);
+    if plan.links && !cfg!(feature = "link-faults") {
+        return Err(miette!("this build has no faulty links: it needs the feature link-faults"));
+    }
+    machines.has_link_faults = plan.links;
     let grace = if plan.cores > 1 { LONG_GRACE } else { GRACE };
     if plan.cores > 1 {
         machines.grace = grace;
@@ -188,6 +196,7 @@
         core_is_faulty: Cell::new(false),
         cores: plan.cores,
         faulty_cores: RefCell::default(),
+        link_faults: RefCell::default(),
         stopped: RefCell::default(),
         grace,
         outside,
@@ -227,7 +236,10 @@
     if let Some(share) = plan.proxy_share {
         soak.limit_processor_shares(share);
     }
-    if plan.faults && plan.cores > 1 {
+    if plan.links {
+        spawn_local(soak.clone().break_proxy_links());
+        spawn_local(soak.clone().break_core_links());
+    } else if plan.faults && plan.cores > 1 {
         spawn_local(soak.clone().storm());
     } else if plan.faults {
         spawn_local(soak.clone().inject_faults());
--- a/system/host/src/lib.rs
+++ b/system/host/src/lib.rs
@@ -8,6 +8,10 @@
 pub mod link;
 pub mod log;
 pub mod start;
+mod transport;
+
+#[cfg(feature = "link-faults")]
+pub use transport::{LINK_ADDRESS_VARIABLE, LINK_FAULTS_VARIABLE};
 
 use std::future::Future;
 
--- a/system/host/src/link.rs
+++ b/system/host/src/link.rs
@@ -5,6 +5,7 @@
 //! and [`USER_TIMEOUT`] for data that is written but not acknowledged.
 
 use crate::spawn;
+use crate::transport::{self, Output};
 use fennelscale_messages::{Host, decode_frame, encode_frame, frame_length};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -15,8 +16,8 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt, BufReader, ReadBuf};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::io::{AsyncRead, AsyncReadExt, BufReader, ReadBuf};
+use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, timeout};
@@ -34,7 +35,7 @@
 
 /// Connects and configures the socket for messages.
 pub async fn connect(to: SocketAddr) -> io::Result<TcpStream> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await??;
+    let stream = timeout(CONNECT_TIMEOUT, transport::connect(to)).await??;
     configure(&stream)?;
     Ok(stream)
 }
@@ -141,16 +142,16 @@
 pub fn split_with_write_task(stream: TcpStream) -> (Reader, Writer, impl Future<Output = ()>) {
     let (input, output) = stream.into_split();
     let (sender, receiver) = mpsc::channel(MAX_QUEUED_FRAMES);
-    (Reader::new(input), Writer(sender), write(output, receiver))
+    (Reader::new(input), Writer(sender), write(Output::new(output), receiver))
 }
 
-async fn write(mut output: OwnedWriteHalf, mut frames: mpsc::Receiver<Rc<Vec<u8>>>) {
+async fn write(mut output: Output, mut frames: mpsc::Receiver<Rc<Vec<u8>>>) {
     while let Some(bytes) = next_batch(&mut frames).await {
         if output.write_all(&bytes).await.is_err() {
             return;
         }
     }
-    let _ = output.shutdown().await;
+    output.shutdown().await;
 }
 
 /// Combines the next queued frames into one write.
@@ -197,7 +198,8 @@
             sleep(RECONNECT_DELAY).await;
             continue;
         };
-        let (mut input, mut output) = stream.into_split();
+        let (mut input, output) = stream.into_split();
+        let mut output = Output::new(output);
         let mut bytes = encode_frame(&me);
         bytes.extend_from_slice(&first);
         let mut unused = [0; 1];
