Proxy: routes keep their own target latency and repeatability after many changes

Cause: each service's engine kept a class for each target latency and priority that ever was, 256 at the most; requests of later ones got the default class: not repeatable, 500 ms, the highest priority. A proxy that lives through as many changes of a route's fields did not have the last ones in force. Change: a new combination takes over the class that was unused for longest; classes never change their retry safety, as requests in progress refer to them.

--- a/system/proxy/src/service_engines.rs
+++ b/system/proxy/src/service_engines.rs
@@ -3,10 +3,11 @@
 
 use crate::answer_counts::AnswerCounts;
 use crate::backend_protocol::{BackendProtocol, REQUEST_ID};
-use crate::decision_input::{self, DEFAULT_CLASS, DecisionInput};
+use crate::decision_input::{self, DecisionInput};
+use crate::request_classes::RequestClasses;
 use crate::request_trace::RequestTrace;
 use crate::routing_state::RoutingState;
-use doorcourse::{Class, DedupScope, Event, LoadReportSource, Name, Outcome, RetrySafety, SendCounts};
+use doorcourse::{Event, LoadReportSource, Name, Outcome, SendCounts};
 use fennelscale_config::{Route, RouteKind};
 use fennelscale_dataplane::back::backends::{Backends, ConnectionLimits, ExchangeCounts};
 use fennelscale_dataplane::engine::{CounterClient, CounterReplyHandler, Engine};
@@ -15,7 +16,7 @@
 use fennelscale_settings::upstream::{IdentityRule, Upstream};
 use fennelscale_wire::reuse::ReusePolicy;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -25,9 +26,6 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Maximum size of an answer.
 const MAX_ANSWER: usize = 16 << 20;
-/// Maximum number of classes of one engine. Routes have few different target latencies; beyond this number
-/// they share the default class.
-const MAX_CLASSES: usize = 256;
 /// Assumed idle time after which backends close connections, unless they state another; half of it is used.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(8);
 
@@ -36,7 +34,7 @@
     /// The decision module with its timers and connections.
     pub engine: Rc<Engine>,
     backends: Rc<Backends>,
-    classes: RefCell<HashSet<String>>,
+    classes: RefCell<RequestClasses>,
     sequence: Cell<u64>,
     reported_counts: Cell<BackendCounts>,
 }
@@ -232,32 +230,11 @@
 
     /// The class of a route's requests of a priority; registers it with the decision module if it is new.
     pub fn class(&self, route: &Route, priority: u32) -> Name {
-        let kind = match route.kind {
-            RouteKind::Idempotent => 's',
-            RouteKind::NonIdempotent | RouteKind::Upload => 'u',
-        };
-        let name = format!("{kind}{}-{priority}", route.target_latency);
-        let mut classes = self.classes.borrow_mut();
-        if classes.contains(&name) {
-            return name.as_str().into();
-        }
-        if classes.len() >= MAX_CLASSES {
-            return DEFAULT_CLASS.into();
+        let is_repeatable = route.kind == RouteKind::Idempotent;
+        let (name, new) = self.classes.borrow_mut().class(is_repeatable, route.target_latency, priority);
+        if let Some(class) = new {
+            self.engine.post(Event::Class(class));
         }
-        let retry_safety = if kind == 's' { RetrySafety::Safe } else { RetrySafety::Unsafe };
-        // The configuration gives only a rank; each step halves the value of a request in the queue.
-        let value = 0.5_f64.powi(priority.min(16) as i32);
-        let class = Class {
-            name: name.as_str().into(),
-            target_latency: route.target_latency,
-            retry_safety,
-            dedup_scope: DedupScope::All,
-            dedup_window: 0.0,
-            value,
-            late_value_share: 0.5,
-        };
-        classes.insert(name.clone());
-        self.engine.post(Event::Class(class));
-        name.as_str().into()
+        name
     }
 }
