--- a/system/demo/src/soak/clients.rs
+++ b/system/demo/src/soak/clients.rs
@@ -133,16 +133,21 @@
                 self.controls.choose(&mut *chance).copied()
             };
             if let Some(to) = to {
-                spawn_local(self.clone().read(to));
+                let soak = self.clone();
+                // While the soak lasts a machine may be unsure of the newest configuration.
+                spawn_local(async move { drop(soak.read(to).await) });
             }
         }
     }
 
-    /// One reading; each item that it shows, or does not, is an observation. Whether there was one.
-    pub async fn read(self: Rc<Self>, to: SocketAddr) -> bool {
+    /// One reading; each item that it shows, or does not, is an observation. The error says why there was none.
+    pub async fn read(self: Rc<Self>, to: SocketAddr) -> Result<(), String> {
         let sent = self.now();
         let reply = send(to, Method::GET, "/fennelscale/config", &[], "").await;
-        let Some(reply) = reply.filter(|reply| reply.status == 200) else { return false };
+        let Some(reply) = reply else { return Err("no answer".into()) };
+        if reply.status != 200 {
+            return Err(format!("{}: {}", reply.status, reply.text()));
+        }
         let (answered, shown) = (self.now(), revisions(&reply.text()));
         for (name, subject) in self.read_back() {
             let state = shown.get(&name).map_or(State::Absent, |revision| State::Is(revision.clone()));
@@ -152,7 +157,7 @@
                 Observation { subject, by, life: None, sent, answered, state, in_touch: true, stretch };
             self.observations.borrow_mut().push(observation);
         }
-        true
+        Ok(())
     }
 }
 
--- a/system/demo/src/soak/faults.rs
+++ b/system/demo/src/soak/faults.rs
@@ -15,6 +15,8 @@
 /// For how long something is faulty, at the most.
 const LONGEST_AT_PROXY: Duration = Duration::from_millis(2500);
 const LONGEST_AT_CORE: Duration = Duration::from_secs(9);
+/// The same with several core machines in each zone: long enough for the core to be settled again without the machine.
+const LONGEST_AT_ONE_OF_MANY: Duration = Duration::from_secs(16);
 /// Core machines are faulty in every second span of so many seconds.
 const CORE_TURN: u64 = 10;
 
@@ -51,6 +53,8 @@
     pub from: Duration,
     /// None while it lasts.
     pub to: Option<Duration>,
+    /// Nothing more happens there until it is over.
+    pub keeps_still: bool,
 }
 
 impl Soak {
@@ -66,19 +70,24 @@
     }
 
     /// How much later than usual a change may be in force now. With one core machine in each zone one at a time is faulty, and that
-    /// excuses nobody; with several the core counts as settled by the rules alone.
+    /// excuses nobody; with several the core counts as settled by the rules alone: from a while after a machine was struck, also
+    /// while it is still away, and from a while after it was back.
     pub fn stretch(&self) -> Duration {
         let now = self.now();
+        let is_recent = |at: Duration| at + CONTACT > now;
         let unsettles = |period: &FaultPeriod| {
-            period.target == FaultTarget::Core && period.to.is_none_or(|to| to + CONTACT > now)
+            let is_steady = period.keeps_still && !is_recent(period.from);
+            period.target == FaultTarget::Core
+                && !(is_steady && period.to.is_none())
+                && period.to.is_none_or(is_recent)
         };
         let is_unsettled = self.cores > 1 && self.fault_periods.borrow().iter().any(unsettles);
         if is_unsettled { STRETCH } else { Duration::ZERO }
     }
 
-    pub(super) fn begin(&self, target: FaultTarget, what: String) -> usize {
+    pub(super) fn begin(&self, target: FaultTarget, what: String, keeps_still: bool) -> usize {
         let mut fault_periods = self.fault_periods.borrow_mut();
-        fault_periods.push(FaultPeriod { target, what, from: self.now(), to: None });
+        fault_periods.push(FaultPeriod { target, what, from: self.now(), to: None, keeps_still });
         fault_periods.len() - 1
     }
 
@@ -122,14 +131,16 @@
         let span = LONGEST_AT_PROXY.mul_f64(planned.share);
         match planned.dice {
             0..30 => {
-                let period = self.begin(FaultTarget::Proxy(number), format!("kill {program} in {zone}"));
+                let period =
+                    self.begin(FaultTarget::Proxy(number), format!("kill {program} in {zone}"), true);
                 self.end_process(zone, &program, Signal::KILL).await;
                 sleep(span).await;
                 self.start_proxy(number).await;
                 self.end(period);
             }
             30..55 => {
-                let period = self.begin(FaultTarget::Proxy(number), format!("terminate {program} in {zone}"));
+                let period =
+                    self.begin(FaultTarget::Proxy(number), format!("terminate {program} in {zone}"), false);
                 self.machines.borrow().signal(zone, &program, Signal::TERM);
                 // Told twice while it leaves, as impatient operators do.
                 sleep(span.min(self.grace)).await;
@@ -140,7 +151,8 @@
                 self.end(period);
             }
             55..80 => {
-                let period = self.begin(FaultTarget::Proxy(number), format!("stop {program} in {zone}"));
+                let period =
+                    self.begin(FaultTarget::Proxy(number), format!("stop {program} in {zone}"), true);
                 self.stop(zone, &program);
                 sleep(span).await;
                 self.resume(zone, &program);
@@ -174,7 +186,8 @@
 
     pub(super) async fn inject_at_core_machine(self: Rc<Self>, planned: PlannedFault) {
         let PlannedFault { zone, core, dice, .. } = planned;
-        let span = LONGEST_AT_CORE.mul_f64(planned.share);
+        let longest = if self.cores > 1 { LONGEST_AT_ONE_OF_MANY } else { LONGEST_AT_CORE };
+        let span = longest.mul_f64(planned.share);
         let kinds: &[&str] = match dice % 3 {
             0 => &[STORE, REGISTRY],
             1 => &[STORE],
@@ -183,7 +196,9 @@
         let programs: Vec<String> = kinds.iter().map(|program| numbered(program, core)).collect();
         let (signal, how) = [(Signal::KILL, "kill"), (Signal::TERM, "terminate"), (Signal::STOP, "stop")]
             [dice as usize / 3 % 3];
-        let period = self.begin(FaultTarget::Core, format!("{how} {} in {zone}", programs.join(" and ")));
+        let what = format!("{how} {} in {zone}", programs.join(" and "));
+        // What was told to terminate ends at a time of its own.
+        let period = self.begin(FaultTarget::Core, what, signal != Signal::TERM);
         if signal == Signal::STOP {
             programs.iter().for_each(|program| self.stop(zone, program));
             sleep(span).await;
--- a/system/demo/src/soak/links.rs
+++ b/system/demo/src/soak/links.rs
@@ -119,7 +119,7 @@
 
     async fn fault_links(self: Rc<Self>, target: FaultTarget, lines: Vec<String>, planned: PlannedLinkFault) {
         let longest = if target == FaultTarget::Core { LONGEST_AT_CORE } else { LONGEST_AT_PROXY };
-        let period = self.begin(target, format!("links {}", lines.join(", ")));
+        let period = self.begin(target, format!("links {}", lines.join(", ")), !planned.flaps);
         self.keep_link_faulty(period, lines, longest.mul_f64(planned.share), planned.flaps).await;
         self.set_link_fault(period, Vec::new());
         self.end(period);
--- a/system/demo/src/soak/mod.rs
+++ b/system/demo/src/soak/mod.rs
@@ -248,8 +248,8 @@
     soak.over.set(true);
     sleep(SETTLE + CONTACT + APPLY).await;
     for control in soak.controls.clone() {
-        if !soak.clone().read(control).await {
-            soak.operator.borrow_mut().wrong.push(format!("{control} answers no reader at the end"));
+        if let Err(why) = soak.clone().read(control).await {
+            soak.operator.borrow_mut().wrong.push(format!("{control} answers no reader at the end: {why}"));
         }
     }
     soak.closed.set(true);
--- a/system/demo/src/soak/storm.rs
+++ b/system/demo/src/soak/storm.rs
@@ -105,7 +105,7 @@
         if !self.faulty_cores.borrow().is_calm(self.now()) {
             return;
         }
-        let period = self.begin(FaultTarget::WholeCore, "kill all processes of the core".to_owned());
+        let period = self.begin(FaultTarget::WholeCore, "kill all processes of the core".to_owned(), true);
         let programs: Vec<(usize, String)> = (0..ZONES.len())
             .flat_map(|zone| (0..self.cores).map(move |core| (zone, core)))
             .flat_map(|(zone, core)| [STORE, REGISTRY].map(|program| (zone, numbered(program, core))))
--- a/system/proxy/src/frontend.rs
+++ b/system/proxy/src/frontend.rs
@@ -531,3 +531,32 @@
         self.engine.client_disconnected(self.id);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Requests for which the shares of a split are counted.
+    const REQUESTS: usize = 20_000;
+
+    fn share(services: &[(String, f64)], service: &str) -> f64 {
+        let id = |number: usize| HeaderValue::from_str(&format!("{number:016x}")).expect("an id");
+        let picked = (0..REQUESTS).filter(|number| pick_service(services, &id(*number)) == service);
+        picked.count() as f64 / REQUESTS as f64
+    }
+
+    /// Guards against CONFIG (shares of a split): each part gets the share of its weight, also after a change of the weights.
+    #[test]
+    fn each_part_of_a_split_gets_the_share_of_its_weight() {
+        for weights in [[90.0, 10.0, 0.0], [1.0, 1.0, 2.0], [0.0, 0.0, 5.0], [0.3, 0.6, 0.1]] {
+            let names = ["one", "two", "three"];
+            let services: Vec<(String, f64)> =
+                names.iter().zip(weights).map(|(name, weight)| ((*name).to_owned(), weight)).collect();
+            let sum: f64 = weights.iter().sum();
+            for (name, weight) in &services {
+                let share = share(&services, name);
+                assert!((share - weight / sum).abs() < 0.02, "{name}: {share} of {weights:?}");
+            }
+        }
+    }
+}
