--- a/system/demo/src/machines.rs
+++ b/system/demo/src/machines.rs
@@ -52,6 +52,13 @@
     numbered.map_or((name, 0), |(program, number)| (program, number.saturating_sub(1)))
 }
 
+/// The environment variables of programs with faulty links: the file of faulty directions, and the machine's address.
+#[derive(Clone, Copy, Debug)]
+pub struct LinkFaultVariables {
+    pub file: &'static str,
+    pub address: &'static str,
+}
+
 /// All machines.
 pub struct Machines {
     folder: PathBuf,
@@ -64,8 +71,8 @@
     pub grace: Duration,
     /// The executable whose programs are run, where it is not this one.
     pub programs: Option<PathBuf>,
-    /// Links between machines may be faulty.
-    pub has_link_faults: bool,
+    /// The environment variables of programs whose links may be faulty.
+    pub link_fault_variables: Option<LinkFaultVariables>,
 }
 
 impl Machines {
@@ -85,7 +92,7 @@
             running: Vec::new(),
             grace: GRACE,
             programs: None,
-            has_link_faults: false,
+            link_fault_variables: None,
         }
     }
 
@@ -244,10 +251,9 @@
         };
         let mut command = Command::new(executable);
         command.arg(program_of(program).0).env("FENNELSCALE_CONFIG", &file).kill_on_drop(true);
-        #[cfg(feature = "link-faults")]
-        if self.has_link_faults {
-            command.env(fennelscale_host::LINK_FAULTS_VARIABLE, self.link_faults_file());
-            command.env(fennelscale_host::LINK_ADDRESS_VARIABLE, self.machine_ip(zone, program).to_string());
+        if let Some(variables) = self.link_fault_variables {
+            command.env(variables.file, self.link_faults_file());
+            command.env(variables.address, self.machine_ip(zone, program).to_string());
         }
         if !self.logs {
             command.stderr(Stdio::null());
--- a/system/demo/src/soak/links.rs
+++ b/system/demo/src/soak/links.rs
@@ -6,7 +6,7 @@
 
 use super::Soak;
 use super::faults::FaultTarget;
-use crate::machines::ZONES;
+use crate::machines::{LinkFaultVariables, ZONES};
 use rand::rngs::ChaCha8Rng;
 use rand::{RngExt, SeedableRng};
 use std::collections::BTreeMap;
@@ -28,6 +28,19 @@
 const SLOW_MS: u64 = 300;
 const LOSSY_PERCENT: u64 = 40;
 
+/// The variables that programs of this build read; none if their links cannot be faulty.
+#[cfg(feature = "link-faults")]
+pub fn variables() -> Option<LinkFaultVariables> {
+    let (file, address) = (fennelscale_host::LINK_FAULTS_VARIABLE, fennelscale_host::LINK_ADDRESS_VARIABLE);
+    Some(LinkFaultVariables { file, address })
+}
+
+/// The variables that programs of this build read; none if their links cannot be faulty.
+#[cfg(not(feature = "link-faults"))]
+pub fn variables() -> Option<LinkFaultVariables> {
+    None
+}
+
 /// The lines of the file of faulty directions, by the fault that they are of.
 #[derive(Debug, Default)]
 pub struct LinkFaults {
--- a/system/demo/src/soak/mod.rs
+++ b/system/demo/src/soak/mod.rs
@@ -162,10 +162,13 @@
     let mut machines = Machines::new(folder.path(), logs, plan.seed);
     let outside = outside(&machines).await?;
     machines.programs.clone_from(&plan.programs);
-    if plan.links && !cfg!(feature = "link-faults") {
-        return Err(miette!("this build has no faulty links: it needs the feature link-faults"));
+    if plan.links {
+        let variables = links::variables();
+        machines.link_fault_variables =
+            Some(variables.ok_or_else(|| {
+                miette!("this build has no faulty links: it needs the feature link-faults")
+            })?);
     }
-    machines.has_link_faults = plan.links;
     let grace = if plan.cores > 1 { LONG_GRACE } else { GRACE };
     if plan.cores > 1 {
         machines.grace = grace;
