Proxy: metrics and trace of whose word a rejection rests on, and on which connection

Answers by which a request was not executed were counted as full or not-it, whoever said so: a refusal of an earlier attempt on the same connection, a 421 of the backend that was meant, and two answers read as one all looked like sound service. rejection_claims_total has the claim (the header; for a 421 who names itself), what the connection had carried before, and how the answer was taken; the trace tells the connection of each answered attempt. No decision changes: the verdict is given the exchange and uses of it what it used before.

--- a/crates/dataplane/src/back/backends.rs
+++ b/crates/dataplane/src/back/backends.rs
@@ -23,8 +23,9 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep, sleep_until};
 
+pub use crate::back::connection_history::{ConnectionHistory, UsedConnections};
 pub use crate::back::exchange_counts::ExchangeCounts;
-pub use crate::back::protocol::{Answer, Message, Protocol, Verdict};
+pub use crate::back::protocol::{Answer, ExchangeContext, Message, Protocol, Verdict};
 
 /// Maximum size of a request or answer body.
 pub const MAX_BODY: usize = 64 * 1024;
@@ -71,6 +72,15 @@
     id: Option<&'a HeaderValue>,
     /// The request is abandoned unless its last byte is written by then.
     write_by: Option<Instant>,
+    /// The connections that earlier attempts of the request were written to; none for a probe.
+    used_connections: Option<&'a UsedConnections>,
+}
+
+/// A complete answer, and what its connection had carried before.
+struct ReceivedAnswer {
+    head: response::Parts,
+    body: Bytes,
+    connection: ConnectionHistory,
 }
 
 struct Backend {
@@ -108,6 +118,19 @@
     timeout.trim().parse().ok().map(Duration::from_secs)
 }
 
+/// What a connection carried before a request whose earlier attempts used these connections.
+fn connection_history(
+    connection: &HttpConnection, is_pooled: bool, used: Option<&UsedConnections>,
+) -> ConnectionHistory {
+    if used.is_some_and(|used| used.contains(connection.identity())) {
+        ConnectionHistory::SameRequest
+    } else if is_pooled {
+        ConnectionHistory::Kept
+    } else {
+        ConnectionHistory::New
+    }
+}
+
 /// Counts a busy connection until it is dropped.
 struct Slot(Rc<Cell<usize>>);
 
@@ -283,8 +306,13 @@
         };
         let repeatable = message.repeatable;
         let must_be_new = self.reuse.needs_new_connection(repeatable, message.target.path());
-        let requirements =
-            ConnectionRequirements { repeatable, must_be_new, id: Some(&message.id), write_by };
+        let requirements = ConnectionRequirements {
+            repeatable,
+            must_be_new,
+            id: Some(&message.id),
+            write_by,
+            used_connections: Some(&message.used_connections),
+        };
         let started_at = Instant::now();
         let mut workload_guard = self.workloads.begin(name, until);
         // Each branch ends the exchange, which closes its connection, before the result is returned.
@@ -302,7 +330,7 @@
             }
         };
         let is_answered = answer.is_some();
-        let end = self.result(&lifecycle, answer, repeatable);
+        let end = self.result(&lifecycle, answer, name, repeatable);
         match end.outcome {
             Outcome::TimedOut => self.on_timeout(name, started_at),
             Outcome::Misdirected => self.on_misdirected(name),
@@ -338,27 +366,33 @@
             (Request::get(self.protocol.probe_path()).header("Host", address.to_string()), Bytes::new())
         };
         let lifecycle = Lifecycle::new(Attempt::Decided);
-        let requirements =
-            ConnectionRequirements { repeatable: true, must_be_new: false, id: None, write_by: None };
+        let requirements = ConnectionRequirements {
+            repeatable: true,
+            must_be_new: false,
+            id: None,
+            write_by: None,
+            used_connections: None,
+        };
         match tokio::time::timeout(self.connect_timeout, self.exchange(&lifecycle, name, requirements, build))
             .await
         {
-            Ok(Some((head, body))) if head.status == StatusCode::OK => {
+            Ok(Some(ReceivedAnswer { head, body, .. })) if head.status == StatusCode::OK => {
                 let load = std::str::from_utf8(&body).ok().and_then(load::read);
                 AttemptResult { outcome: Outcome::Served, answer: None, load }
             }
             Ok(Some(_)) => Outcome::Error.into(),
-            Ok(None) => self.result(&lifecycle, None, true),
+            Ok(None) => self.result(&lifecycle, None, name, true),
             Err(_) => Outcome::TimedOut.into(),
         }
     }
 
     /// The result of an attempt, from its answer or else from its state.
     fn result(
-        &self, lifecycle: &Lifecycle<Attempt>, answer: Option<(response::Parts, Bytes)>, repeatable: bool,
+        &self, lifecycle: &Lifecycle<Attempt>, answer: Option<ReceivedAnswer>, backend: &Name,
+        repeatable: bool,
     ) -> AttemptResult {
         if let Some(answer) = answer {
-            let end = self.classify(answer, repeatable);
+            let end = self.classify(answer, backend, repeatable);
             lifecycle.step(Event::Answered(end.outcome));
             return end;
         }
@@ -371,7 +405,7 @@
     async fn exchange(
         &self, lifecycle: &Lifecycle<Attempt>, name: &Name, requirements: ConnectionRequirements<'_>,
         build: impl Fn(SocketAddr) -> (Builder, Bytes),
-    ) -> Option<(response::Parts, Bytes)> {
+    ) -> Option<ReceivedAnswer> {
         let withdrawn = || {
             lifecycle.step(Event::Withdrawn);
             None
@@ -413,6 +447,10 @@
             let (builder, body) = build(address);
             let Ok(request) = builder.body(Full::new(body)) else { return withdrawn() };
             lifecycle.step(Event::Begin);
+            let history = connection_history(&connection, idle.is_some(), requirements.used_connections);
+            if let Some(used) = requirements.used_connections {
+                used.record(connection.identity());
+            }
             let end = connection
                 .exchange(request, self.limits.max_body, self.limits.answer_timeout, requirements.write_by)
                 .await;
@@ -440,7 +478,7 @@
                             has_trailing_bytes,
                             stated_idle_timeout(&head),
                         );
-                        return Some((head, body));
+                        return Some(ReceivedAnswer { head, body, connection: history });
                     }
                     self.record_break(requirements.id, Progress::Spoilt);
                     lifecycle.step(Event::Broke(Progress::Spoilt));
@@ -558,8 +596,10 @@
         }
     }
 
-    fn classify(&self, (mut head, body): (response::Parts, Bytes), repeatable: bool) -> AttemptResult {
-        let outcome = match self.protocol.verdict(&head, repeatable) {
+    fn classify(&self, answer: ReceivedAnswer, backend: &Name, repeatable: bool) -> AttemptResult {
+        let ReceivedAnswer { mut head, body, connection } = answer;
+        let exchange = ExchangeContext { backend, repeatable, connection };
+        let outcome = match self.protocol.verdict(&head, &exchange) {
             Verdict::Served => Outcome::Served,
             Verdict::Rejected => Outcome::Rejected,
             Verdict::Misdirected => Outcome::Misdirected,
--- a/crates/dataplane/src/back/connection.rs
+++ b/crates/dataplane/src/back/connection.rs
@@ -1,6 +1,7 @@
 //! An HTTP/1.1 client connection. It makes progress only while its caller polls it, sends nothing twice, and
 //! is closed when it is dropped.
 
+use crate::back::connection_history::ConnectionIdentity;
 use crate::back::tracked_stream::{ExchangeState, TrackedStream, peek};
 use crate::lifecycle::Lifecycle;
 use bytes::Bytes;
@@ -43,6 +44,7 @@
     driver: Driver,
     stream: Rc<TcpStream>,
     exchange: Rc<ExchangeState>,
+    identity: ConnectionIdentity,
 }
 
 impl HttpConnection {
@@ -68,7 +70,18 @@
         let handshake = http1::Builder::new().max_buf_size(MAX_HEAD).handshake(tracked);
         let (sender, driver) = handshake.await.map_err(io::Error::other)?;
         exchange.lifecycle.step(Event::Connected);
-        Ok(Self { sender, driver: Some(Box::pin(driver)), stream, exchange })
+        Ok(Self {
+            sender,
+            driver: Some(Box::pin(driver)),
+            stream,
+            exchange,
+            identity: ConnectionIdentity::default(),
+        })
+    }
+
+    /// What tells this connection from others.
+    pub(super) fn identity(&self) -> &ConnectionIdentity {
+        &self.identity
     }
 
     /// Whether the idle connection is free as far as the event loop knows. The socket is checked again before
--- a/crates/dataplane/src/back/mod.rs
+++ b/crates/dataplane/src/back/mod.rs
@@ -3,6 +3,7 @@
 pub mod backends;
 mod break_rates;
 pub mod connection;
+mod connection_history;
 mod exchange_counts;
 mod protocol;
 mod tracked_stream;
--- a/crates/dataplane/src/back/protocol.rs
+++ b/crates/dataplane/src/back/protocol.rs
@@ -1,6 +1,7 @@
 //! What a deployment's protocol with its backends consists of, on top of HTTP.
 
 use crate::back::connection::Progress;
+use crate::back::connection_history::{ConnectionHistory, UsedConnections};
 use bytes::Bytes;
 use doorcourse::Name;
 use hyper::header::{HeaderMap, HeaderValue};
@@ -25,6 +26,8 @@
     pub headers: HeaderMap,
     /// The request body.
     pub body: Bytes,
+    /// The connections that its attempts were written to.
+    pub used_connections: UsedConnections,
 }
 
 /// A backend's answer to be sent to the client.
@@ -51,15 +54,26 @@
     Error,
 }
 
+/// The exchange that brought an answer.
+#[derive(Clone, Copy, Debug)]
+pub struct ExchangeContext<'a> {
+    /// The backend that the request was meant for.
+    pub backend: &'a Name,
+    /// Whether the request may be sent again after it may have been executed.
+    pub repeatable: bool,
+    /// What the connection had carried before.
+    pub connection: ConnectionHistory,
+}
+
 /// A deployment's protocol with its backends on top of HTTP.
 pub trait Protocol {
     /// Builds the head of a request; `remaining` is the time until its client times out.
     fn build_request(
         &self, message: &Message, backend: &Name, address: SocketAddr, remaining: Duration,
     ) -> Builder;
-    /// Classifies an answer. If the request is `repeatable`, an answer may be rejected in favour of a retry
+    /// Classifies an answer. If the request is repeatable, an answer may be rejected in favour of a retry
     /// on another backend.
-    fn verdict(&self, head: &response::Parts, repeatable: bool) -> Verdict;
+    fn verdict(&self, head: &response::Parts, exchange: &ExchangeContext<'_>) -> Verdict;
     /// Records that an attempt ended without an answer of its own, and how far its request got.
     fn record_break(&self, _id: &HeaderValue, _progress: Progress) {}
     /// The path probed for liveness, or for a load report where backends give them.
--- a/crates/dataplane/tests/early_answers.rs
+++ b/crates/dataplane/tests/early_answers.rs
@@ -3,7 +3,9 @@
 
 use bytes::Bytes;
 use doorcourse::{BackendEntry, BackendState, LoadReportSource, Name, Outcome};
-use fennelscale_dataplane::back::backends::{Backends, ConnectionLimits, Message, Protocol, Verdict};
+use fennelscale_dataplane::back::backends::{
+    Backends, ConnectionLimits, ExchangeContext, Message, Protocol, UsedConnections, Verdict,
+};
 use fennelscale_settings::list::{Host, List};
 use fennelscale_settings::upstream::{IdentityRule, Upstream};
 use fennelscale_wire::reuse::ReusePolicy;
@@ -36,7 +38,7 @@
             .header("Req-Id", message.id.clone())
     }
 
-    fn verdict(&self, head: &response::Parts, _: bool) -> Verdict {
+    fn verdict(&self, head: &response::Parts, _: &ExchangeContext<'_>) -> Verdict {
         if head.headers.contains_key("declined") { Verdict::Rejected } else { Verdict::Served }
     }
 
@@ -63,6 +65,7 @@
         repeatable: false,
         headers: HeaderMap::new(),
         body: Bytes::from(vec![b'x'; LONG_BODY]),
+        used_connections: UsedConnections::default(),
     };
     let backend = async {
         let (mut stream, _) = listener.accept().await.expect("a connection");
--- a/gateway/src/back/protocol.rs
+++ b/gateway/src/back/protocol.rs
@@ -1,6 +1,6 @@
 //! The protocol of the backends in production deployments.
 
-use crate::back::backends::{Message, Protocol, Verdict};
+use crate::back::backends::{ExchangeContext, Message, Protocol, Verdict};
 use crate::clock::to_millis;
 use doorcourse::{LoadReportSource, Name};
 use hyper::http::request::Builder;
@@ -34,7 +34,7 @@
         builder
     }
 
-    fn verdict(&self, head: &response::Parts, _: bool) -> Verdict {
+    fn verdict(&self, head: &response::Parts, _: &ExchangeContext<'_>) -> Verdict {
         let declined = head.headers.get(DECLINED_HEADER).is_some_and(|v| v == "1");
         match head.status {
             StatusCode::OK => Verdict::Served,
--- a/gateway/src/front/clients.rs
+++ b/gateway/src/front/clients.rs
@@ -1,6 +1,6 @@
 //! The client side of the gateway: reads requests, writes answers, and drains connections at shutdown.
 
-use crate::back::backends::{MAX_BODY, Message};
+use crate::back::backends::{MAX_BODY, Message, UsedConnections};
 use crate::clock::to_millis;
 use crate::engine::{Engine, Reply};
 use crate::faults;
@@ -379,7 +379,15 @@
         }
         let repeatable = method.is_safe() || key.is_some();
         let (id, body) = (id.clone(), Bytes::new());
-        let message = Message { method, target, id, repeatable, headers: forwarded, body };
+        let message = Message {
+            method,
+            target,
+            id,
+            repeatable,
+            headers: forwarded,
+            body,
+            used_connections: UsedConnections::default(),
+        };
         Ok(ParsedRequest {
             class,
             plan,
--- a/system/proxy/src/answer_counts.rs
+++ b/system/proxy/src/answer_counts.rs
@@ -1,6 +1,7 @@
 //! Counts of answers, for metrics: those of backends by how they were taken, and those that clients received by who
 //! made them.
 
+use crate::rejection_claim::RejectionClaim;
 use hyper::StatusCode;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -48,11 +49,24 @@
     }
 }
 
+/// Answers that claim that their requests were not executed, and are counted together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ClaimGroup {
+    /// On whose word.
+    pub claim: RejectionClaim,
+    /// What their connections had carried before.
+    pub connection: &'static str,
+    /// How they were taken.
+    pub taken: &'static str,
+}
+
 /// Counts since the start of the process.
 #[derive(Debug, Default)]
 pub struct AnswerCounts {
     /// Answers of backends, by status and by how they were taken.
     received: RefCell<BTreeMap<(&'static str, &'static str), u64>>,
+    /// Answers of backends that claim that a request was not executed.
+    claims: RefCell<BTreeMap<ClaimGroup, u64>>,
     /// Answers given to clients, by status and author.
     given: RefCell<BTreeMap<(&'static str, Author), u64>>,
 }
@@ -63,6 +77,12 @@
         *self.received.borrow_mut().entry((status_name(status), taken)).or_default() += 1;
     }
 
+    /// Counts an answer of a backend that claims that its request was not executed.
+    pub fn record_claim(&self, claim: RejectionClaim, connection: &'static str, taken: &'static str) {
+        let group = ClaimGroup { claim, connection, taken };
+        *self.claims.borrow_mut().entry(group).or_default() += 1;
+    }
+
     /// Counts an answer that a client is given.
     pub fn record_given(&self, status: StatusCode, author: Author) {
         *self.given.borrow_mut().entry((status_name(status), author)).or_default() += 1;
@@ -75,6 +95,11 @@
         }
     }
 
+    /// Calls `visit` with each group of claims and its count.
+    pub fn for_each_claim(&self, mut visit: impl FnMut(ClaimGroup, u64)) {
+        self.claims.borrow().iter().for_each(|(group, count)| visit(*group, *count));
+    }
+
     /// Calls `visit` with the status, the author and the count of each group of answers to clients.
     pub fn for_each_given(&self, mut visit: impl FnMut(&'static str, Author, u64)) {
         for ((status, author), count) in self.given.borrow().iter() {
--- a/system/proxy/src/backend_protocol.rs
+++ b/system/proxy/src/backend_protocol.rs
@@ -2,9 +2,10 @@
 //! probe.
 
 use crate::answer_counts::{AnswerCounts, PROMISING_STATUSES};
+use crate::rejection_claim::RejectionClaim;
 use crate::request_trace::RequestTrace;
 use doorcourse::Name;
-use fennelscale_dataplane::back::backends::{Message, Protocol, Verdict};
+use fennelscale_dataplane::back::backends::{ConnectionHistory, ExchangeContext, Message, Protocol, Verdict};
 use fennelscale_dataplane::back::connection::Progress;
 use hyper::header::{CONTENT_ENCODING, HOST, HeaderName, HeaderValue};
 use hyper::http::request::Builder;
@@ -21,6 +22,8 @@
 pub const DEADLINE: HeaderName = HeaderName::from_static("fennelscale-deadline-ms");
 /// The backend that a request is meant for.
 pub const EXPECTED_INSTANCE: HeaderName = HeaderName::from_static("fennelscale-expected-instance");
+/// The backend that gave an answer.
+pub const INSTANCE_ID: HeaderName = HeaderName::from_static("fennelscale-instance-id");
 /// The tenant of a request's API key.
 pub const TENANT: HeaderName = HeaderName::from_static("fennelscale-tenant-name");
 /// The signature of a backend's answer.
@@ -63,8 +66,8 @@
             .header(EXPECTED_INSTANCE, &**backend)
     }
 
-    fn verdict(&self, head: &response::Parts, repeatable: bool) -> Verdict {
-        let verdict = verdict(head, repeatable);
+    fn verdict(&self, head: &response::Parts, exchange: &ExchangeContext<'_>) -> Verdict {
+        let verdict = verdict(head, exchange.repeatable);
         let outcome = match verdict {
             Verdict::Misdirected => "not-it",
             Verdict::Rejected => "full",
@@ -72,9 +75,14 @@
             Verdict::Served => "served",
         };
         self.answer_counts.record_received(head.status, outcome);
+        let connection = connection_name(exchange.connection);
+        if let Some(claim) = RejectionClaim::of(head, exchange.backend) {
+            self.answer_counts.record_claim(claim, connection, outcome);
+        }
         if let Some(id) = head.headers.get(REQUEST_ID) {
             let status = head.status.as_u16();
-            self.trace.borrow_mut().record_answer(fennelscale_messages::hash(id.as_bytes()), status, outcome);
+            let id = fennelscale_messages::hash(id.as_bytes());
+            self.trace.borrow_mut().record_answer(id, status, outcome, connection);
         }
         verdict
     }
@@ -99,6 +107,15 @@
     }
 }
 
+/// What a connection had carried before a request, in metrics and traces.
+const fn connection_name(history: ConnectionHistory) -> &'static str {
+    match history {
+        ConnectionHistory::New => "new",
+        ConnectionHistory::Kept => "kept",
+        ConnectionHistory::SameRequest => "same_request",
+    }
+}
+
 fn verdict(head: &response::Parts, repeatable: bool) -> Verdict {
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         return Verdict::Misdirected;
--- a/system/proxy/src/frontend.rs
+++ b/system/proxy/src/frontend.rs
@@ -11,7 +11,7 @@
 use doorcourse::{Arrival, RequestConstraints, RequestId};
 use fennelscale_admission::budget::Budget;
 use fennelscale_config::{Route, RouteKind, Tenant};
-use fennelscale_dataplane::back::backends::Message;
+use fennelscale_dataplane::back::backends::{Message, UsedConnections};
 use fennelscale_dataplane::engine::{Engine, Reply};
 use fennelscale_dataplane::front::acceptor::Acceptor;
 use fennelscale_dataplane::front::client_connection::{ClientConnection, ClientStream, READ_BUFFER_SIZE};
@@ -351,7 +351,15 @@
             });
         let client_timeout = stated.map_or(timeout, |stated| stated.min(timeout));
         let repeatable = route.kind == RouteKind::Idempotent;
-        let message = Message { method: head.method, target, id, repeatable, headers, body: bytes };
+        let message = Message {
+            method: head.method,
+            target,
+            id,
+            repeatable,
+            headers,
+            body: bytes,
+            used_connections: UsedConnections::default(),
+        };
         drop(state);
         Ok(AcceptedRequest { route, tenant, message, client_timeout, late })
     }
--- a/system/proxy/src/lib.rs
+++ b/system/proxy/src/lib.rs
@@ -14,6 +14,7 @@
 mod peer_sync;
 mod proxy;
 pub mod registry_choice;
+mod rejection_claim;
 mod request_classes;
 mod request_trace;
 pub mod routing_state;
--- a/system/proxy/src/metrics.rs
+++ b/system/proxy/src/metrics.rs
@@ -3,7 +3,7 @@
 //!
 //! A scrape reads the counters from where they are kept; nothing is counted here.
 
-use crate::answer_counts::AnswerCounts;
+use crate::answer_counts::{AnswerCounts, ClaimGroup};
 use crate::backend_protocol::break_name;
 use crate::proxy::Proxy;
 use crate::service_engines::ServiceEngine;
@@ -58,6 +58,13 @@
     taken: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Hash, PartialEq, Eq)]
+struct ClaimLabels {
+    claim: &'static str,
+    connection: &'static str,
+    taken: &'static str,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Hash, PartialEq, Eq)]
 struct GivenLabels {
     status: &'static str,
@@ -83,6 +90,7 @@
     breaks: Family<BreakLabels, Counter>,
     early_answers: Family<ServiceLabel, Counter>,
     received: Family<ReceivedLabels, Counter>,
+    claims: Family<ClaimLabels, Counter>,
     given: Family<GivenLabels, Counter>,
     queued: Family<ServiceLabel, Gauge>,
     list_number: Gauge,
@@ -127,6 +135,13 @@
             "Answers of backends, by status and by how they were taken",
             received.clone(),
         );
+        let claims = Family::<ClaimLabels, Counter>::default();
+        registry.register(
+            "rejection_claims",
+            "Answers of backends by which a request was not executed, by whose word that is, by what the connection had \
+             carried before, and by how they were taken",
+            claims.clone(),
+        );
         registry.register(
             "client_answers",
             "Answers given to clients, by status and by who made them",
@@ -178,6 +193,7 @@
             breaks,
             early_answers,
             received,
+            claims,
             given,
             queued,
             list_number,
@@ -232,6 +248,11 @@
             let labels = ReceivedLabels { status, taken };
             self.received.get_or_create(&labels).inner().store(count, Ordering::Relaxed);
         });
+        counts.for_each_claim(|group, count| {
+            let ClaimGroup { claim, connection, taken } = group;
+            let labels = ClaimLabels { claim: claim.name(), connection, taken };
+            self.claims.get_or_create(&labels).inner().store(count, Ordering::Relaxed);
+        });
         counts.for_each_given(|status, author, count| {
             let labels = GivenLabels { status, author: author.name() };
             self.given.get_or_create(&labels).inner().store(count, Ordering::Relaxed);
--- a/system/proxy/src/request_trace.rs
+++ b/system/proxy/src/request_trace.rs
@@ -20,12 +20,20 @@
 struct Attempt {
     at: f64,
     backend: Name,
-    /// The status of the answer, and the verdict on it.
-    answer: Option<(u16, &'static str)>,
+    answer: Option<AttemptAnswer>,
     /// How far the request got, if the exchange ended without an answer of its own.
     broke: Option<&'static str>,
 }
 
+/// The answer to an attempt.
+#[derive(Clone, Copy, Debug)]
+struct AttemptAnswer {
+    status: u16,
+    verdict: &'static str,
+    /// What the connection had carried before.
+    connection: &'static str,
+}
+
 #[derive(Clone, Debug)]
 struct RequestRecord {
     started_at: f64,
@@ -58,11 +66,12 @@
         }
     }
 
-    /// Records the answer of a backend, for the latest attempt without one.
-    pub fn record_answer(&mut self, id: u64, status: u16, verdict: &'static str) {
+    /// Records the answer of a backend, for the latest attempt without one, and what its connection had carried
+    /// before.
+    pub fn record_answer(&mut self, id: u64, status: u16, verdict: &'static str, connection: &'static str) {
         let Some(record) = self.active.get_mut(&id) else { return };
         if let Some(attempt) = record.attempts.iter_mut().rev().find(|attempt| attempt.answer.is_none()) {
-            attempt.answer = Some((status, verdict));
+            attempt.answer = Some(AttemptAnswer { status, verdict, connection });
         }
     }
 
@@ -112,8 +121,9 @@
             let _ = write!(text, "\"tenant\":{},", quoted(&tenant.name));
         }
         let attempts = record.attempts.iter().map(|attempt| {
-            let answer = attempt.answer.map_or(String::new(), |(status, verdict)| {
-                format!(",\"status\":{status},\"taken\":\"{verdict}\"")
+            let answer = attempt.answer.map_or(String::new(), |answer| {
+                let AttemptAnswer { status, verdict, connection } = answer;
+                format!(",\"status\":{status},\"taken\":\"{verdict}\",\"connection\":\"{connection}\"")
             });
             let broke = attempt.broke.map_or(String::new(), |progress| format!(",\"broke\":\"{progress}\""));
             let after = attempt.at - record.started_at;
@@ -161,21 +171,21 @@
         let mut trace = RequestTrace::default();
         trace.begin(1000.0, 7, route(), None);
         trace.record_attempt(1001.0, 7, &"i-1".into());
-        trace.record_answer(7, 503, "full");
+        trace.record_answer(7, 503, "full", "new");
         trace.record_attempt(1005.0, 7, &"i-3".into());
         trace.record_break(7, "part_written");
         trace.record_attempt(1010.0, 7, &"i-2".into());
         assert!(trace.to_json(1020.0, 7).ends_with("\"why\":\"it is not answered yet\"}"));
-        trace.record_answer(7, 200, "served");
+        trace.record_answer(7, 200, "served", "kept");
         trace.finish(1100.0, 7, 200, "served");
         // A late answer of a backend does not change a finished record.
-        trace.record_answer(7, 500, "error");
+        trace.record_answer(7, 500, "error", "kept");
         assert_eq!(
             trace.to_json(2000.0, 7),
             "{\"route\":\"a\",\"revision\":\"0000000c\",\"ago\":\"1000ms\",\"attempts\":[\
-             {\"backend\":\"i-1\",\"after\":\"1ms\",\"status\":503,\"taken\":\"full\"},\
+             {\"backend\":\"i-1\",\"after\":\"1ms\",\"status\":503,\"taken\":\"full\",\"connection\":\"new\"},\
              {\"backend\":\"i-3\",\"after\":\"5ms\",\"broke\":\"part_written\"},\
-             {\"backend\":\"i-2\",\"after\":\"10ms\",\"status\":200,\"taken\":\"served\"}],\
+             {\"backend\":\"i-2\",\"after\":\"10ms\",\"status\":200,\"taken\":\"served\",\"connection\":\"kept\"}],\
              \"status\":200,\"why\":\"served\",\"took\":\"100ms\"}"
         );
         assert_eq!(trace.to_json(2000.0, 8), "");
