--- a/system/proxy/tests/helper/two_backends.rs
+++ b/system/proxy/tests/helper/two_backends.rs
@@ -29,6 +29,13 @@
         Self { test_bed, proxy, preferred, spare }
     }
 
+    /// Sends a list with this number in which the spare backend does not stand.
+    pub async fn list_only_preferred(&self, number: u64) {
+        let backend = &self.preferred;
+        let listed = listed_at(SERVICE, backend.id(), backend.address(), "a", 0);
+        self.proxy.send_list(number, vec![listed]).await;
+    }
+
     /// Sends a request with a body of this size, and waits for its answer.
     pub async fn request(&self, path: &str, size: usize) -> (u16, String) {
         self.test_bed.upload(path, size).await.expect("a task").expect("an answer")
--- a/system/proxy/tests/helper/upload_backend.rs
+++ b/system/proxy/tests/helper/upload_backend.rs
@@ -19,10 +19,14 @@
 pub enum EarlyAction {
     /// Nothing: it reads the body and answers.
     None,
-    /// It writes bytes, then goes on with what follows. `{id}` in them becomes the id of the request.
+    /// It writes bytes, then goes on with what follows. `{id}` in them becomes the id of the request, `{instance}` that
+    /// of the backend.
     Write(String, Box<EarlyAction>),
     /// It reads this much of the body, or all of it, then goes on with what follows.
     Read(usize, Box<EarlyAction>),
+    /// It reads the rest of the body, writes bytes, and writes them once more when the next request has come on the
+    /// connection.
+    AnswerWithLateCopy(String),
     /// It reads the rest of the body and writes nothing more.
     ReadRest,
     /// It stops reading and keeps the connection.
@@ -129,8 +133,12 @@
 
     async fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
         let mut is_counted = false;
+        let mut late_copy: Option<String> = None;
         loop {
             let (head, received) = read_head(&mut stream).await?;
+            if let Some(copy) = late_copy.take() {
+                stream.write_all(copy.as_bytes()).await?;
+            }
             if head.request_line.starts_with("GET /health ") {
                 let id = &self.id;
                 let answer =
@@ -142,7 +150,7 @@
             self.connections.set(self.connections.get() + usize::from(!is_counted));
             is_counted = true;
             let action = (self.choice.borrow_mut())(&head.id);
-            if !self.act_early(&mut stream, &head, received, action).await? {
+            if !self.act_early(&mut stream, &head, received, action, &mut late_copy).await? {
                 return Ok(());
             }
         }
@@ -152,6 +160,7 @@
     /// another request.
     async fn act_early(
         &self, stream: &mut TcpStream, head: &Head, mut received: usize, mut action: EarlyAction,
+        late_copy: &mut Option<String>,
     ) -> io::Result<bool> {
         loop {
             match action {
@@ -163,9 +172,16 @@
                     return Ok(true);
                 }
                 EarlyAction::Write(text, next) => {
-                    stream.write_all(text.replace("{id}", &head.id).as_bytes()).await?;
+                    stream.write_all(self.fill_in(&text, head).as_bytes()).await?;
                     action = *next;
                 }
+                EarlyAction::AnswerWithLateCopy(text) => {
+                    self.read_body(stream, head, received).await?;
+                    let text = self.fill_in(&text, head);
+                    stream.write_all(text.as_bytes()).await?;
+                    *late_copy = Some(text);
+                    return Ok(true);
+                }
                 EarlyAction::Read(size, next) => {
                     received = read_until(stream, received, size.min(head.body_size)).await?;
                     action = *next;
@@ -189,6 +205,11 @@
         }
     }
 
+    /// A text with the ids of a request and of this backend.
+    fn fill_in(&self, text: &str, head: &Head) -> String {
+        text.replace("{id}", &head.id).replace("{instance}", &self.id)
+    }
+
     async fn read_body(&self, stream: &mut TcpStream, head: &Head, received: usize) -> io::Result<()> {
         read_until(stream, received, head.body_size).await?;
         self.complete_bodies.set(self.complete_bodies.get() + 1);
--- a/system/proxy/tests/promises.rs
+++ b/system/proxy/tests/promises.rs
@@ -137,6 +137,26 @@
     });
 }
 
+/// Guards against REFUSED: a late copy of the refusal of an earlier attempt was taken for the answer of the next attempt of
+/// the same request, which the backend ran.
+#[test]
+fn a_refusal_of_an_earlier_attempt_does_not_answer_a_later_one() {
+    helper::run(async {
+        let deployment = Deployment::start(9).await;
+        deployment.0.list_only_preferred(2).await;
+        let backend = &deployment.0.preferred;
+        let mut is_full = true;
+        let refusal = EarlyAction::AnswerWithLateCopy(turned_away("503 Full"));
+        backend.choose(
+            move |_| {
+                if std::mem::take(&mut is_full) { refusal.clone() } else { EarlyAction::None }
+            },
+        );
+        assert_eq!(deployment.request("/take").await, (200, "kept\n".to_owned()));
+        assert_eq!((backend.arrivals(), backend.complete_bodies()), (2, 2));
+    });
+}
+
 /// Guards against REFUSED: a request that its backend holds may run at any time, so its end is no promise.
 #[test]
 fn a_request_that_a_backend_holds_ends_without_a_promise() {
