Data plane: no connection carries two attempts of one request

Callers saw 503 (no-room) for requests that can't be repeated and that a backend ran. Cause: the id in an answer names the request, not the attempt. A request now remembers the connections that its attempts were written to, and the pool does not hand them out for it; they stay there for others, whose ids differ. So nothing that a backend writes in answer to one attempt can reach another one. The test passes; the label same_request of the metric is gone with the case.

--- a/crates/dataplane/src/back/backends.rs
+++ b/crates/dataplane/src/back/backends.rs
@@ -76,6 +76,13 @@
     used_connections: Option<&'a UsedConnections>,
 }
 
+impl ConnectionRequirements<'_> {
+    /// Whether an earlier attempt of the request was written to this connection.
+    fn has_used(&self, connection: &HttpConnection) -> bool {
+        self.used_connections.is_some_and(|used| used.contains(connection.identity()))
+    }
+}
+
 /// A complete answer, and what its connection had carried before.
 struct ReceivedAnswer {
     head: response::Parts,
@@ -118,19 +125,6 @@
     timeout.trim().parse().ok().map(Duration::from_secs)
 }
 
-/// What a connection carried before a request whose earlier attempts used these connections.
-fn connection_history(
-    connection: &HttpConnection, is_pooled: bool, used: Option<&UsedConnections>,
-) -> ConnectionHistory {
-    if used.is_some_and(|used| used.contains(connection.identity())) {
-        ConnectionHistory::SameRequest
-    } else if is_pooled {
-        ConnectionHistory::Kept
-    } else {
-        ConnectionHistory::New
-    }
-}
-
 /// Counts a busy connection until it is dropped.
 struct Slot(Rc<Cell<usize>>);
 
@@ -447,7 +441,7 @@
             let (builder, body) = build(address);
             let Ok(request) = builder.body(Full::new(body)) else { return withdrawn() };
             lifecycle.step(Event::Begin);
-            let history = connection_history(&connection, idle.is_some(), requirements.used_connections);
+            let history = if idle.is_some() { ConnectionHistory::Kept } else { ConnectionHistory::New };
             if let Some(used) = requirements.used_connections {
                 used.record(connection.identity());
             }
@@ -513,9 +507,9 @@
             return Some((backend.address, None));
         }
         // Connections that are too recently used for reuse are at the end.
-        while let Some(at) =
-            backend.idle.iter().rposition(|(_, since)| self.reuse.is_idle_long_enough(since.elapsed()))
-        {
+        while let Some(at) = backend.idle.iter().rposition(|(connection, since)| {
+            self.reuse.is_idle_long_enough(since.elapsed()) && !requirements.has_used(connection)
+        }) {
             let (connection, since) = backend.idle.remove(at);
             // An unsafe request written to a connection that is closed or about to be has an uncertain
             // outcome.
--- a/crates/dataplane/src/back/connection_history.rs
+++ b/crates/dataplane/src/back/connection_history.rs
@@ -1,7 +1,8 @@
 //! What a connection carried before a request was written to it.
 //!
 //! Answers name the request that they belong to, not the attempt: on a connection that carried an earlier attempt of
-//! the same request, a surplus answer to that attempt can't be told from the answer that is due.
+//! the same request, a surplus answer to that attempt can't be told from the answer that is due. So no connection
+//! carries two attempts of one request.
 
 use std::cell::RefCell;
 use std::rc::{Rc, Weak};
@@ -13,8 +14,6 @@
     New,
     /// Other requests.
     Kept,
-    /// An earlier attempt of the same request, maybe among others.
-    SameRequest,
 }
 
 /// Tells one connection from all others, also after it was closed.
--- a/system/proxy/src/backend_protocol.rs
+++ b/system/proxy/src/backend_protocol.rs
@@ -112,7 +112,6 @@
     match history {
         ConnectionHistory::New => "new",
         ConnectionHistory::Kept => "kept",
-        ConnectionHistory::SameRequest => "same_request",
     }
 }
 
