Proxy: a 421 is believed only of a backend that names itself and is not the one that was meant

Callers saw 503 for requests that can't be repeated and that one backend or two had run (REFUSED, TWICE). Cause: verdict took every 421 that names its request for "another backend has the address". So the status alone is believed where the answer names one instance, another one, on a connection that has answered nothing before: every request names whom it is meant for, so on a connection with an earlier answer the right backend is at the other end. All other forms contradict themselves or say nothing: the request is in doubt. With the header a 421 is believed as before.

--- a/system/proxy/tests/promises.rs
+++ b/system/proxy/tests/promises.rs
@@ -11,6 +11,8 @@
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 /// The size of the requests' bodies: they are written at once.
 const BODY: usize = 300;
+/// So many requests reach a backend until one of them goes out on a kept connection.
+const MOST_REQUESTS: usize = 10_000;
 /// Passes while a backend holds a request.
 const SHORT_DEADLINE: Duration = Duration::from_millis(700);
 
@@ -157,6 +159,76 @@
     });
 }
 
+/// Guards against REFUSED and TWICE: a 421 of a backend that had run its request was believed. Only a backend that is not the
+/// one that the request was meant for may say by the status alone that it did not run it.
+#[test]
+fn a_421_that_does_not_name_another_backend_is_not_believed() {
+    helper::run(async {
+        let deployment = Deployment::start(10).await;
+        let forms = [
+            ("of nobody", ""),
+            ("of the backend itself", "Fennelscale-Instance-Id: {instance}\r\n"),
+            (
+                "of the backend itself, signed",
+                "Fennelscale-Instance-Id: {instance}\r\nFennelscale-Response-Signature: signed\r\n",
+            ),
+            ("of two backends", "Fennelscale-Instance-Id: other\r\nFennelscale-Instance-Id: {instance}\r\n"),
+        ];
+        for (what, names) in forms {
+            let headers = format!("Fennelscale-Request-Id: {{id}}\r\n{names}");
+            deployment.both_act(&runs_and_answers(&answer("421 Misdirected Request", &headers, "x")));
+            let before = deployment.arrivals();
+            let (status, _) = deployment.request("/take").await;
+            assert_eq!((status, deployment.arrivals() - before), (502, 1), "421 {what}");
+        }
+        // Both are still there.
+        deployment.both_act(&EarlyAction::None);
+        assert_eq!(deployment.request("/take").await.0, 200);
+        assert_eq!(deployment.0.proxy.metric("attempt_ends_total", "misdirected").await, 0.0);
+    });
+}
+
+/// A 421 that names another backend.
+fn of_another_backend() -> String {
+    let headers = "Fennelscale-Request-Id: {id}\r\nFennelscale-Instance-Id: other\r\n";
+    answer("421 Misdirected Request", headers, "x")
+}
+
+/// Guards against REFUSED: a backend that has answered on a connection can't be another one later on.
+#[test]
+fn a_421_of_another_backend_is_not_believed_on_a_connection_where_the_right_one_has_answered() {
+    helper::run(async {
+        let deployment = Deployment::start(11).await;
+        let misdirected = runs_and_answers(&of_another_backend());
+        deployment.both_act(&EarlyAction::OnKeptConnection(Box::new(misdirected)));
+        // A connection is kept once it has rested for a moment.
+        let (status, arrivals) = loop {
+            let before = deployment.arrivals();
+            let (status, _) = deployment.request("/take").await;
+            if status != 200 {
+                break (status, deployment.arrivals() - before);
+            }
+            assert!(deployment.arrivals() < MOST_REQUESTS, "no connection was kept");
+        };
+        assert_eq!((status, arrivals), (502, 1));
+        let claims = deployment.0.proxy.metric("rejection_claims_total", "connection=\"kept\"").await;
+        assert_eq!(claims, 1.0);
+    });
+}
+
+/// Guards against refusals that are too careful: at the first 421 of another backend its address is left, and the request goes on.
+#[test]
+fn a_421_of_another_backend_on_a_new_connection_is_believed() {
+    helper::run(async {
+        let deployment = Deployment::start(12).await;
+        deployment.0.preferred.act(runs_and_answers(&of_another_backend()));
+        for _ in 0..3 {
+            assert_eq!(deployment.request("/take").await, (200, "kept\n".to_owned()));
+        }
+        assert_eq!((deployment.0.preferred.arrivals(), deployment.0.spare.arrivals()), (1, 3));
+    });
+}
+
 /// Guards against REFUSED: a request that its backend holds may run at any time, so its end is no promise.
 #[test]
 fn a_request_that_a_backend_holds_ends_without_a_promise() {
