Data plane: two answers that ran together in one head answer nothing

Callers saw 503 for requests that two backends had run, or 200 for a request that its backend had failed (REFUSED, TWICE, MIXED). Cause: a backend in trouble breaks an answer off within its head and goes on with the answer that is due; the parser takes the status line of the second for the rest of a header value or of the reason phrase of the first. Status and claims are then of one answer, id and signature of the other, so the check of the id passes. A head in which a header value or the reason phrase holds a status line (HTTP/1.x, a status, a space or the end) is unusable now, like an answer to another request. A header as Via with HTTP/1.1 and a name is not touched.

--- a/crates/dataplane/src/back/backends.rs
+++ b/crates/dataplane/src/back/backends.rs
@@ -2,6 +2,7 @@
 
 use crate::back::break_rates::BreakRates;
 use crate::back::connection::{HttpConnection, Progress, is_descriptor_shortage};
+use crate::back::run_together::is_run_together;
 use crate::back::workload::Workloads;
 use crate::lifecycle::Lifecycle;
 use bytes::Bytes;
@@ -564,6 +565,9 @@
     fn mismatch(
         &self, connection: &HttpConnection, head: &response::Parts, id: Option<&HeaderValue>,
     ) -> Option<ResponseFault> {
+        if is_run_together(head) {
+            return Some(ResponseFault::RunTogether);
+        }
         if connection.time_to_first_byte().is_some_and(|after| self.reuse.is_too_fast(after)) {
             return Some(ResponseFault::TooFast);
         }
--- a/crates/dataplane/src/back/mod.rs
+++ b/crates/dataplane/src/back/mod.rs
@@ -6,5 +6,6 @@
 mod connection_history;
 mod exchange_counts;
 mod protocol;
+mod run_together;
 mod tracked_stream;
 mod workload;
--- a/crates/wire/src/reuse.rs
+++ b/crates/wire/src/reuse.rs
@@ -23,6 +23,8 @@
     Early,
     /// They began sooner after the request's last byte than any backend responds.
     TooFast,
+    /// They are parts of more than one response.
+    RunTogether,
     /// They name another request, or none although naming one is required.
     WrongRequest,
 }
--- a/system/proxy/tests/promises.rs
+++ b/system/proxy/tests/promises.rs
@@ -229,6 +229,29 @@
     });
 }
 
+/// Guards against REFUSED, TWICE and MIXED: an answer that breaks off within its head, in front of the one that is due, was
+/// read together with it as one answer: the status and claims of the first, the id and signature of the second.
+#[test]
+fn two_answers_that_ran_together_answer_nothing() {
+    helper::run(async {
+        let deployment = Deployment::start(13).await;
+        let cases = [
+            ("HTTP/1.1 503 Full\r\nFennelscale-Not-Executed: 1\r\nX-Load: 0.", "200 OK"),
+            ("HTTP/1.1 503 Full\r\nFennelscale-Not-Executed:", "500 Failed"),
+            ("HTTP/1.1 200 O", "500 Failed"),
+            ("HTTP/1.1 200 OK\r\nX-Load: 0.", "500 Failed"),
+            ("HTTP/1.1 421 Misdirected Request\r\nFennelscale-Instance-Id: oth", "200 OK"),
+        ];
+        for (cut, status_due) in cases {
+            let due = signed_answer(status_due, "ran\n");
+            deployment.both_act(&runs_and_answers(&format!("{cut}{due}")));
+            let before = deployment.arrivals();
+            let (status, _) = deployment.request("/take").await;
+            assert_eq!((status, deployment.arrivals() - before), (502, 1), "{cut:?} before {status_due}");
+        }
+    });
+}
+
 /// Guards against REFUSED: a request that its backend holds may run at any time, so its end is no promise.
 #[test]
 fn a_request_that_a_backend_holds_ends_without_a_promise() {
