Proxy: an interim answer with the header does not say that its request was not run

Found by reading: a final 101 that carries Fennelscale-Not-Executed and the id was believed, and the request was sent to another backend. An interim answer is not the answer of a request, as the test of 101 without the header has it already. On the code before, the new row of the test gives two arrivals in place of one. The unit test asserted Rejected for 100 to 199 with the header; it asserts that they are in doubt now, which is the stricter.

--- a/system/proxy/src/backend_protocol.rs
+++ b/system/proxy/src/backend_protocol.rs
@@ -234,7 +234,7 @@
                 let verdict = verdict_of(status, &[signed, not_executed], repeatable);
                 let expected = match status {
                     421 => Verdict::Misdirected,
-                    200..300 => Verdict::Error,
+                    100..300 => Verdict::Error,
                     _ => Verdict::Rejected,
                 };
                 assert_eq!(verdict, expected, "{status}, not executed");
--- a/system/proxy/src/rejection_claim.rs
+++ b/system/proxy/src/rejection_claim.rs
@@ -50,7 +50,9 @@
         let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
         match (has_header, is_misdirected) {
             (false, false) => None,
-            (true, false) if head.status.is_success() => Some(Self::ContradictedHeader),
+            (true, false) if head.status.is_success() || head.status.is_informational() => {
+                Some(Self::ContradictedHeader)
+            }
             (true, false) => Some(Self::Header),
             (true, true) => Some(match Sender::of(head, expected) {
                 Sender::Expected => Self::Header,
--- a/system/proxy/tests/promises.rs
+++ b/system/proxy/tests/promises.rs
@@ -128,6 +128,10 @@
             ("421 of another", answer("421 Misdirected Request", &foreign, "x")),
             ("421 of none", answer("421 Misdirected Request", "", "x")),
             ("with a success", answer("200 OK", &own, "x")),
+            (
+                "with an interim answer",
+                format!("HTTP/1.1 101 Switching Protocols\r\n{own}Upgrade: x\r\n\r\n"),
+            ),
         ];
         for (what, text) in answers {
             deployment.both_act(&runs_and_answers(&text));
