--- a/system/demo/src/main.rs
+++ b/system/demo/src/main.rs
@@ -67,6 +67,12 @@
         help = "in a soak, links are faulty instead of processes (needs a build with the feature link-faults)"
     )]
     links: bool,
+    #[options(
+        no_short,
+        help = "in a soak, what backends do with requests that can't be repeated, in place of all that they can do",
+        meta = "NAME,NAME"
+    )]
+    deeds: Option<String>,
     #[options(
         no_short,
         help = "the executable whose programs a soak runs, in place of this one",
@@ -124,6 +130,7 @@
         proxy_share,
         pressing,
         links,
+        deeds,
         programs,
         ..
     } = arguments;
@@ -139,6 +146,7 @@
                     proxy_share: shares.then_some(proxy_share),
                     pressing,
                     links,
+                    deeds: soak::chosen_deeds(deeds.as_deref())?,
                     programs,
                 };
                 soak::soak(plan, logs).await
--- a/system/demo/src/soak/mod.rs
+++ b/system/demo/src/soak/mod.rs
@@ -3,23 +3,26 @@
 //! ([`judge`]): what was acknowledged is in force in time everywhere, nothing goes back, nothing invalid is taken, and what is read back is what was sent.
 
 mod clients;
+mod deed;
 mod faults;
 mod judge;
 mod links;
 mod operator;
 mod processor_share;
 mod promises;
+mod raw_backend;
 mod storm;
 
 use crate::machines::{Machines, REGISTRY, STORE, ZONES, numbered, proxy_machine, proxy_program};
 use crate::standins::{Listed, Outside, backend, platform};
 use crate::steps::until_ready;
 use clients::PACE;
+use deed::DEEDS;
 use faults::{FaultPeriod, FaultTarget};
 use judge::{APPLY, CONTACT, Observation, State, Subject, Violation, longest_lag, violations};
 use miette::{Result, miette};
 use operator::{Operator, SERVICES};
-use promises::{Try, broken_promises};
+use promises::{CLIENTS, ONCE_SERVICE, Try, broken_promises, by_deed};
 use rand::SeedableRng;
 use rand::rngs::ChaCha8Rng;
 use std::cell::{Cell, RefCell};
@@ -65,10 +68,19 @@
     pub pressing: usize,
     /// Whether links are faulty, in place of processes.
     pub links: bool,
+    /// What backends do with requests that can't be repeated, by name.
+    pub deeds: Vec<&'static str>,
     /// The executable whose programs are run, where it is not this one.
     pub programs: Option<PathBuf>,
 }
 
+/// The deeds with these names, separated by commas; all that there are without names.
+pub fn chosen_deeds(names: Option<&str>) -> Result<Vec<&'static str>> {
+    let Some(names) = names else { return Ok(DEEDS.to_vec()) };
+    let named = |name: &str| DEEDS.into_iter().find(|deed| *deed == name);
+    names.split(',').map(|name| named(name).ok_or_else(|| miette!("no such deed: {name}"))).collect()
+}
+
 /// One proxy and its lives.
 struct ProxyPlace {
     zone: usize,
@@ -89,6 +101,7 @@
 struct Soak {
     begun: Instant,
     seed: u64,
+    deeds: Vec<&'static str>,
     chance: RefCell<ChaCha8Rng>,
     machines: RefCell<Machines>,
     proxies: Vec<ProxyPlace>,
@@ -140,6 +153,11 @@
                 Listed { id, service: service.into(), address, zone: (*name).to_owned(), state: "ready" };
             backend(&outside, listed).await.map_err(io)?;
         }
+        let address = machines.backend(zone, (SERVICES.len() * BACKENDS) as u8);
+        let id = format!("i-{ONCE_SERVICE}-{zone}-0");
+        let service = ONCE_SERVICE.to_owned();
+        let listed = Listed { id, service, address, zone: (*name).to_owned(), state: "ready" };
+        raw_backend::raw_backend(&outside, listed, zone).await.map_err(io)?;
     }
     Ok(outside)
 }
@@ -186,6 +204,7 @@
     let mut soak = Soak {
         begun: Instant::now(),
         seed: plan.seed,
+        deeds: plan.deeds.clone(),
         chance: RefCell::new(ChaCha8Rng::seed_from_u64(plan.seed)),
         controls: cores.iter().map(|(zone, core)| machines.control_of(*zone, *core)).collect(),
         machines: RefCell::new(machines),
@@ -232,7 +251,9 @@
         for _ in 0..plan.pressing {
             spawn_local(soak.clone().keep_asking(proxy, Duration::ZERO));
         }
-        spawn_local(soak.clone().keep_sending_once(proxy));
+        for client in 0..CLIENTS {
+            spawn_local(soak.clone().keep_sending_once(proxy, client));
+        }
     }
     spawn_local(soak.clone().operate());
     spawn_local(soak.clone().keep_reading());
@@ -309,6 +330,9 @@
     for (how, one, ran) in found.iter().take(MAX_REPORTED) {
         println!("  {how:?}: {} ({}) was answered {:?} and ran {ran} times", one.id, one.deed, one.status);
     }
+    for ((how, deed), count) in by_deed(&found) {
+        println!("  {how:?} with {deed}: {count}");
+    }
     println!("  {} requests that can't be repeated, {} promises broken", tries.len(), found.len());
     found.len()
 }
--- a/system/demo/src/soak/operator.rs
+++ b/system/demo/src/soak/operator.rs
@@ -1,9 +1,10 @@
 //! The operator of a soak: changes that follow each other, several at once, each sent until it has a clear answer.
 
 use super::judge::{State, Subject, Version};
-use super::promises::ONCE_PREFIX;
+use super::promises::{LONE_PREFIX, ONCE_PREFIX, ONCE_SERVICE, SINGLE_PREFIX, UPLOAD_PREFIX};
 use super::{BAD_PLACES, Soak};
 use crate::client::send;
+use crate::machines::ZONES;
 use crate::steps::HOST;
 use hyper::Method;
 use rand::seq::IndexedRandom;
@@ -94,6 +95,20 @@
     )
 }
 
+/// The routes whose requests can't be repeated.
+fn once_rules() -> [String; 4] {
+    let once = |name: &str, prefix: &str| {
+        rule(name, prefix, ONCE_SERVICE, 1, true).replace("\"idempotent\"", "\"non_idempotent\"")
+    };
+    let region = format!("\"allowedRegions\":[\"{}\"]", ZONES[0].1);
+    [
+        once("once", ONCE_PREFIX),
+        once("lone", LONE_PREFIX).replace("\"allowedRegions\":[]", &region),
+        once("single", SINGLE_PREFIX).replace("\"maxAttempts\":2", "\"maxAttempts\":1"),
+        once("load", UPLOAD_PREFIX).replace("non_idempotent", "upload"),
+    ]
+}
+
 fn tenant(tenant: usize, keys: &[String], revision: u64) -> String {
     format!(
         r#"{{"name":"tenant{tenant}","apiKeys":[{}],"priority":1,"ratePerS":0,"burst":0,"allowedRegions":[],"revision":"{revision:08x}"}}"#,
@@ -174,14 +189,14 @@
         }
         draft.services = SERVICES
             .iter()
+            .chain([&ONCE_SERVICE])
             .map(|name| format!(r#"{{"name":"{name}","healthCheckPath":"/health","maxConnections":200,"coldStart":"1s","coldPerS":50,"revision":"00000001"}}"#))
             .collect();
         draft.rules.push(rule(HOLDER, HELD_PLACE, SERVICES[0], 1, false));
         draft.rules.push(rule(OVERTAKEN, "/overtaken/", SERVICES[0], OVERTAKEN_REVISION, true));
         draft.tenants.push(tenant(OVERTAKEN_TENANT, &["\"fixed\"".into()], OVERTAKEN_REVISION));
         draft.tenants.push(tenant(HOLDER_TENANT, &[HELD_KEY.into()], 1));
-        let once = rule("once", ONCE_PREFIX, SERVICES[3], 1, true);
-        draft.rules.push(once.replace("\"idempotent\"", "\"non_idempotent\""));
+        draft.rules.extend(once_rules());
         self.places = vec![None; PLACES];
         self.keys = vec![None; KEYS];
         for place in 0..PLACES / 2 {
--- a/system/demo/src/standins.rs
+++ b/system/demo/src/standins.rs
@@ -122,19 +122,6 @@
     path.split('/').find_map(|part| part.strip_prefix("sleep-"))?.parse().ok()
 }
 
-/// The status that a path wants of a backend that has run the request: `/x/status-503/reel-7`.
-fn status_of(path: &str) -> Option<StatusCode> {
-    path.split('/').find_map(|part| part.strip_prefix("status-"))?.parse().ok()
-}
-
-/// Whether a path wants a backend to turn its request away: `/x/full/reel-7` all of them, `/x/full-in-0/reel-7` those of
-/// the zone with this number.
-fn turns_away(path: &str, backend: &str) -> bool {
-    let zone = backend.split('-').nth_back(1).unwrap_or_default();
-    path.split('/')
-        .any(|part| part == "full" || part.strip_prefix("full-in-").is_some_and(|full| full == zone))
-}
-
 async fn work(outside: Rc<Outside>, me: Rc<Listed>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let (head, body) = request.into_parts();
     let header =
@@ -157,11 +144,6 @@
     }
     let Ok(body) = body.collect().await else { return response };
     let bytes = body.to_bytes().len();
-    if turns_away(head.uri.path(), &me.id) {
-        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-        response.headers_mut().insert("fennelscale-not-executed", HeaderValue::from_static("1"));
-        return response;
-    }
     let (tenant, key) = (header("fennelscale-tenant-name"), head.headers.contains_key("x-api-key"));
     let (backend, zone) = (me.id.clone(), me.zone.clone());
     let path = head.uri.path().to_owned();
@@ -173,9 +155,6 @@
     if path.ends_with("/fail") {
         *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
     }
-    if let Some(status) = status_of(&path) {
-        *response.status_mut() = status;
-    }
     response.headers_mut().insert("fennelscale-response-signature", HeaderValue::from_static("sig"));
     response
 }
