--- a/crates/dataplane/src/back/backends.rs
+++ b/crates/dataplane/src/back/backends.rs
@@ -2,6 +2,7 @@
 
 use crate::back::break_rates::BreakRates;
 use crate::back::connection::{HttpConnection, Progress, is_descriptor_shortage};
+use crate::back::known_backend::{KnownBackend, stated_idle_timeout};
 use crate::back::run_together::is_run_together;
 use crate::back::workload::Workloads;
 use crate::lifecycle::Lifecycle;
@@ -38,8 +39,6 @@
 /// Connections are kept idle for this share of the time after which backends close them, so that the gateway
 /// closes them first.
 const IDLE_SHARE: f64 = 0.5;
-/// The same share where a backend states its idle timeout.
-const STATED_IDLE_SHARE: f64 = 0.8;
 /// Delay before a connection is retried when no file descriptor was available.
 const SHORTAGE_PAUSE: Duration = Duration::from_millis(5);
 /// The answer header that holds a load report.
@@ -91,41 +90,6 @@
     connection: ConnectionHistory,
 }
 
-struct Backend {
-    address: SocketAddr,
-    ready: bool,
-    /// Another backend has answered at this address.
-    replaced: bool,
-    /// When it last answered a request.
-    last_answer: Instant,
-    /// Idle connections with the start of their idle time; the most recently used one is last.
-    idle: Vec<(HttpConnection, Instant)>,
-    /// When it last sent bytes that belong to no request.
-    last_fault: Option<Instant>,
-    /// Its idle timeout for connections, if it states one.
-    idle_timeout: Option<Duration>,
-}
-
-impl Backend {
-    /// Whether new requests may be sent to it.
-    fn is_open(&self) -> bool {
-        self.ready && !self.replaced
-    }
-
-    /// How long an idle connection is trusted: a share of the backend's stated timeout, as the statement may
-    /// arrive late, or the default.
-    fn max_idle(&self, default: Duration) -> Duration {
-        self.idle_timeout.map_or(default, |timeout| timeout.mul_f64(STATED_IDLE_SHARE))
-    }
-}
-
-/// The idle timeout that a backend states in its `Keep-Alive` header.
-fn stated_idle_timeout(head: &response::Parts) -> Option<Duration> {
-    let text = head.headers.get("keep-alive")?.to_str().ok()?;
-    let timeout = text.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
-    timeout.trim().parse().ok().map(Duration::from_secs)
-}
-
 /// Counts a busy connection until it is dropped.
 struct Slot(Rc<Cell<usize>>);
 
@@ -155,7 +119,7 @@
 
 /// All backends known to this gateway, with their connection pools.
 pub struct Backends {
-    known: RefCell<HashMap<Name, Backend>>,
+    known: RefCell<HashMap<Name, KnownBackend>>,
     connect_timeout: Duration,
     max_idle: Duration,
     reports: LoadReportSource,
@@ -254,7 +218,7 @@
                 continue;
             }
             let ready = host.entry.state == BackendState::Ready;
-            let backend = known.entry(host.entry.name.clone()).or_insert_with(|| Backend {
+            let backend = known.entry(host.entry.name.clone()).or_insert_with(|| KnownBackend {
                 address: host.dial,
                 ready,
                 replaced: false,
@@ -276,7 +240,7 @@
             sleep(IDLE_CHECK_INTERVAL).await;
             for backend in self.known.borrow_mut().values_mut() {
                 let max_idle = backend.max_idle(self.max_idle);
-                let Backend { idle, last_fault, .. } = backend;
+                let KnownBackend { idle, last_fault, .. } = backend;
                 idle.retain(|(connection, since)| {
                     let is_alive = connection.is_alive();
                     if connection.fault().is_some() {
--- a/system/demo/src/main.rs
+++ b/system/demo/src/main.rs
@@ -72,7 +72,7 @@
         help = "in a soak, what backends do with requests that can't be repeated, in place of all that they can do",
         meta = "NAME,NAME"
     )]
-    deeds: Option<String>,
+    behaviors: Option<String>,
     #[options(
         no_short,
         help = "the executable whose programs a soak runs, in place of this one",
@@ -130,7 +130,7 @@
         proxy_share,
         pressing,
         links,
-        deeds,
+        behaviors,
         programs,
         ..
     } = arguments;
@@ -146,7 +146,7 @@
                     proxy_share: shares.then_some(proxy_share),
                     pressing,
                     links,
-                    deeds: soak::chosen_deeds(deeds.as_deref())?,
+                    behaviors: soak::chosen_behaviors(behaviors.as_deref())?,
                     programs,
                 };
                 soak::soak(plan, logs).await
--- a/system/demo/src/soak/deed.rs
+++ b/system/demo/src/soak/behavior.rs
@@ -10,7 +10,7 @@
 const FOREIGN_ID: &str = "00000000000000ff";
 
 /// All that clients ask for, by name; a name that stands twice is drawn twice as often.
-pub const DEEDS: [&str; 43] = [
+pub const BEHAVIORS: [&str; 43] = [
     "serve",
     "serve",
     "serve",
@@ -67,7 +67,7 @@
 
 /// How an answer is written.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Manner {
+pub enum WriteMode {
     /// At once.
     Whole,
     /// At once, and once more right behind it.
@@ -88,19 +88,19 @@
 
 /// What a backend does with one request.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Deed {
+pub struct Behavior {
     pub when: When,
     /// Whether it begins to work on the request.
     pub runs: bool,
     /// How long it works, in ms.
     pub work_ms: u64,
-    pub manner: Manner,
+    pub write_mode: WriteMode,
     pub answer: String,
 }
 
-/// The request that a deed is for, as its backend sees it.
+/// The request that a behavior is for, as its backend sees it.
 #[derive(Clone, Copy, Debug)]
-pub struct Visit<'a> {
+pub struct IncomingRequest<'a> {
     pub id: &'a str,
     pub instance: &'a str,
     pub zone: usize,
@@ -110,7 +110,7 @@
     pub kept: bool,
 }
 
-impl Visit<'_> {
+impl IncomingRequest<'_> {
     fn signed(&self) -> String {
         format!("{}Fennelscale-Response-Signature: sig\r\n", self.named(self.id))
     }
@@ -138,88 +138,92 @@
     format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
 }
 
-impl Deed {
+impl Behavior {
     /// Runs the request and gives this answer.
     fn run(answer: String) -> Self {
-        Self { when: When::Read, runs: true, work_ms: 0, manner: Manner::Whole, answer }
+        Self { when: When::Read, runs: true, work_ms: 0, write_mode: WriteMode::Whole, answer }
     }
 
     /// Turns the request away.
-    fn turn_away(visit: &Visit<'_>) -> Self {
-        Self { runs: false, ..Self::run(visit.refusal(&visit.named(visit.id))) }
+    fn turn_away(incoming: &IncomingRequest<'_>) -> Self {
+        Self { runs: false, ..Self::run(incoming.refusal(&incoming.named(incoming.id))) }
     }
 
     fn early(self) -> Self {
         Self { when: When::Early, ..self }
     }
 
-    fn written(self, manner: Manner) -> Self {
-        Self { manner, ..self }
+    fn written(self, write_mode: WriteMode) -> Self {
+        Self { write_mode, ..self }
     }
 
     /// Turns the first arrival of a request away, and runs it when it comes again.
-    fn full_once(visit: &Visit<'_>, manner: Manner) -> Self {
-        if visit.arrivals > 1 { Self::run(visit.success()) } else { Self::turn_away(visit).written(manner) }
+    fn full_once(incoming: &IncomingRequest<'_>, write_mode: WriteMode) -> Self {
+        if incoming.arrivals > 1 {
+            Self::run(incoming.success())
+        } else {
+            Self::turn_away(incoming).written(write_mode)
+        }
     }
 
     /// Runs the request, and says that another backend did not.
-    fn misdirect(visit: &Visit<'_>, name: &str) -> Self {
-        let headers = format!("Fennelscale-Request-Id: {}\r\n{name}", visit.id);
+    fn misdirected(incoming: &IncomingRequest<'_>, name: &str) -> Self {
+        let headers = format!("Fennelscale-Request-Id: {}\r\n{name}", incoming.id);
         Self::run(answer("421 Misdirected Request", &headers, "x\n"))
     }
 
     /// What is done by its name; a name that is not known is served.
-    pub fn of(name: &str, visit: &Visit<'_>) -> Self {
-        let success = || Self::run(visit.success());
+    pub fn of(name: &str, incoming: &IncomingRequest<'_>) -> Self {
+        let success = || Self::run(incoming.success());
         let number = |prefix: &str| name.strip_prefix(prefix).and_then(|rest| rest.parse::<u64>().ok());
         if let Some(work_ms) = number("sleep-") {
             return Self { work_ms, ..success() };
         }
         if let Some(zone) = number("full-in-") {
-            return if zone == visit.zone as u64 { Self::turn_away(visit) } else { success() };
+            return if zone == incoming.zone as u64 { Self::turn_away(incoming) } else { success() };
         }
         if let Some(status) = number("status-") {
-            return Self::run(answer(&format!("{status} Any"), &visit.signed(), "ran\n"));
+            return Self::run(answer(&format!("{status} Any"), &incoming.signed(), "ran\n"));
         }
         let not_executed = "Fennelscale-Not-Executed: 1\r\n";
         match name {
-            "full" => Self::turn_away(visit),
-            "full-then-late-copy" => Self::full_once(visit, Manner::LateCopy),
-            "full-then-copy" => Self::full_once(visit, Manner::Twice),
-            "full-then-close" => Self::full_once(visit, Manner::ThenClose),
-            "serve-then-late-copy" => success().written(Manner::LateCopy),
-            "serve-then-copy" => success().written(Manner::Twice),
-            "serve-then-close" => success().written(Manner::ThenClose),
-            "misdirected-unnamed" => Self::misdirect(visit, ""),
+            "full" => Self::turn_away(incoming),
+            "full-then-late-copy" => Self::full_once(incoming, WriteMode::LateCopy),
+            "full-then-copy" => Self::full_once(incoming, WriteMode::Twice),
+            "full-then-close" => Self::full_once(incoming, WriteMode::ThenClose),
+            "serve-then-late-copy" => success().written(WriteMode::LateCopy),
+            "serve-then-copy" => success().written(WriteMode::Twice),
+            "serve-then-close" => success().written(WriteMode::ThenClose),
+            "misdirected-unnamed" => Self::misdirected(incoming, ""),
             "misdirected-itself" => {
-                Self::misdirect(visit, &format!("Fennelscale-Instance-Id: {}\r\n", visit.instance))
+                Self::misdirected(incoming, &format!("Fennelscale-Instance-Id: {}\r\n", incoming.instance))
             }
-            "misdirected-late" if visit.kept => {
-                Self::misdirect(visit, "Fennelscale-Instance-Id: i-another\r\n")
+            "misdirected-late" if incoming.kept => {
+                Self::misdirected(incoming, "Fennelscale-Instance-Id: i-another\r\n")
             }
-            "run-together" => Self::run(format!("{CUT_REFUSAL}{}", visit.success())),
-            "foreign-refusal" => Self::run(visit.refusal(&visit.named(FOREIGN_ID))),
-            "unnamed-refusal" => Self::run(visit.refusal("")),
+            "run-together" => Self::run(format!("{CUT_REFUSAL}{}", incoming.success())),
+            "foreign-refusal" => Self::run(incoming.refusal(&incoming.named(FOREIGN_ID))),
+            "unnamed-refusal" => Self::run(incoming.refusal("")),
             "refusal-with-success" => {
-                let headers = format!("{}{not_executed}", visit.signed());
-                Self::run(answer("200 OK", &headers, &body_of(visit.id)))
+                let headers = format!("{}{not_executed}", incoming.signed());
+                Self::run(answer("200 OK", &headers, &body_of(incoming.id)))
             }
             "interim-refusal" => {
                 let interim = format!("HTTP/1.1 103 Early Hints\r\n{not_executed}\r\n");
-                Self::run(format!("{interim}{}", visit.success()))
+                Self::run(format!("{interim}{}", incoming.success()))
             }
-            "reset-at-head" => success().early().written(Manner::Reset),
-            "reset-after-run" => success().written(Manner::Reset),
-            "close-after-run" => success().written(Manner::Close),
-            "cut" => success().written(Manner::Cut),
-            "cut-refusal" => Self::turn_away(visit).written(Manner::Cut),
-            "garbage" => Self::run(GARBAGE.to_owned()).written(Manner::ThenClose),
-            "trickle" => success().written(Manner::Trickle),
-            "early-fail" => Self::run(answer("500 Failed", &visit.signed(), "ran\n")).early(),
+            "reset-at-head" => success().early().written(WriteMode::Reset),
+            "reset-after-run" => success().written(WriteMode::Reset),
+            "close-after-run" => success().written(WriteMode::Close),
+            "cut" => success().written(WriteMode::Cut),
+            "cut-refusal" => Self::turn_away(incoming).written(WriteMode::Cut),
+            "garbage" => Self::run(GARBAGE.to_owned()).written(WriteMode::ThenClose),
+            "trickle" => success().written(WriteMode::Trickle),
+            "early-fail" => Self::run(answer("500 Failed", &incoming.signed(), "ran\n")).early(),
             "early-serve" => success().early(),
-            "early-full" => Self::turn_away(visit).early(),
+            "early-full" => Self::turn_away(incoming).early(),
             "early-refusal-unvouched" => {
-                Self::run(answer("503 Service Unavailable", &visit.signed(), "ran\n")).early()
+                Self::run(answer("503 Service Unavailable", &incoming.signed(), "ran\n")).early()
             }
             _ => success(),
         }
@@ -230,35 +234,42 @@
 mod tests {
     use super::*;
 
-    fn visit(arrivals: usize) -> Visit<'static> {
-        Visit { id: "a1", instance: "i-x", zone: 1, arrivals, kept: true }
+    fn incoming(arrivals: usize) -> IncomingRequest<'static> {
+        IncomingRequest { id: "a1", instance: "i-x", zone: 1, arrivals, kept: true }
     }
 
     #[test]
-    fn each_deed_but_serving_does_something_else() {
-        let served = Deed::of("serve", &visit(1));
-        for name in DEEDS.iter().filter(|name| **name != "serve" && !name.starts_with("full-in-")) {
-            assert_ne!(Deed::of(name, &visit(1)), served, "{name}");
+    fn each_behavior_but_serving_differs_from_it() {
+        let served = Behavior::of("serve", &incoming(1));
+        for name in BEHAVIORS.iter().filter(|name| **name != "serve" && !name.starts_with("full-in-")) {
+            assert_ne!(Behavior::of(name, &incoming(1)), served, "{name}");
         }
-        assert!(Deed::of("full-in-0", &visit(1)).runs && !Deed::of("full-in-1", &visit(1)).runs);
+        assert!(
+            Behavior::of("full-in-0", &incoming(1)).runs && !Behavior::of("full-in-1", &incoming(1)).runs
+        );
     }
 
     #[test]
     fn only_a_backend_that_did_not_run_a_request_vouches_for_it() {
-        for name in DEEDS {
+        for name in BEHAVIORS {
             for arrivals in [1, 2] {
-                let deed = Deed::of(name, &visit(arrivals));
+                let behavior = Behavior::of(name, &incoming(arrivals));
                 let own = "Fennelscale-Request-Id: a1\r\nFennelscale-Instance-Id: i-x\r\n\
                            Fennelscale-Not-Executed: 1\r\n";
-                assert!(!(deed.runs && deed.answer.contains(&format!("503 Full\r\n{own}"))), "{name}");
+                assert!(
+                    !(behavior.runs && behavior.answer.contains(&format!("503 Full\r\n{own}"))),
+                    "{name}"
+                );
             }
         }
     }
 
     #[test]
     fn a_backend_that_was_full_once_runs_the_request_when_it_comes_again() {
-        let (first, second) =
-            (Deed::of("full-then-late-copy", &visit(1)), Deed::of("full-then-late-copy", &visit(2)));
-        assert_eq!((first.runs, first.manner, second.runs), (false, Manner::LateCopy, true));
+        let (first, second) = (
+            Behavior::of("full-then-late-copy", &incoming(1)),
+            Behavior::of("full-then-late-copy", &incoming(2)),
+        );
+        assert_eq!((first.runs, first.write_mode, second.runs), (false, WriteMode::LateCopy, true));
     }
 }
--- a/system/demo/src/soak/mod.rs
+++ b/system/demo/src/soak/mod.rs
@@ -2,8 +2,8 @@
 //! terminated, stopped and told to read their settings again, and clients keep their connections. Judged from outside alone
 //! ([`judge`]): what was acknowledged is in force in time everywhere, nothing goes back, nothing invalid is taken, and what is read back is what was sent.
 
+mod behavior;
 mod clients;
-mod deed;
 mod faults;
 mod judge;
 mod links;
@@ -16,13 +16,13 @@
 use crate::machines::{Machines, REGISTRY, STORE, ZONES, numbered, proxy_machine, proxy_program};
 use crate::standins::{Listed, Outside, backend, platform};
 use crate::steps::until_ready;
+use behavior::BEHAVIORS;
 use clients::PACE;
-use deed::DEEDS;
 use faults::{FaultPeriod, FaultTarget};
 use judge::{APPLY, CONTACT, Observation, State, Subject, Violation, longest_lag, violations};
 use miette::{Result, miette};
 use operator::{Operator, SERVICES};
-use promises::{CLIENTS, ONCE_SERVICE, Try, broken_promises, by_deed};
+use promises::{CLIENTS, ONCE_SERVICE, Try, broken_promises, by_behavior};
 use rand::SeedableRng;
 use rand::rngs::ChaCha8Rng;
 use std::cell::{Cell, RefCell};
@@ -69,16 +69,16 @@
     /// Whether links are faulty, in place of processes.
     pub links: bool,
     /// What backends do with requests that can't be repeated, by name.
-    pub deeds: Vec<&'static str>,
+    pub behaviors: Vec<&'static str>,
     /// The executable whose programs are run, where it is not this one.
     pub programs: Option<PathBuf>,
 }
 
-/// The deeds with these names, separated by commas; all that there are without names.
-pub fn chosen_deeds(names: Option<&str>) -> Result<Vec<&'static str>> {
-    let Some(names) = names else { return Ok(DEEDS.to_vec()) };
-    let named = |name: &str| DEEDS.into_iter().find(|deed| *deed == name);
-    names.split(',').map(|name| named(name).ok_or_else(|| miette!("no such deed: {name}"))).collect()
+/// The behaviors with these names, separated by commas; all that there are without names.
+pub fn chosen_behaviors(names: Option<&str>) -> Result<Vec<&'static str>> {
+    let Some(names) = names else { return Ok(BEHAVIORS.to_vec()) };
+    let named = |name: &str| BEHAVIORS.into_iter().find(|behavior| *behavior == name);
+    names.split(',').map(|name| named(name).ok_or_else(|| miette!("no such behavior: {name}"))).collect()
 }
 
 /// One proxy and its lives.
@@ -101,7 +101,7 @@
 struct Soak {
     begun: Instant,
     seed: u64,
-    deeds: Vec<&'static str>,
+    behaviors: Vec<&'static str>,
     chance: RefCell<ChaCha8Rng>,
     machines: RefCell<Machines>,
     proxies: Vec<ProxyPlace>,
@@ -204,7 +204,7 @@
     let mut soak = Soak {
         begun: Instant::now(),
         seed: plan.seed,
-        deeds: plan.deeds.clone(),
+        behaviors: plan.behaviors.clone(),
         chance: RefCell::new(ChaCha8Rng::seed_from_u64(plan.seed)),
         controls: cores.iter().map(|(zone, core)| machines.control_of(*zone, *core)).collect(),
         machines: RefCell::new(machines),
@@ -328,10 +328,13 @@
     }
     let found = broken_promises(&tries, &runs);
     for (how, one, ran) in found.iter().take(MAX_REPORTED) {
-        println!("  {how:?}: {} ({}) was answered {:?} and ran {ran} times", one.id, one.deed, one.status);
+        println!(
+            "  {how:?}: {} ({}) was answered {:?} and ran {ran} times",
+            one.id, one.behavior, one.status
+        );
     }
-    for ((how, deed), count) in by_deed(&found) {
-        println!("  {how:?} with {deed}: {count}");
+    for ((how, behavior), count) in by_behavior(&found) {
+        println!("  {how:?} with {behavior}: {count}");
     }
     println!("  {} requests that can't be repeated, {} promises broken", tries.len(), found.len());
     found.len()
--- a/system/demo/src/soak/promises.rs
+++ b/system/demo/src/soak/promises.rs
@@ -2,8 +2,8 @@
 //! client got a status that says that it did not and never will, and nobody gets the answer to another request.
 
 use super::Soak;
+use super::behavior::body_of;
 use super::clients::connect;
-use super::deed::body_of;
 use crate::steps::HOST;
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
@@ -54,7 +54,7 @@
     /// Its id.
     pub id: String,
     /// What its path asked of the backends.
-    pub deed: &'static str,
+    pub behavior: &'static str,
     /// The status of its answer; none without one.
     pub status: Option<u16>,
     /// Whether its answer is a success that is not its own.
@@ -92,11 +92,11 @@
     found
 }
 
-/// How often each rule was broken with each deed of the backends.
-pub fn by_deed(found: &[(BrokenPromise, &Try, usize)]) -> BTreeMap<(BrokenPromise, &'static str), usize> {
+/// How often each rule was broken with each behavior of the backends.
+pub fn by_behavior(found: &[(BrokenPromise, &Try, usize)]) -> BTreeMap<(BrokenPromise, &'static str), usize> {
     let mut counts = BTreeMap::new();
     for (how, one, _) in found {
-        *counts.entry((*how, one.deed)).or_default() += 1;
+        *counts.entry((*how, one.behavior)).or_default() += 1;
     }
     counts
 }
@@ -105,18 +105,18 @@
 struct DrawnRequest {
     id: String,
     prefix: &'static str,
-    deed: &'static str,
+    behavior: &'static str,
     deadline: &'static str,
     body_size: usize,
     is_chunked: bool,
 }
 
 impl DrawnRequest {
-    fn draw(id: String, deeds: &[&'static str], chance: &mut ChaCha8Rng) -> Self {
+    fn draw(id: String, behaviors: &[&'static str], chance: &mut ChaCha8Rng) -> Self {
         Self {
             id,
             prefix: PREFIXES[chance.random_range(0..PREFIXES.len())],
-            deed: deeds[chance.random_range(0..deeds.len())],
+            behavior: behaviors[chance.random_range(0..behaviors.len())],
             deadline: DEADLINES[chance.random_range(0..DEADLINES.len())],
             body_size: BODY_SIZES[chance.random_range(0..BODY_SIZES.len())],
             is_chunked: chance.random_bool(0.3),
@@ -148,7 +148,7 @@
             while !self.closed.get() && line.ready().await.is_ok() {
                 number += 1;
                 let id = format!("once{proxy:03x}{client:x}{number:08x}");
-                let request = DrawnRequest::draw(id, &self.deeds, &mut chance);
+                let request = DrawnRequest::draw(id, &self.behaviors, &mut chance);
                 let answer = send_once(&mut line, &request).await;
                 let status = answer.as_ref().map(|(status, _)| *status);
                 let is_foreign = answer.is_some_and(|(status, body)| {
@@ -158,7 +158,12 @@
                     "once {}",
                     status.map_or("no answer".into(), |status| status.to_string())
                 ));
-                self.tries.borrow_mut().push(Try { id: request.id, deed: request.deed, status, is_foreign });
+                self.tries.borrow_mut().push(Try {
+                    id: request.id,
+                    behavior: request.behavior,
+                    status,
+                    is_foreign,
+                });
                 if status.is_none() {
                     break;
                 }
@@ -169,7 +174,7 @@
 }
 
 async fn send_once(line: &mut SendRequest<OnceBody>, drawn: &DrawnRequest) -> Option<(u16, Bytes)> {
-    let request = Request::post(format!("{}{}/{}", drawn.prefix, drawn.deed, drawn.id))
+    let request = Request::post(format!("{}{}/{}", drawn.prefix, drawn.behavior, drawn.id))
         .header("Host", HOST)
         .header("Fennelscale-Request-Id", &drawn.id)
         .header("Fennelscale-Deadline-Ms", drawn.deadline)
@@ -189,7 +194,7 @@
 
     #[test]
     fn a_promise_is_broken_by_any_run_and_a_run_by_another_one() {
-        let one = |id: &str, status| Try { id: id.into(), deed: "serve", status, is_foreign: false };
+        let one = |id: &str, status| Try { id: id.into(), behavior: "serve", status, is_foreign: false };
         let tries = [
             one("a", Some(503)),
             one("b", Some(503)),
@@ -204,6 +209,6 @@
         let expected =
             [(BrokenPromise::Refused, "b"), (BrokenPromise::Twice, "e"), (BrokenPromise::Mixed, "f")];
         assert_eq!(ids, expected);
-        assert_eq!(by_deed(&found)[&(BrokenPromise::Twice, "serve")], 1);
+        assert_eq!(by_behavior(&found)[&(BrokenPromise::Twice, "serve")], 1);
     }
 }
--- a/system/demo/src/soak/raw_backend.rs
+++ b/system/demo/src/soak/raw_backend.rs
@@ -1,6 +1,6 @@
-//! A backend of a soak on raw sockets: it does with each request what the request's path says ([`Deed`]).
+//! A backend of a soak on raw sockets: it does with each request what the request's path says ([`Behavior`]).
 
-use super::deed::{Deed, Manner, Visit, When};
+use super::behavior::{Behavior, IncomingRequest, When, WriteMode};
 use crate::standins::{Listed, Outside, Run};
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -71,17 +71,17 @@
                 stream.write_all(answer.as_bytes()).await?;
                 continue;
             }
-            let deed = self.deed(&head, kept);
-            if deed.when == When::Read {
+            let behavior = self.behavior(&head, kept);
+            if behavior.when == When::Read {
                 read_body(&mut stream, &head, &mut bytes).await?;
             }
-            self.record(&head, &deed);
-            sleep(Duration::from_millis(deed.work_ms)).await;
-            late_copy = (deed.manner == Manner::LateCopy).then(|| deed.answer.clone());
-            if !write_answer(&mut stream, &deed).await? {
+            self.record(&head, &behavior);
+            sleep(Duration::from_millis(behavior.work_ms)).await;
+            late_copy = (behavior.write_mode == WriteMode::LateCopy).then(|| behavior.answer.clone());
+            if !write_answer(&mut stream, &behavior).await? {
                 return Ok(());
             }
-            if deed.when == When::Early {
+            if behavior.when == When::Early {
                 read_body(&mut stream, &head, &mut bytes).await?;
             }
             kept = true;
@@ -89,28 +89,35 @@
     }
 
     /// What to do with a request.
-    fn deed(&self, head: &Head, kept: bool) -> Deed {
+    fn behavior(&self, head: &Head, kept: bool) -> Behavior {
         let arrivals = {
             let mut arrivals = self.arrivals.borrow_mut();
             let count = arrivals.entry(head.id.clone()).or_default();
             *count += 1;
             *count
         };
-        let visit = Visit { id: &head.id, instance: &self.listed.id, zone: self.zone, arrivals, kept };
+        let incoming =
+            IncomingRequest { id: &head.id, instance: &self.listed.id, zone: self.zone, arrivals, kept };
         if head.expected_instance != self.listed.id {
             let answer = format!(
                 "HTTP/1.1 421 Misdirected Request\r\nFennelscale-Request-Id: {}\r\nFennelscale-Instance-Id: {}\r\n\
                  Content-Length: 0\r\n\r\n",
                 head.id, self.listed.id
             );
-            return Deed { when: When::Read, runs: false, work_ms: 0, manner: Manner::Whole, answer };
+            return Behavior {
+                when: When::Read,
+                runs: false,
+                work_ms: 0,
+                write_mode: WriteMode::Whole,
+                answer,
+            };
         }
         // `/PREFIX/DEED/ID`
-        Deed::of(head.path.split('/').nth(2).unwrap_or_default(), &visit)
+        Behavior::of(head.path.split('/').nth(2).unwrap_or_default(), &incoming)
     }
 
-    fn record(&self, head: &Head, deed: &Deed) {
-        if deed.runs {
+    fn record(&self, head: &Head, behavior: &Behavior) {
+        if behavior.runs {
             self.outside.runs.borrow_mut().push(Run {
                 backend: self.listed.id.clone(),
                 zone: self.listed.zone.clone(),
@@ -126,27 +133,27 @@
 }
 
 /// Writes an answer. Returns whether the connection can carry another request.
-async fn write_answer(stream: &mut TcpStream, deed: &Deed) -> io::Result<bool> {
-    let answer = deed.answer.as_bytes();
-    match deed.manner {
-        Manner::Whole | Manner::LateCopy => stream.write_all(answer).await?,
-        Manner::Twice => stream.write_all(&[answer, answer].concat()).await?,
-        Manner::Trickle => {
+async fn write_answer(stream: &mut TcpStream, behavior: &Behavior) -> io::Result<bool> {
+    let answer = behavior.answer.as_bytes();
+    match behavior.write_mode {
+        WriteMode::Whole | WriteMode::LateCopy => stream.write_all(answer).await?,
+        WriteMode::Twice => stream.write_all(&[answer, answer].concat()).await?,
+        WriteMode::Trickle => {
             for piece in answer.chunks(PIECE) {
                 stream.write_all(piece).await?;
                 sleep(PIECE_PAUSE).await;
             }
         }
-        Manner::Cut => {
+        WriteMode::Cut => {
             stream.write_all(&answer[..answer.len() - MISSING]).await?;
             return Ok(false);
         }
-        Manner::ThenClose => {
+        WriteMode::ThenClose => {
             stream.write_all(answer).await?;
             return Ok(false);
         }
-        Manner::Close => return Ok(false),
-        Manner::Reset => {
+        WriteMode::Close => return Ok(false),
+        WriteMode::Reset => {
             stream.set_zero_linger()?;
             return Ok(false);
         }
