Proxy tests: of two requests written at once, a refusal of the first says nothing of the second

A path of the incident's list, shown on the present code. 413 ahead of a body that is missing ends the connection, and what follows is not taken for another request.

--- a/system/proxy/tests/promises.rs
+++ b/system/proxy/tests/promises.rs
@@ -6,6 +6,7 @@
 use helper::two_backends::TwoBackends;
 use helper::upload_backend::{EarlyAction, answer, signed_answer};
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 /// Statuses that promise a client that its request has not run and never will.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
@@ -286,6 +287,45 @@
     });
 }
 
+/// The bytes of a request with a small body, whose stated size may be another, and with these further headers.
+fn request_bytes(id: &str, stated_size: usize, headers: &str) -> String {
+    format!(
+        "POST /take HTTP/1.1\r\nHost: music.example\r\nFennelscale-Request-Id: {id}\r\n\
+         Fennelscale-Deadline-Ms: 60000\r\n{headers}Content-Length: {stated_size}\r\n\r\nbody"
+    )
+}
+
+/// The statuses of the answers to these bytes on a connection of their own, which is read to its end.
+async fn statuses_of(deployment: &Deployment, requests: &str) -> Vec<u16> {
+    let mut client = deployment.0.test_bed.connect().await;
+    client.write_all(requests.as_bytes()).await.expect("written");
+    let mut bytes = Vec::new();
+    // Bytes that nobody reads any more may end the connection with a reset.
+    while client.read_buf(&mut bytes).await.is_ok_and(|read| read > 0) {}
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    let lines = text.split("HTTP/1.1 ").skip(1);
+    lines.filter_map(|line| line.get(..3)?.parse().ok()).collect()
+}
+
+/// Guards against REFUSED: an answer that the proxy gives before it has read all must not stand for the request behind it.
+#[test]
+fn of_two_requests_written_at_once_a_refusal_of_the_first_says_nothing_of_the_second() {
+    helper::run(async {
+        let deployment = Deployment::start(14).await;
+        let (first, second) = (request_bytes("a1", 4, ""), request_bytes("a2", 4, "Connection: close\r\n"));
+        for backend in [&deployment.0.preferred, &deployment.0.spare] {
+            let refusal = runs_and_answers(&turned_away("503 Full"));
+            backend.choose(move |id| if id == "a1" { refusal.clone() } else { EarlyAction::None });
+        }
+        assert_eq!(statuses_of(&deployment, &format!("{first}{second}")).await, [503, 200]);
+        let before = deployment.arrivals();
+        // The rest of the first body is missing; what follows must not be taken for another request.
+        let too_large = request_bytes("a3", 1 << 30, "");
+        assert_eq!(statuses_of(&deployment, &format!("{too_large}{second}")).await, [413]);
+        assert_eq!(deployment.arrivals(), before, "what followed was run");
+    });
+}
+
 /// What an operator sees of it: whose promise it was, and how it was taken.
 #[test]
 fn metrics_tell_whose_promise_a_client_was_given() {
