--- a/system/demo/src/soak/behavior.rs
+++ b/system/demo/src/soak/behavior.rs
@@ -2,9 +2,9 @@
 //!
 //! The protocol allows all of it, or the rules bind whatever backends do.
 
-/// The parts of answers that never fit together.
+/// A refusal that breaks off within a header.
 const CUT_REFUSAL: &str = "HTTP/1.1 503 Full\r\nFennelscale-Not-Executed: 1\r\nX-Load: 0.";
-/// No bytes of HTTP.
+/// Bytes that are not HTTP.
 const GARBAGE: &str = "\u{1}\u{2}garbage\r\n\r\n";
 /// The id of a request that no client sent.
 const FOREIGN_ID: &str = "00000000000000ff";
--- a/system/demo/tests/demo.rs
+++ b/system/demo/tests/demo.rs
@@ -74,7 +74,8 @@
 
 /// The incident of requests that ran after a promise, and of invalid calls that were acknowledged because later versions had overtaken them: six
 /// core machines whose faults overlap, backends with every status that promises. Before the repair a client in five was promised what was not so, and four
-/// invalid calls of this seed were taken.
+/// invalid calls of this seed were taken. Its backends also refuse twice, answer as others, and run answers together: each a way in which a client was
+/// told that a request had not run that a backend ran.
 #[test]
 fn promises_and_changes_hold_while_faults_of_core_machines_overlap() {
     let _alone = alone();
