Proxy: request bodies are charged by what they cost, until nothing holds them

What callers saw: a proxy among clients with many chunked bodies, in large or in very small chunks, most a byte short of their end, outgrew memoryMb. Whole bodies for a silent backend did the same.

Cause: a body was charged by its stated length, which a chunked one lacks, only while it was read, and given back by a statement behind the wait, which does not run where the future is dropped. Each piece of a body was kept by itself, and the whole copied once more. The share for bodies (0.4) was below one body of the largest size.

Change: package fennelscale-memory. A ledger bounds the sum; a reservation gives back when it is dropped; a body is copied into one piece as it comes, into a mapping of its own where it is over 64 KiB, and holds its reservation until its last reference is gone. memoryMb is divided: 0.425 long bodies, 0.125 short ones, 0.25 connections, 0.2 the process. memmap2 for the mappings, through its safe functions.

Tests: five crowds on a process of its own, 64 MB, bodies to 8 MiB; one body of 64 MiB with 160, 256 and 260 MB.

--- /dev/null
+++ b/crates/memory/src/lib.rs
@@ -0,0 +1,10 @@
+//! The memory that a process holds for its callers: request bodies, answers and large heads.
+//!
+//! A [`ledger::MemoryLedger`] bounds the sum. What is held is charged by a [`ledger::Reservation`], which gives it back
+//! when it is dropped, so that a cancelled wait, a closed connection or a lost race cannot keep it. A
+//! [`buffer::BodyBuffer`] keeps a body in one piece together with its reservation, and [`read`] fills it from the
+//! HTTP library.
+
+pub mod buffer;
+pub mod ledger;
+pub mod read;
--- /dev/null
+++ b/crates/memory/src/read.rs
@@ -0,0 +1,92 @@
+//! Reads bodies from the HTTP library into memory that is charged.
+
+use crate::buffer::BodyBuffer;
+use crate::ledger::{MemoryLedger, NoMemory, SMALL_SIZE};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use std::sync::Arc;
+use thiserror::Error;
+
+/// Why a body was not read.
+#[derive(Debug, Error)]
+pub enum ReadError {
+    /// It is longer than allowed.
+    #[error("the body is longer than allowed")]
+    TooLong,
+    /// There is no memory for it.
+    #[error(transparent)]
+    NoMemory(#[from] NoMemory),
+    /// It ended early or is not well-formed.
+    #[error("the body ended early")]
+    Broken(#[source] hyper::Error),
+}
+
+/// Reads a body of at most `max_length` bytes; refuses it as soon as there is no memory for it.
+///
+/// # Errors
+/// If the body cannot be read whole, or there is no memory for it.
+pub async fn read_or_refuse(
+    body: Incoming, max_length: usize, ledger: &Arc<MemoryLedger>,
+) -> Result<Bytes, ReadError> {
+    let stated = check_stated_length(&body, max_length)?;
+    ledger.check(stated.unwrap_or_default())?;
+    let buffer = BodyBuffer::new(ledger, stated.unwrap_or(max_length));
+    Ok(fill(buffer, body, max_length).await?.into_bytes())
+}
+
+/// Reads a body of at most `max_length` bytes; waits for memory where there is none. The sender is not read from
+/// meanwhile. Memory for the whole body is reserved before more than a little of it is read: bodies that each hold a
+/// part could wait for each other. The caller bounds the wait.
+///
+/// # Errors
+/// If the body cannot be read whole, or is longer than all memory for callers.
+pub async fn read_when_free(
+    mut body: Incoming, max_length: usize, ledger: &Arc<MemoryLedger>,
+) -> Result<Bytes, ReadError> {
+    let max_length = max_length.min(ledger.largest_reservation());
+    let stated = check_stated_length(&body, max_length)?;
+    let mut buffer = BodyBuffer::new(ledger, stated.unwrap_or(max_length));
+    let (mut reserved, whole) = match stated {
+        Some(length) => (length, length),
+        None => (SMALL_SIZE.min(max_length), max_length),
+    };
+    buffer.reserve_when_free(reserved).await?;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(ReadError::Broken)?;
+        let Some(piece) = frame.data_ref() else { continue };
+        let length = buffer.len() + piece.len();
+        if length > max_length {
+            return Err(ReadError::TooLong);
+        }
+        if length > reserved {
+            buffer.reserve_when_free(whole).await?;
+            reserved = whole;
+        }
+        buffer.append(piece)?;
+    }
+    Ok(buffer.into_bytes())
+}
+
+/// The length that a body states; an error if it is too long.
+fn check_stated_length(body: &Incoming, max_length: usize) -> Result<Option<usize>, ReadError> {
+    let hint = body.size_hint();
+    if hint.lower() > max_length as u64 {
+        return Err(ReadError::TooLong);
+    }
+    Ok(hint.exact().and_then(|length| usize::try_from(length).ok()))
+}
+
+async fn fill(
+    mut buffer: BodyBuffer, mut body: Incoming, max_length: usize,
+) -> Result<BodyBuffer, ReadError> {
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(ReadError::Broken)?;
+        let Some(piece) = frame.data_ref() else { continue };
+        if buffer.len() + piece.len() > max_length {
+            return Err(ReadError::TooLong);
+        }
+        buffer.append(piece)?;
+    }
+    Ok(buffer)
+}
--- a/system/proxy/src/frontend.rs
+++ b/system/proxy/src/frontend.rs
@@ -18,9 +18,10 @@
 use fennelscale_fault_injection::{Caller, FailureKind, Verdict};
 use fennelscale_host::call::ApiRequest;
 use fennelscale_host::error::Kind;
+use fennelscale_memory::read::{ReadError, read_or_refuse};
 use fennelscale_settings::admission::Admission;
 use fennelscale_settings::units::Quantity;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderValue, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
@@ -53,16 +54,12 @@
 const NOT_READY_RETRY_AFTER: f64 = 300.0;
 /// Longer bodies are refused whatever the configuration allows, since bodies are held in memory.
 const MAX_BODY: usize = 64 << 20;
-/// Maximum share of the memory limit for all bodies together.
-const BODY_MEMORY_SHARE: f64 = 0.4;
 
 /// The client side of the proxy.
 pub struct Frontend {
     proxy: Rc<Proxy>,
     acceptor: Rc<Acceptor>,
     refusing: Cell<bool>,
-    /// Bytes of request bodies that are being read.
-    body_bytes: Cell<usize>,
 }
 
 /// The answer to a readiness check: whether the platform may send clients to this proxy. None for another
@@ -97,7 +94,7 @@
         admission.pace.head = Quantity::of(idle);
         let acceptor = Acceptor::new(admission, budget);
         proxy.set_acceptor(acceptor.clone());
-        Rc::new(Self { proxy, acceptor, refusing: Cell::new(false), body_bytes: Cell::new(0) })
+        Rc::new(Self { proxy, acceptor, refusing: Cell::new(false) })
     }
 
     /// Serves clients until `end`, then lets connected clients finish within `grace`.
@@ -365,24 +362,15 @@
     }
 
     async fn read_body(&self, body: Incoming, max_body: usize) -> Result<Bytes, Refusal> {
-        let expected = body.size_hint().exact().unwrap_or(0) as usize;
-        let max_bytes = (self.proxy.settings.limits.memory as f64 * BODY_MEMORY_SHARE) as usize;
-        if self.body_bytes.get() + expected > max_bytes {
-            return Err(Refusal::with_retry_after(
+        match read_or_refuse(body, max_body, &self.proxy.memory).await {
+            Ok(body) => Ok(body),
+            Err(ReadError::TooLong) => Err(Refusal::new(Kind::TooLarge, "the body is too large")),
+            Err(ReadError::Broken(_)) => Err(Refusal::new(Kind::Malformed, "the body ended early")),
+            Err(ReadError::NoMemory(_)) => Err(Refusal::with_retry_after(
                 Kind::Overloaded,
                 "no memory for this body now",
                 NOT_READY_RETRY_AFTER,
-            ));
-        }
-        self.body_bytes.set(self.body_bytes.get() + expected);
-        let read = Limited::new(body, max_body).collect().await;
-        self.body_bytes.set(self.body_bytes.get() - expected);
-        match read {
-            Ok(body) => Ok(body.to_bytes()),
-            Err(error) if error.is::<LengthLimitError>() => {
-                Err(Refusal::new(Kind::TooLarge, "the body is too large"))
-            }
-            Err(_) => Err(Refusal::new(Kind::Malformed, "the body ended early")),
+            )),
         }
     }
 
--- a/system/proxy/src/lib.rs
+++ b/system/proxy/src/lib.rs
@@ -10,6 +10,7 @@
 mod failure_injection;
 mod frontend;
 mod headers;
+mod memory_limits;
 mod metrics;
 mod peer_sync;
 mod proxy;
--- a/system/proxy/src/proxy.rs
+++ b/system/proxy/src/proxy.rs
@@ -5,6 +5,7 @@
 mod quota;
 
 use crate::frontend::Frontend;
+use crate::memory_limits::MemoryLimits;
 use crate::metrics::{self, Metrics};
 use crate::peer_sync;
 use crate::request_trace::RequestTrace;
@@ -20,6 +21,7 @@
 use fennelscale_host::start::{self, Signals};
 use fennelscale_host::{call, spawn};
 use fennelscale_maintenance::clock::TimeInterval;
+use fennelscale_memory::ledger::MemoryLedger;
 use fennelscale_messages::Host;
 use fennelscale_messages::session::{
     ProxyInfo, ProxyMessage, ProxyToRegistry, RegistryInfo, RegistryToProxy,
@@ -30,6 +32,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 use tokio::time::sleep;
@@ -63,6 +66,8 @@
     incarnation: u64,
     pub routing_state: RefCell<RoutingState>,
     pub services: ServiceEngines,
+    /// What is held for callers.
+    pub memory: Arc<MemoryLedger>,
     cache: RefCell<LeaseCache>,
     /// Decides which retries come too late for their target latency.
     pub timely: RefCell<LatenessDetector>,
@@ -111,7 +116,10 @@
         Some(port) => Some(start::listen(SocketAddr::new(settings.ip, port)).await?),
         None => None,
     };
+    let memory_limits = MemoryLimits::divide(settings.limits.memory);
+    let memory = MemoryLedger::new(memory_limits.pools);
     let budget = Budget::divide(settings.limits.descriptors.saturating_sub(RESERVED_DESCRIPTORS), 0, 0, 0);
+    let budget = memory_limits.restrict(budget);
     let location = ProxyLocation {
         host,
         zone: settings.zone.clone(),
@@ -136,6 +144,7 @@
         incarnation,
         routing_state: RefCell::new(RoutingState::new(location)),
         services,
+        memory,
         cache: RefCell::new(LeaseCache::new(0.0, incarnation)),
         timely: RefCell::default(),
         waiting: RefCell::default(),
--- a/system/proxy/tests/helper/mod.rs
+++ b/system/proxy/tests/helper/mod.rs
@@ -2,6 +2,8 @@
 //! process.
 #![allow(dead_code)]
 
+pub mod process;
+pub mod sized_backend;
 pub mod two_backends;
 pub mod upload_backend;
 
@@ -86,6 +88,16 @@
     next_request: Cell<u64>,
     /// What the link from the registry to the proxy carries, if it is narrow.
     bytes_per_s: Cell<Option<usize>>,
+    limits: Cell<ProcessLimits>,
+}
+
+/// The limits on memory and descriptors in the proxy's settings.
+#[derive(Clone, Copy, Debug)]
+pub struct ProcessLimits {
+    /// `memoryMb`.
+    pub memory_mb: u64,
+    /// `maxFileDescriptors`.
+    pub descriptors: usize,
 }
 
 impl TestBed {
@@ -94,7 +106,20 @@
         let process = std::process::id();
         let net = 1 + (process / 600 % 250) as u8;
         let base = 20_000 + (process % 600) as u16 * 16;
-        Self { net, number, base, next_request: Cell::new(0), bytes_per_s: Cell::new(None) }
+        Self {
+            net,
+            number,
+            base,
+            next_request: Cell::new(0),
+            bytes_per_s: Cell::new(None),
+            limits: Cell::new(ProcessLimits { memory_mb: 256, descriptors: 2000 }),
+        }
+    }
+
+    /// The same with these limits in the proxy's settings.
+    pub fn with_limits(self, limits: ProcessLimits) -> Self {
+        self.limits.set(limits);
+        self
     }
 
     /// The address of a machine.
@@ -170,8 +195,13 @@
     }
 
     fn settings(&self) -> Settings {
+        Settings::parse(&self.settings_text()).expect("settings of a proxy")
+    }
+
+    fn settings_text(&self) -> String {
+        let ProcessLimits { memory_mb, descriptors } = self.limits.get();
         let (ip, first) = (self.ip(PROXY), self.base);
-        let text = format!(
+        format!(
             r#"nodeName = "proxy-under-test"
 role = "proxy"
 machineClass = "frontend"
@@ -192,8 +222,8 @@
 frontend = "{frontend}"
 readiness = "{readiness}"
 [limits]
-memoryMb = 256
-maxFileDescriptors = 2000
+memoryMb = {memory_mb}
+maxFileDescriptors = {descriptors}
 diskMb = 0
 [faultTolerance]
 machineLosses = 1
@@ -209,8 +239,7 @@
             frontend = self.at(PROXY, FRONTEND_PORT),
             readiness = self.at(PROXY, READINESS_PORT),
             platform = self.at(REGISTRY, 11),
-        );
-        Settings::parse(&text).expect("settings of a proxy")
+        )
     }
 }
 
@@ -386,6 +415,17 @@
         Self::start_with(test_bed, &[], launch).await
     }
 
+    /// The same with the proxy as a process of its own.
+    pub async fn start_process(test_bed: &TestBed) -> (Self, process::ProxyProcess) {
+        let started = Rc::<RefCell<Option<process::ProxyProcess>>>::default();
+        let launched = started.clone();
+        let text = test_bed.settings_text();
+        let launch = move |_, _| *launched.borrow_mut() = Some(process::ProxyProcess::start(&text));
+        let proxy = Self::start_with(test_bed, &[], launch).await;
+        let process = started.take().expect("the proxy was started");
+        (proxy, process)
+    }
+
     async fn start_with(
         test_bed: &TestBed, others: &[(Host, &str)], launch: impl FnOnce(Settings, u16),
     ) -> Self {
@@ -421,6 +461,14 @@
         self.send_changes(revision, changes);
     }
 
+    /// Sends limits by which a body may have this many bytes.
+    pub fn send_max_body(&self, revision: u64, bytes: usize) {
+        let call =
+            format!(r#"{{"upsert":{{"limits":{{"maxBodyBytes":{bytes},"revision":"{revision:08x}"}}}}}}"#);
+        let changes = parse_call(call.as_bytes()).expect("limits");
+        self.send_changes(revision, changes);
+    }
+
     /// Sends so many new routes in one message.
     pub fn send_routes(&self, revision: u64, count: usize) {
         let rule = |number: usize| {
--- /dev/null
+++ b/system/proxy/tests/misbehaving_clients.rs
@@ -0,0 +1,231 @@
+//! Tests the proxy as a process of its own among clients that do not behave: it lives, its memory and its open
+//! descriptors stay within its settings, and an ordinary request is answered afterwards.
+//!
+//! The limits, the crowds and the bounds are fixed: the bounds are those of the settings.
+
+mod helper;
+
+use helper::process::ProxyProcess;
+use helper::sized_backend::{self, SILENT};
+use helper::{ProcessLimits, Proxy, TestBed};
+use std::future::Future;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+/// The limits of the process in most tests, and the largest body that its configuration allows.
+const LOW_LIMITS: ProcessLimits = ProcessLimits { memory_mb: 64, descriptors: 800 };
+const MAX_BODY: usize = 8 << 20;
+/// Bytes of `memoryMb`.
+const MEGABYTE: u64 = 1_000_000;
+/// Descriptors that stay reserved for files.
+const RESERVED_DESCRIPTORS: usize = 200;
+/// A client that can neither write nor read for so long stays as it is.
+const STALLED: Duration = Duration::from_secs(3);
+/// A process that uses so little of the processor between two looks, so many times, has nothing left to do.
+const SETTLE_INTERVAL: Duration = Duration::from_millis(200);
+const IDLE_TICKS: u64 = 1;
+const SETTLED_CHECKS: usize = 4;
+const MOST_SETTLE_CHECKS: usize = 300;
+/// Bodies and answers of most crowds, inside [`MAX_BODY`].
+const LARGE: usize = 7_000_000;
+const CHUNK: usize = 1 << 20;
+/// Number of clients of most crowds. Together they send or ask for far more than the memory.
+const CROWD: usize = 16;
+
+/// The tests of this program run one at a time.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+/// A proxy process with its backend.
+struct Scene {
+    test_bed: TestBed,
+    process: ProxyProcess,
+    limits: ProcessLimits,
+}
+
+impl Scene {
+    async fn start(number: u8, limits: ProcessLimits, max_body: usize) -> Self {
+        let test_bed = TestBed::new(number).with_limits(limits);
+        let backend = sized_backend::start(&test_bed).await;
+        let (proxy, process) = Proxy::start_process(&test_bed).await;
+        proxy.send_max_body(2, max_body);
+        proxy.send_list(1, vec![backend]).await;
+        drop(proxy);
+        Self { test_bed, process, limits }
+    }
+
+    /// The head of a request up to the headers of its body.
+    fn head(&self, path: &str) -> String {
+        let id = self.test_bed.next_id();
+        format!(
+            "POST {path} HTTP/1.1\r\nHost: music.example\r\nFennelscale-Request-Id: {id}\r\nFennelscale-Deadline-Ms: 100000\r\n"
+        )
+    }
+
+    /// A client that writes all of `pieces`, as far as the proxy takes them, and stays open without reading.
+    async fn write(&self, head: &str, pieces: impl Iterator<Item = Vec<u8>>) -> TcpStream {
+        let mut stream = self.test_bed.connect().await;
+        let _ = stream.write_all(head.as_bytes()).await;
+        for piece in pieces {
+            match timeout(STALLED, stream.write_all(&piece)).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) | Err(_) => break,
+            }
+        }
+        stream
+    }
+
+    /// A client with a chunked body of `size` bytes in chunks of `chunk`, a byte short of its end.
+    async fn chunked_a_byte_short(&self, size: usize, chunk: usize) -> TcpStream {
+        let head = self.head("/upload/") + "Transfer-Encoding: chunked\r\n\r\n";
+        let one = |length: usize| {
+            let mut bytes = format!("{length:x}\r\n").into_bytes();
+            bytes.resize(bytes.len() + length, b'x');
+            bytes.extend_from_slice(b"\r\n");
+            bytes
+        };
+        // Small chunks are written by the thousand.
+        let batch = (CHUNK / chunk).clamp(1, 10_000);
+        let batches = (size - 1) / (chunk * batch);
+        let rest = size - 1 - batches * chunk * batch;
+        let whole = one(chunk).repeat(batch);
+        let last = one(rest.max(1));
+        self.write(&head, (0..batches).map(|_| whole.clone()).chain([last])).await
+    }
+
+    /// A client with a body of this length, of which it withholds the last bytes.
+    async fn with_length(&self, path: &str, length: usize, withheld: usize) -> TcpStream {
+        let head = self.head(path) + &format!("Content-Length: {length}\r\n\r\n");
+        self.write(&head, [vec![b'x'; length - withheld]].into_iter()).await
+    }
+
+    /// Checks what must hold at any time.
+    fn check(&mut self) {
+        assert!(self.process.is_alive(), "the process has ended");
+        let (peak, most) = (self.process.peak_memory(), self.limits.memory_mb * MEGABYTE);
+        let (open, most_open) = (self.process.descriptors(), self.limits.descriptors - RESERVED_DESCRIPTORS);
+        eprintln!("peak memory {peak} of {most} bytes, {open} of {most_open} descriptors");
+        assert!(peak <= most, "memory rose to {peak} of {most} bytes");
+        assert!(open <= most_open, "{open} of {most_open} descriptors are open");
+    }
+
+    /// Waits until the process has done what the crowd has given it to do, as far as it will.
+    async fn settle(&mut self) {
+        let (mut still, mut ticks) = (0, 0);
+        for _ in 0..MOST_SETTLE_CHECKS {
+            sleep(SETTLE_INTERVAL).await;
+            assert!(self.process.is_alive(), "the process has ended");
+            let now = self.process.processor_ticks();
+            still = if now <= ticks + IDLE_TICKS { still + 1 } else { 0 };
+            ticks = now;
+            if still == SETTLED_CHECKS {
+                return;
+            }
+        }
+    }
+
+    /// Checks the process beside the crowd and after it, and that an ordinary request is answered then.
+    async fn check_and_dismiss<T>(&mut self, crowd: Vec<T>) {
+        self.settle().await;
+        self.check();
+        drop(crowd);
+        assert_eq!(self.test_bed.request("/ordinary").await.ok(), Some(200), "an ordinary request");
+        self.check();
+    }
+}
+
+/// Plays a crowd of `count` clients on a proxy with low limits.
+fn play(number: u8, scene: impl AsyncFn(&mut Scene)) {
+    play_with(number, LOW_LIMITS, MAX_BODY, scene);
+}
+
+fn play_with(number: u8, limits: ProcessLimits, max_body: usize, play: impl AsyncFn(&mut Scene)) {
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    helper::run(async {
+        let mut scene = Scene::start(number, limits, max_body).await;
+        play(&mut scene).await;
+    });
+}
+
+/// Waits for all at once.
+async fn all<T>(futures: impl Iterator<Item = impl Future<Output = T>>) -> Vec<T> {
+    let mut futures: Vec<_> = futures.map(|future| (Box::pin(future), None)).collect();
+    std::future::poll_fn(|context| {
+        for (future, output) in &mut futures {
+            if output.is_none()
+                && let std::task::Poll::Ready(value) = future.as_mut().poll(context)
+            {
+                *output = Some(value);
+            }
+        }
+        if futures.iter().all(|(_, output)| output.is_some()) {
+            std::task::Poll::Ready(())
+        } else {
+            std::task::Poll::Pending
+        }
+    })
+    .await;
+    futures.into_iter().filter_map(|(_, output)| output).collect()
+}
+
+/// Guards against running out of memory: bodies without a length were not counted.
+#[test]
+fn many_chunked_bodies_a_byte_short_of_their_end() {
+    play(1, async |scene| {
+        let crowd = all((0..CROWD).map(|_| scene.chunked_a_byte_short(LARGE, CHUNK))).await;
+        scene.check_and_dismiss(crowd).await;
+    });
+}
+
+/// Guards against running out of memory: each chunk was kept by itself, at far more than its length.
+#[test]
+fn many_chunked_bodies_in_chunks_of_one_byte() {
+    play(2, async |scene| {
+        let crowd = all((0..CROWD).map(|_| scene.chunked_a_byte_short(400_000, 1))).await;
+        scene.check_and_dismiss(crowd).await;
+    });
+}
+
+/// Guards against running out of memory: bodies were counted only while they were read.
+#[test]
+fn many_whole_bodies_for_a_backend_that_is_silent() {
+    play(6, async |scene| {
+        let mut crowd = Vec::new();
+        for _ in 0..CROWD {
+            crowd.push(scene.with_length(SILENT, LARGE, 0).await);
+            scene.settle().await;
+        }
+        scene.check_and_dismiss(crowd).await;
+    });
+}
+
+/// Guards against a lasting lack of memory: the memory of a body was not given back when its connection's time was over.
+#[test]
+fn what_a_silent_client_held_is_there_again_once_its_time_is_over() {
+    play(7, async |scene| {
+        let crowd = all((0..3).map(|_| scene.with_length("/upload/", MAX_BODY, 1))).await;
+        for mut stream in crowd {
+            let mut rest = Vec::new();
+            let _ = stream.read_to_end(&mut rest).await;
+        }
+        let upload = scene.test_bed.upload("/upload/", MAX_BODY).await.expect("no panic");
+        assert_eq!(upload, Some((200, MAX_BODY.to_string())));
+        scene.check_and_dismiss(Vec::<TcpStream>::new()).await;
+    });
+}
+
+/// Guards against refusing what the configuration allows: the share for bodies was below the largest one.
+#[test]
+fn one_body_of_the_largest_size_is_served_in_calm() {
+    const LARGEST: usize = 64 << 20;
+    for memory_mb in [160, 256, 260] {
+        let limits = ProcessLimits { memory_mb, descriptors: 4100 };
+        play_with(8, limits, LARGEST, async |scene| {
+            let upload = scene.test_bed.upload("/upload/", LARGEST).await.expect("no panic");
+            assert_eq!(upload, Some((200, LARGEST.to_string())), "{memory_mb} MB");
+            scene.check_and_dismiss(Vec::<TcpStream>::new()).await;
+        });
+    }
+}
