Proxy: answers are charged until their clients have taken them

What callers saw: a proxy whose clients ask for long answers and read them slowly or not at all, or write requests on and on without reading, outgrew memoryMb.

Cause: an answer is read whole before its client takes a byte, up to 16 MiB each, and nothing bounded the sum.

Change: answers are read into the same ledger as request bodies; the bytes hold their reservation until the HTTP library has written them or the connection is gone. Where there is no memory, the backend is not read from for up to 1 s; memory for the whole is reserved before more than 64 KiB are read, so that answers cannot wait for each other in a circle. If there is none in time, the client gets 502: its request has run, so it is neither refused with a promise nor sent again, and the backend counts as having served it, so that such clients cannot have it ejected. Short answers have a pool of their own.

Tests: five more crowds on a process of its own with 64 MB; an ordinary request is answered beside each crowd, too.

--- a/crates/dataplane/src/back/backends.rs
+++ b/crates/dataplane/src/back/backends.rs
@@ -1,18 +1,19 @@
 //! Backends: their addresses, connection pools, and the execution of attempts and probes.
 
 use crate::back::break_rates::BreakRates;
-use crate::back::connection::{HttpConnection, Progress, is_descriptor_shortage};
+use crate::back::connection::{BodyDiscarded, HttpConnection, Progress, is_descriptor_shortage};
 use crate::back::known_backend::{KnownBackend, stated_idle_timeout};
 use crate::back::run_together::is_run_together;
 use crate::back::workload::Workloads;
 use crate::lifecycle::Lifecycle;
 use bytes::Bytes;
 use doorcourse::{BackendState, LoadReport, LoadReportSource, Name, Outcome};
+use fennelscale_memory::ledger::MemoryLedger;
 use fennelscale_settings::list::List;
 use fennelscale_settings::load;
 use fennelscale_wire::reuse::{ResponseFault, ReusePolicy};
 use http_body_util::Full;
-use hyper::header::HeaderValue;
+use hyper::header::{HeaderMap, HeaderValue};
 use hyper::http::request::Builder;
 use hyper::http::response;
 use hyper::{Request, StatusCode};
@@ -21,6 +22,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep, sleep_until};
@@ -55,6 +57,16 @@
     pub load: Option<LoadReport>,
 }
 
+impl AttemptResult {
+    /// The result of an attempt that was executed, for whose answer there was no memory. The client must not be told
+    /// that it was not executed, another attempt would need as much memory, and the backend did what it should.
+    fn without_memory() -> Self {
+        let answer =
+            Answer { status: StatusCode::BAD_GATEWAY, headers: HeaderMap::new(), body: Bytes::new() };
+        Self { outcome: Outcome::Served, answer: Some(answer), load: None }
+    }
+}
+
 impl From<Outcome> for AttemptResult {
     fn from(outcome: Outcome) -> Self {
         Self { outcome, answer: None, load: None }
@@ -100,7 +112,7 @@
 }
 
 /// Limits on connections to backends.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct ConnectionLimits {
     /// Maximum number of connections to all backends together.
     pub max_connections: usize,
@@ -108,12 +120,15 @@
     pub max_body: usize,
     /// Time limit for the rest of an answer once it has begun.
     pub answer_timeout: Duration,
+    /// The memory that answers are charged to until their clients have taken them.
+    pub memory: Arc<MemoryLedger>,
 }
 
 impl ConnectionLimits {
     /// Limits for small answers, which are complete when their first byte is written.
     pub fn for_small_answers(max_connections: usize) -> Self {
-        Self { max_connections, max_body: MAX_BODY, answer_timeout: ANSWER_TIMEOUT }
+        let memory = MemoryLedger::unbounded();
+        Self { max_connections, max_body: MAX_BODY, answer_timeout: ANSWER_TIMEOUT, memory }
     }
 }
 
@@ -180,7 +195,9 @@
                         return Ok(None);
                     }
                 }
-                other => return other.map(Some),
+                other => {
+                    return other.map(|connection| Some(connection.with_memory(self.limits.memory.clone())));
+                }
             }
             sleep(SHORTAGE_PAUSE).await;
         }
@@ -560,6 +577,9 @@
 
     fn classify(&self, answer: ReceivedAnswer, backend: &Name, repeatable: bool) -> AttemptResult {
         let ReceivedAnswer { mut head, body, connection } = answer;
+        if head.extensions.get::<BodyDiscarded>().is_some() {
+            return AttemptResult::without_memory();
+        }
         let exchange = ExchangeContext { backend, repeatable, connection };
         let outcome = match self.protocol.verdict(&head, &exchange) {
             Verdict::Served => Outcome::Served,
--- a/crates/dataplane/src/back/connection.rs
+++ b/crates/dataplane/src/back/connection.rs
@@ -5,8 +5,10 @@
 use crate::back::tracked_stream::{ExchangeState, TrackedStream, peek};
 use crate::lifecycle::Lifecycle;
 use bytes::Bytes;
+use fennelscale_memory::ledger::MemoryLedger;
+use fennelscale_memory::read::{ReadError, read_when_free};
 use fennelscale_wire::reuse::ResponseFault;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::Request;
 use hyper::client::conn::http1;
 use hyper::http::response;
@@ -18,6 +20,7 @@
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -29,6 +32,14 @@
 /// Maximum size of an answer's head. Bounds the memory that an endless head can take.
 const MAX_HEAD: usize = 16 * 1024;
 
+/// An answer waits for memory at most so long, in which other clients may take theirs.
+const MEMORY_WAIT: Duration = Duration::from_secs(1);
+
+/// Marks the head of an answer for whose body there was no memory. Its request was executed, and its backend is not
+/// to blame.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct BodyDiscarded;
+
 /// `EMFILE` and `ENFILE`, which have the same values on every Unix.
 const DESCRIPTOR_SHORTAGE: [i32; 2] = [24, 23];
 
@@ -45,6 +56,8 @@
     stream: Rc<TcpStream>,
     exchange: Rc<ExchangeState>,
     identity: ConnectionIdentity,
+    /// The memory that answers are charged to.
+    memory: Arc<MemoryLedger>,
 }
 
 impl HttpConnection {
@@ -76,9 +89,16 @@
             stream,
             exchange,
             identity: ConnectionIdentity::default(),
+            memory: MemoryLedger::unbounded(),
         })
     }
 
+    /// The same connection with its answers charged to `memory`.
+    #[must_use]
+    pub fn with_memory(self, memory: Arc<MemoryLedger>) -> Self {
+        Self { memory, ..self }
+    }
+
     /// What tells this connection from others.
     pub(super) fn identity(&self) -> &ConnectionIdentity {
         &self.identity
@@ -117,7 +137,9 @@
         self.exchange.lifecycle.state().is_answered_early()
     }
 
-    /// Sends a request and waits for the complete answer. Its body may have at most `max_body` bytes. An
+    /// Sends a request and waits for the complete answer. Its body may have at most `max_body` bytes; while there
+    /// is no memory for it, the backend is not read from, and if there is none in time, the head is marked with
+    /// [`BodyDiscarded`] and the connection cannot be used again. An
     /// answer that begins after the request's last byte must end within `rest` after its own first byte:
     /// nothing else would end the wait for an answer shorter than its stated length. A request whose last byte
     /// is not written at `write_by` is abandoned.
@@ -141,12 +163,19 @@
         self.exchange.time_to_first_byte.set(None);
         // Discards a notification about an earlier answer.
         let _ = pin!(self.exchange.answer_started.notified()).as_mut().enable();
-        let (driver, exchange) = (&mut self.driver, &self.exchange);
+        let (driver, exchange, memory) = (&mut self.driver, &self.exchange, &self.memory);
         let sent = self.sender.send_request(request);
         let answer = drive(driver, async {
-            let (head, body) = sent.await.map_err(|_| ())?.into_parts();
-            let body = Limited::new(body, max_body).collect().await.map_err(|_| ())?;
-            Ok((head, body.to_bytes()))
+            let (mut head, body) = sent.await.map_err(|_| ())?.into_parts();
+            let body = match read_when_free(body, max_body, memory, MEMORY_WAIT).await {
+                Ok(body) => body,
+                Err(ReadError::NoMemory(_)) => {
+                    head.extensions.insert(BodyDiscarded);
+                    Bytes::new()
+                }
+                Err(ReadError::TooLong | ReadError::Broken(_)) => return Err(()),
+            };
+            Ok((head, body))
         });
         let late = async {
             exchange.answer_started.notified().await;
--- a/crates/dataplane/tests/early_answers.rs
+++ b/crates/dataplane/tests/early_answers.rs
@@ -6,6 +6,7 @@
 use fennelscale_dataplane::back::backends::{
     Backends, ConnectionLimits, ExchangeContext, Message, Protocol, UsedConnections, Verdict,
 };
+use fennelscale_memory::ledger::MemoryLedger;
 use fennelscale_settings::list::{Host, List};
 use fennelscale_settings::upstream::{IdentityRule, Upstream};
 use fennelscale_wire::reuse::ReusePolicy;
@@ -53,7 +54,12 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
     let reuse = ReusePolicy::new(&Upstream { identity, ..Upstream::default() });
-    let limits = ConnectionLimits { max_connections: 4, max_body: 100, answer_timeout: LONG };
+    let limits = ConnectionLimits {
+        max_connections: 4,
+        max_body: 100,
+        answer_timeout: LONG,
+        memory: MemoryLedger::unbounded(),
+    };
     let backends = Backends::new(LONG, LONG, LoadReportSource::None, reuse, Rc::new(TestProtocol), limits);
     let state = BackendState::Ready;
     let entry = BackendEntry { name: BACKEND.into(), zone: "z".into(), cell: 0, state, started: None };
--- a/crates/memory/src/buffer.rs
+++ b/crates/memory/src/buffer.rs
@@ -4,6 +4,8 @@
 use bytes::Bytes;
 use memmap2::{Advice, MmapMut, MmapOptions};
 use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::timeout;
 
 /// The first capacity of a body without a stated length.
 const FIRST_CAPACITY: usize = 1024;
@@ -78,10 +80,13 @@
     /// Waits until there is memory for a body of this length, so that appending it cannot fail for lack of it.
     ///
     /// # Errors
-    /// If there can never be.
-    pub async fn reserve_when_free(&mut self, length: usize) -> Result<(), NoMemory> {
+    /// If there is none in this time, or can never be.
+    pub async fn reserve_when_free(&mut self, length: usize, max_wait: Duration) -> Result<(), NoMemory> {
         let size = Self::charged_size(length).max(self.reservation.size());
-        self.reservation.resize_when_free(size).await
+        if self.reservation.resize(size).is_ok() {
+            return Ok(());
+        }
+        timeout(max_wait, self.reservation.resize_when_free(size)).await.unwrap_or(Err(NoMemory::InUse))
     }
 
     /// What a body of this length is charged.
--- a/crates/memory/src/read.rs
+++ b/crates/memory/src/read.rs
@@ -6,6 +6,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use std::sync::Arc;
+use std::time::Duration;
 use thiserror::Error;
 
 /// Why a body was not read.
@@ -35,14 +36,14 @@
     Ok(fill(buffer, body, max_length).await?.into_bytes())
 }
 
-/// Reads a body of at most `max_length` bytes; waits for memory where there is none. The sender is not read from
-/// meanwhile. Memory for the whole body is reserved before more than a little of it is read: bodies that each hold a
-/// part could wait for each other. The caller bounds the wait.
+/// Reads a body of at most `max_length` bytes; waits for memory where there is none, `max_wait` each time. The sender
+/// is not read from meanwhile. Memory for the whole body is reserved before more than a little of it is read: bodies
+/// that each hold a part could wait for each other.
 ///
 /// # Errors
-/// If the body cannot be read whole, or is longer than all memory for callers.
+/// If the body cannot be read whole, or there is no memory for it in time.
 pub async fn read_when_free(
-    mut body: Incoming, max_length: usize, ledger: &Arc<MemoryLedger>,
+    mut body: Incoming, max_length: usize, ledger: &Arc<MemoryLedger>, max_wait: Duration,
 ) -> Result<Bytes, ReadError> {
     let max_length = max_length.min(ledger.largest_reservation());
     let stated = check_stated_length(&body, max_length)?;
@@ -51,7 +52,7 @@
         Some(length) => (length, length),
         None => (SMALL_SIZE.min(max_length), max_length),
     };
-    buffer.reserve_when_free(reserved).await?;
+    buffer.reserve_when_free(reserved, max_wait).await?;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(ReadError::Broken)?;
         let Some(piece) = frame.data_ref() else { continue };
@@ -60,7 +61,7 @@
             return Err(ReadError::TooLong);
         }
         if length > reserved {
-            buffer.reserve_when_free(whole).await?;
+            buffer.reserve_when_free(whole, max_wait).await?;
             reserved = whole;
         }
         buffer.append(piece)?;
--- a/system/proxy/src/proxy.rs
+++ b/system/proxy/src/proxy.rs
@@ -130,8 +130,15 @@
     let incarnation = start::random_incarnation();
     let retry = (settings.bounds.retry_ratio, settings.bounds.retry_slack);
     let (trace, started_at) = (Rc::<RefCell<RequestTrace>>::default(), Instant::now());
-    let services =
-        ServiceEngines::new(&settings.zone, budget.backends, retry, incarnation, trace.clone(), started_at);
+    let services = ServiceEngines::new(
+        &settings.zone,
+        budget.backends,
+        retry,
+        incarnation,
+        trace.clone(),
+        started_at,
+        memory.clone(),
+    );
     let grace = settings.bounds.grace;
     let failure_orders = FaultInjector::new(
         settings.failure_limits.clone(),
--- a/system/proxy/src/service_engines.rs
+++ b/system/proxy/src/service_engines.rs
@@ -12,12 +12,14 @@
 use fennelscale_dataplane::back::backends::{Backends, ConnectionLimits, ExchangeCounts};
 use fennelscale_dataplane::engine::{CounterClient, CounterReplyHandler, Engine};
 use fennelscale_dataplane::task::spawn;
+use fennelscale_memory::ledger::MemoryLedger;
 use fennelscale_settings::list::List;
 use fennelscale_settings::upstream::{IdentityRule, Upstream};
 use fennelscale_wire::reuse::ReusePolicy;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Time limit for a connection to a backend: a round trip between regions, and one lost packet.
@@ -57,16 +59,18 @@
     seed: Cell<u64>,
     trace: Rc<RefCell<RequestTrace>>,
     started_at: Instant,
+    /// The memory that answers are charged to.
+    memory: Arc<MemoryLedger>,
     /// Counts of the answers of all backends and to all clients.
     pub answer_counts: Rc<AnswerCounts>,
 }
 
 impl ServiceEngines {
     /// No engines yet. At most `connections` to backends may be open at once over all services. Requests are
-    /// recorded in `trace`, whose clock started at `started_at`.
+    /// recorded in `trace`, whose clock started at `started_at`; answers are charged to `memory`.
     pub fn new(
         zone: &str, connections: usize, retry: (f64, f64), seed: u64, trace: Rc<RefCell<RequestTrace>>,
-        started_at: Instant,
+        started_at: Instant, memory: Arc<MemoryLedger>,
     ) -> Self {
         let seed = Cell::new(seed);
         Self {
@@ -77,6 +81,7 @@
             seed,
             trace,
             started_at,
+            memory,
             answer_counts: Rc::default(),
         }
     }
@@ -134,8 +139,12 @@
             started_at: self.started_at,
             answer_counts: self.answer_counts.clone(),
         };
-        let bounds =
-            ConnectionLimits { max_connections, max_body: MAX_ANSWER, answer_timeout: ANSWER_TIMEOUT };
+        let bounds = ConnectionLimits {
+            max_connections,
+            max_body: MAX_ANSWER,
+            answer_timeout: ANSWER_TIMEOUT,
+            memory: self.memory.clone(),
+        };
         let backends = Backends::new(
             CONNECT_TIMEOUT,
             IDLE_TIMEOUT,
--- a/system/proxy/tests/misbehaving_clients.rs
+++ b/system/proxy/tests/misbehaving_clients.rs
@@ -6,13 +6,14 @@
 mod helper;
 
 use helper::process::ProxyProcess;
-use helper::sized_backend::{self, SILENT};
+use helper::sized_backend::{self, SILENT, SIZED};
 use helper::{ProcessLimits, Proxy, TestBed};
 use std::future::Future;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 
 /// The limits of the process in most tests, and the largest body that its configuration allows.
@@ -101,6 +102,15 @@
         self.write(&head, [vec![b'x'; length - withheld]].into_iter()).await
     }
 
+    /// A client that asks for an answer of this size, and waits for its first byte.
+    async fn ask(&self, size: usize) -> TcpStream {
+        let head = self.head(&format!("{SIZED}{size}")) + "Content-Length: 0\r\n\r\n";
+        let mut stream = self.test_bed.connect().await;
+        let _ = stream.write_all(head.as_bytes()).await;
+        let _ = stream.read_u8().await;
+        stream
+    }
+
     /// Checks what must hold at any time.
     fn check(&mut self) {
         assert!(self.process.is_alive(), "the process has ended");
@@ -126,12 +136,13 @@
         }
     }
 
-    /// Checks the process beside the crowd and after it, and that an ordinary request is answered then.
+    /// Checks the process beside the crowd and after it, and that an ordinary request is answered each time.
     async fn check_and_dismiss<T>(&mut self, crowd: Vec<T>) {
         self.settle().await;
         self.check();
+        assert_eq!(self.test_bed.request("/ordinary").await.ok(), Some(200), "beside the crowd");
         drop(crowd);
-        assert_eq!(self.test_bed.request("/ordinary").await.ok(), Some(200), "an ordinary request");
+        assert_eq!(self.test_bed.request("/ordinary").await.ok(), Some(200), "after the crowd");
         self.check();
     }
 }
@@ -188,6 +199,47 @@
     });
 }
 
+/// Guards against running out of memory: answers were not counted.
+#[test]
+fn many_long_answers_that_nobody_reads() {
+    play(3, async |scene| {
+        let crowd = all((0..CROWD).map(|_| scene.ask(LARGE))).await;
+        scene.check_and_dismiss(crowd).await;
+    });
+}
+
+/// Guards against running out of memory: answers were not counted, and a reader that is slow kept all of its own.
+#[test]
+fn many_long_answers_that_are_read_slowly() {
+    play(4, async |scene| {
+        let crowd = all((0..CROWD).map(|_| scene.ask(LARGE))).await;
+        let read_slowly = |mut stream: TcpStream| async move {
+            let mut some = [0; 1024];
+            while let Ok(1..) = stream.read(&mut some).await {
+                sleep(Duration::from_millis(100)).await;
+            }
+        };
+        let readers: Vec<JoinHandle<()>> =
+            crowd.into_iter().map(|stream| spawn_local(read_slowly(stream))).collect();
+        let more = all((0..CROWD).map(|_| scene.ask(LARGE))).await;
+        readers.iter().for_each(JoinHandle::abort);
+        scene.check_and_dismiss(more).await;
+    });
+}
+
+/// Guards against running out of memory: the next request was answered before the last answer was taken.
+#[test]
+fn requests_behind_requests_whose_answers_nobody_reads() {
+    play(5, async |scene| {
+        let crowd = all((0..CROWD).map(|_| async {
+            let request = scene.head(&format!("{SIZED}{}", LARGE / 2)) + "Content-Length: 0\r\n\r\n";
+            scene.write("", (0..1000).map(|_| request.clone().into_bytes())).await
+        }))
+        .await;
+        scene.check_and_dismiss(crowd).await;
+    });
+}
+
 /// Guards against running out of memory: bodies were counted only while they were read.
 #[test]
 fn many_whole_bodies_for_a_backend_that_is_silent() {
@@ -229,3 +281,33 @@
         });
     }
 }
+
+/// Guards against memory that was freed and stays resident: crowds of different sizes must not add up.
+#[test]
+fn crowds_of_different_sizes_one_after_another() {
+    play(9, async |scene| {
+        for (count, size, chunk) in [(CROWD, LARGE, CHUNK), (150, 300_000, 4096), (40, 3_000_000, 100_000)] {
+            let crowd = all((0..count).map(|_| scene.chunked_a_byte_short(size, chunk))).await;
+            scene.check_and_dismiss(crowd).await;
+            let crowd = all((0..count).map(|_| scene.ask(size))).await;
+            scene.check_and_dismiss(crowd).await;
+        }
+    });
+}
+
+/// All crowds at once, and heads that do not end.
+#[test]
+fn all_crowds_at_once() {
+    play(10, async |scene| {
+        let heads = all((0..200).map(|_| async {
+            let head = scene.head("/") + "X-Long: " + &"x".repeat(15_000);
+            scene.write(&head, std::iter::empty()).await
+        }))
+        .await;
+        let chunked = all((0..CROWD).map(|_| scene.chunked_a_byte_short(LARGE, CHUNK))).await;
+        let small_chunks = all((0..CROWD).map(|_| scene.chunked_a_byte_short(400_000, 1))).await;
+        let answers = all((0..CROWD).map(|_| scene.ask(LARGE))).await;
+        let silent = all((0..CROWD).map(|_| scene.with_length(SILENT, LARGE, 0))).await;
+        scene.check_and_dismiss(vec![heads, chunked, small_chunks, answers, silent]).await;
+    });
+}
