Control addresses: calls and answers are charged, and answers must be taken in time

What callers saw: a registry, or a proxy at its readiness or metrics address, among callers with chunked bodies just short of their end outgrew memoryMb. A core machine that ends takes more with it than a proxy.

Cause: each of 200 connections of an address could hold a call of 8 MiB, and an answer for as long as its caller pleased.

Change: calls and answers are charged to a ledger: that of the clients on a proxy, one of 0.05 and 0.15 of memoryMb on a registry, where a call of the largest size always fits. A call for which there is no memory gets 503 before it is handled, so nothing of it is in force. An answer that is not taken within 30 s ends its connection, however little is read each time. The text of a failure, which may quote the call, is cut to 1,000 bytes.

A peer that takes a byte now and then does not extend the time for its answer.

--- a/crates/memory/src/buffer.rs
+++ b/crates/memory/src/buffer.rs
@@ -53,6 +53,28 @@
     }
 }
 
+/// Bytes that were made elsewhere, with the memory that they are charged.
+struct ChargedBytes {
+    bytes: Bytes,
+    _reservation: Reservation,
+}
+
+impl AsRef<[u8]> for ChargedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Charges bytes that were made elsewhere until the last reference to them is dropped.
+///
+/// # Errors
+/// If there is no memory for them.
+pub fn charge(bytes: Bytes, ledger: &Arc<MemoryLedger>) -> Result<Bytes, NoMemory> {
+    let mut reservation = ledger.reservation();
+    reservation.resize(bytes.len())?;
+    Ok(Bytes::from_owner(ChargedBytes { bytes, _reservation: reservation }))
+}
+
 /// A body that is being received. Its pieces are copied, so that it costs what it is long, however small they are.
 #[derive(Debug)]
 pub struct BodyBuffer {
--- a/system/host/src/call.rs
+++ b/system/host/src/call.rs
@@ -1,10 +1,14 @@
 //! The HTTP API: each call and its answer are a pair of types. One generic function parses the call, runs its
 //! handler and writes the response.
 
+use crate::answer_deadline::AnswerDeadline;
 use crate::error::{Failure, Kind};
 use crate::spawn;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use fennelscale_memory::buffer::charge;
+use fennelscale_memory::ledger::{MemoryLedger, PoolSizes};
+use fennelscale_memory::read::{ReadError, read_or_refuse};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{ALLOW, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
@@ -26,6 +30,12 @@
 const MAX_CONNECTIONS: usize = 200;
 /// Time limit for reading a whole request.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time limit for the caller to take an answer, once it does not fit into the connection's buffers.
+const TAKE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Shares of the memory limit of a program without clients, for what it holds for callers: short calls and answers,
+/// and long ones. A call of the largest size fits.
+const SMALL_POOL_SHARE: f64 = 0.05;
+const LARGE_POOL_SHARE: f64 = 0.15;
 /// Time limit for handling a call.
 const SERVE_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -166,13 +176,23 @@
     response
 }
 
+/// The ledger of a program that has callers, but no clients; its memory limit is in bytes.
+pub fn memory_for_callers(memory_limit: u64) -> Arc<MemoryLedger> {
+    let share = |share: f64| (memory_limit as f64 * share) as usize;
+    MemoryLedger::new(PoolSizes {
+        small: share(SMALL_POOL_SHARE),
+        large: share(LARGE_POOL_SHARE).max(MAX_BODY),
+    })
+}
+
 /// Serves requests on a listener until the program ends. `serve` returns `None` for calls that it does not
-/// know.
-pub fn listen<F>(listener: TcpListener, serve: impl Fn(ApiRequest) -> F + 'static)
+/// know. Calls and answers are charged to `memory`.
+pub fn listen<F>(listener: TcpListener, memory: Arc<MemoryLedger>, serve: impl Fn(ApiRequest) -> F + 'static)
 where
     F: Future<Output = Option<Response<Full<Bytes>>>> + 'static,
 {
-    let (serve, permits) = (Rc::new(serve), Arc::new(Semaphore::new(MAX_CONNECTIONS)));
+    let server = Rc::new(Server { serve, memory });
+    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     spawn(async move {
         loop {
             let Ok(permit) = permits.clone().acquire_owned().await else { return };
@@ -181,18 +201,18 @@
                 continue;
             };
             let _ = stream.set_nodelay(true);
-            let serve = serve.clone();
+            let server = server.clone();
             spawn(async move {
                 let service = service_fn(move |request| {
-                    let serve = serve.clone();
-                    async move { Ok::<_, Infallible>(answer(request, &*serve).await) }
+                    let server = server.clone();
+                    async move { Ok::<_, Infallible>(server.answer(request).await) }
                 });
                 // The read timeout frees the permit of an idle client.
                 let connection = http1::Builder::new()
                     .timer(TokioTimer::new())
                     .header_read_timeout(READ_TIMEOUT)
                     .max_buf_size(64 * 1024)
-                    .serve_connection(TokioIo::new(stream), service);
+                    .serve_connection(TokioIo::new(AnswerDeadline::new(stream, TAKE_TIMEOUT)), service);
                 let _ = connection.await;
                 drop(permit);
             });
@@ -200,27 +220,55 @@
     });
 }
 
-async fn answer<F>(request: Request<Incoming>, serve: &impl Fn(ApiRequest) -> F) -> Response<Full<Bytes>>
+/// Serves the requests of a listener.
+struct Server<S> {
+    serve: S,
+    memory: Arc<MemoryLedger>,
+}
+
+impl<S, F> Server<S>
 where
+    S: Fn(ApiRequest) -> F,
     F: Future<Output = Option<Response<Full<Bytes>>>>,
 {
-    let (head, body) = request.into_parts();
-    let body = match timeout(READ_TIMEOUT, Limited::new(body, MAX_BODY).collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            return error_response(&Failure::new(Kind::TooLarge, format!("at most {MAX_BODY} bytes")));
+    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let (head, body) = request.into_parts();
+        let body = match timeout(READ_TIMEOUT, read_or_refuse(body, MAX_BODY, &self.memory)).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(ReadError::TooLong)) => {
+                return error_response(&Failure::new(Kind::TooLarge, format!("at most {MAX_BODY} bytes")));
+            }
+            Ok(Err(ReadError::NoMemory(_))) => return no_memory(),
+            Ok(Err(ReadError::Broken(_))) | Err(_) => {
+                return error_response(&Failure::new(Kind::Malformed, "the body ended early"));
+            }
+        };
+        let path = head.uri.path().to_owned();
+        let query = head.uri.query().unwrap_or_default().to_owned();
+        let request = ApiRequest { method: head.method, path, query, body };
+        match (self.serve)(request).await {
+            Some(response) => self.charge(response).await,
+            None => error_response(&Failure::new(Kind::NotFound, "there is no such call here")),
+        }
+    }
+
+    /// Charges an answer until its caller has taken it. The answers to calls that change something are short enough
+    /// to be free.
+    async fn charge(&self, response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
+        let (head, body) = response.into_parts();
+        let Ok(body) = body.collect().await;
+        match charge(body.to_bytes(), &self.memory) {
+            Ok(body) => Response::from_parts(head, Full::new(body)),
+            Err(_) => no_memory(),
         }
-        _ => return error_response(&Failure::new(Kind::Malformed, "the body ended early")),
-    };
-    let path = head.uri.path().to_owned();
-    let query = head.uri.query().unwrap_or_default().to_owned();
-    let request = ApiRequest { method: head.method, path, query, body };
-    match serve(request).await {
-        Some(response) => response,
-        None => error_response(&Failure::new(Kind::NotFound, "there is no such call here")),
     }
 }
 
+/// The answer to a call for which there is no memory now.
+fn no_memory() -> Response<Full<Bytes>> {
+    error_response(&Failure::new(Kind::Overloaded, "other callers hold the memory for calls"))
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/system/host/src/error.rs
+++ b/system/host/src/error.rs
@@ -87,6 +87,9 @@
     }
 }
 
+/// Maximum length of the details of a failure, in bytes.
+const MAX_TEXT: usize = 1000;
+
 /// A failed call: the kind of error and the details for the caller.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Failure {
@@ -97,9 +100,13 @@
 }
 
 impl Failure {
-    /// Creates a failure.
+    /// Creates a failure. Details that quote a caller may be as long as its call; only their beginning is kept.
     pub fn new(kind: Kind, text: impl Into<String>) -> Self {
-        Self { kind, text: text.into() }
+        let mut text = text.into();
+        if text.len() > MAX_TEXT {
+            text = text[..text.floor_char_boundary(MAX_TEXT)].to_owned();
+        }
+        Self { kind, text }
     }
 }
 
@@ -107,6 +114,13 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn details_are_cut_between_characters() {
+        assert_eq!(Failure::new(Kind::Invalid, "short").text, "short");
+        let text = Failure::new(Kind::Invalid, format!("x{}", "é".repeat(MAX_TEXT))).text;
+        assert_eq!(text.len(), MAX_TEXT - 1);
+    }
+
     #[test]
     fn only_unexecuted_calls_get_a_status_that_says_so() {
         for kind in ALL {
--- a/system/host/src/lib.rs
+++ b/system/host/src/lib.rs
@@ -3,6 +3,7 @@
 //! Everything runs on one thread. Decisions are left to the state machines, which say what to send, write and
 //! answer.
 
+mod answer_deadline;
 pub mod call;
 pub mod error;
 pub mod link;
--- a/system/proxy/src/proxy.rs
+++ b/system/proxy/src/proxy.rs
@@ -173,13 +173,13 @@
     });
     peer_sync::run(proxy.clone(), peers);
     let answering = proxy.clone();
-    call::listen(readiness, move |request| {
+    call::listen(readiness, proxy.memory.clone(), move |request| {
         let ready = answering.is_ready();
         async move { crate::frontend::readiness_response(&request, ready) }
     });
     if let Some(listener) = metrics_listener {
         let (scraped, metrics) = (proxy.clone(), Rc::new(Metrics::default()));
-        call::listen(listener, move |request| {
+        call::listen(listener, proxy.memory.clone(), move |request| {
             let answer = metrics::answer(&request, || metrics.render(&scraped));
             async move { answer }
         });
--- a/system/registry/src/registry.rs
+++ b/system/registry/src/registry.rs
@@ -98,12 +98,13 @@
     let server = registry.clone();
     link::accept(session_listener, move |stream| server.clone().serve_proxy(stream));
     let server = registry.clone();
-    call::listen(control, move |asked| {
+    let memory = call::memory_for_callers(registry.settings.borrow().limits.memory);
+    call::listen(control, memory.clone(), move |asked| {
         let registry = server.clone();
         async move { api::control(&registry, asked).await }
     });
     let server = registry.clone();
-    call::listen(directory, move |asked| {
+    call::listen(directory, memory, move |asked| {
         let registry = server.clone();
         async move { api::directory(&registry, asked).await }
     });
