Config: a call of very deep or very many values is invalid before it is parsed

What callers saw: one PATCH of /fennelscale/config, nested as deep as it is long, ended the registry.

Cause: the JSON parser descends once for each level, and the stack ends before a call of 8 MiB does. It also keeps far more for each value than the two bytes that a short one has.

--- a/system/config/src/call.rs
+++ b/system/config/src/call.rs
@@ -1,6 +1,6 @@
 //! Operators' calls: parsed into changes, and the current items rendered in the same form.
 
-use crate::{InvalidConfig, LIMITS_KEY, parse_item};
+use crate::{InvalidConfig, LIMITS_KEY, json_bounds, parse_item};
 use fennelscale_messages::store::{self, Change};
 use sonic_rs::{JsonValueTrait, LazyValue};
 use std::collections::BTreeMap;
@@ -48,6 +48,7 @@
 /// When the call is malformed or an item is invalid.
 pub fn parse_call(body: &[u8]) -> Result<Vec<Change>, InvalidConfig> {
     let text = std::str::from_utf8(body).map_err(|_| invalid("the body is not UTF-8"))?;
+    json_bounds::check(text)?;
     // Parsed completely once: a truncated call must not pass because no pointer reaches its end.
     let call: Result<LazyValue<'_>, _> = sonic_rs::from_str(text);
     let call = call.map_err(|error| InvalidConfig(format!("the body is not JSON: {error}")))?;
--- a/system/config/src/lib.rs
+++ b/system/config/src/lib.rs
@@ -11,6 +11,7 @@
 mod config_index;
 mod failure_order;
 mod item;
+mod json_bounds;
 mod maintenance;
 mod routing_table;
 
--- a/system/registry/tests/misbehaving_callers.rs
+++ b/system/registry/tests/misbehaving_callers.rs
@@ -215,3 +215,26 @@
         assert_eq!(registry.call(&vec![b' '; MAX_CALL]), Some(400));
     });
 }
+
+/// Guards against running out of memory: text of two bytes for each value, which cost far more once parsed.
+#[test]
+fn calls_of_very_many_values() {
+    play(3, CORE_MEMORY_MB, |registry| {
+        let body = format!("{{\"upsert\":{{\"tenants\":[1{}]}}}}", ",1".repeat(LARGE / 2));
+        for _ in 0..CROWD {
+            assert_eq!(registry.call(body.as_bytes()), Some(400));
+        }
+    });
+}
+
+/// Guards against the end of the process: values inside values, as deep as a call is long.
+#[test]
+fn a_call_of_very_deep_values() {
+    play(4, CORE_MEMORY_MB, |registry| {
+        for (open, close) in [("[", "]"), ("{\"a\":", "}")] {
+            let depth = LARGE / (open.len() + close.len());
+            let body = format!("{{\"upsert\":{}1{}}}", open.repeat(depth), close.repeat(depth));
+            assert_eq!(registry.call(body.as_bytes()), Some(400));
+        }
+    });
+}
