Gateway: a body in small chunks costs what it is long

What callers saw: clients whose bodies come in chunks of one byte made the gateway in service outgrow its machine's 192 MB.

Cause: each piece of a body was kept by itself, at some forty times its length, until the body was whole.

Change: bodies are copied into one piece as they come, as on the proxy. Their number (connections) and size (64 KiB) bound the sum, so that their ledger has no limit of its own.

Test: 100 clients at addresses of their own with 60,000 chunks of one byte each, a process of its own: peak of 227 MB before, 23 MB now (debug build, arm64); an ordinary request is answered beside them and after.

--- a/gateway/src/front/clients.rs
+++ b/gateway/src/front/clients.rs
@@ -9,8 +9,10 @@
 use bytes::Bytes;
 use doorcourse::{Arrival, Name, RequestId, RetrySafety, Settings};
 use fennelscale_admission::client_origin;
+use fennelscale_memory::ledger::MemoryLedger;
+use fennelscale_memory::read::{ReadError, read_or_refuse};
 use fennelscale_settings::admission::{Forged, Header};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::{
     CONNECTION, CONTENT_TYPE, FORWARDED, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING,
@@ -25,6 +27,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::str::FromStr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -93,6 +96,8 @@
     open_ids: RefCell<OpenIds<HeaderValue>>,
     acceptor: Rc<Acceptor>,
     draining: Cell<bool>,
+    /// Bodies are charged by what they cost; their number and size bound the sum.
+    memory: Arc<MemoryLedger>,
 }
 
 impl Frontend {
@@ -116,6 +121,7 @@
             relative_values,
             acceptor,
             draining: Cell::new(false),
+            memory: MemoryLedger::unbounded(),
         })
     }
 
@@ -326,10 +332,10 @@
             return Err(Fault::TooLarge);
         }
         // The connection's deadline bounds this.
-        match Limited::new(body, MAX_BODY).collect().await {
-            Ok(body) => parsed.message.body = body.to_bytes(),
-            Err(error) if error.is::<LengthLimitError>() => return Err(Fault::TooLarge),
-            Err(_) => return Err(Fault::Bad("body")),
+        match read_or_refuse(body, MAX_BODY, &self.memory).await {
+            Ok(body) => parsed.message.body = body,
+            Err(ReadError::TooLong) => return Err(Fault::TooLarge),
+            Err(ReadError::Broken(_) | ReadError::NoMemory(_)) => return Err(Fault::Bad("body")),
         }
         Ok(parsed)
     }
