Proxy: large heads are charged beside bodies and answers

What callers saw: some hundreds of connections with heads of 15 KB that do not end, beside bodies that fill their share, took a proxy over memoryMb.

Cause: a head costs up to 48 KB in buffers, and only the number of connections bounded the sum.

Change: a head over 4 KiB is charged to the small pool until its connection ends, since the HTTP library keeps its buffers; without room its connection is closed. While the small pool is more than half in use, an answer on such a connection closes it, so that idle ones give way.

--- a/crates/dataplane/src/front/client_connection.rs
+++ b/crates/dataplane/src/front/client_connection.rs
@@ -6,6 +6,7 @@
 use fennelscale_admission::admission::Admission;
 use fennelscale_admission::slow_clients::{Activity, SlowClientLimits};
 use fennelscale_admission::{ConnectionId, Time};
+use fennelscale_memory::ledger::{FREE_SIZE, MemoryLedger, NoMemory, Reservation};
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -14,6 +15,7 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -23,6 +25,8 @@
 
 /// Size of a read buffer, which holds one request's headers.
 pub const READ_BUFFER_SIZE: usize = 16 * 1024;
+/// Memory of a connection whose head is longer than the free part: the buffers of the HTTP library and the head itself.
+const LARGE_HEAD_SIZE: usize = 48 * 1024;
 /// The end of a request's head.
 const HEAD_END: &[u8] = b"\r\n\r\n";
 /// A connection whose activity has no deadline, such as an open request, is checked again after this time.
@@ -79,6 +83,8 @@
     body: Cell<Option<(Time, u64)>>,
     /// When the answer that is being written was ready, and the number of its bytes written so far.
     answer: Cell<Option<(Time, u64)>>,
+    /// The memory of a large head. The HTTP library keeps its buffers until the connection ends.
+    head_memory: RefCell<Option<Reservation>>,
     /// The deadline that the timer is set for.
     timer_deadline: Cell<Time>,
     deadline_changed: Notify,
@@ -95,6 +101,7 @@
             head: RefCell::default(),
             body: Cell::default(),
             answer: Cell::default(),
+            head_memory: RefCell::default(),
             timer_deadline: Cell::new(Time::MAX),
             deadline_changed: Notify::new(),
             admission: admission.clone(),
@@ -185,6 +192,22 @@
         }
     }
 
+    /// Whether the connection has had a large head.
+    pub fn has_had_large_head(&self) -> bool {
+        self.head_memory.borrow().is_some()
+    }
+
+    /// Charges a head that has become large.
+    fn charge_head(&self, memory: &Arc<MemoryLedger>) -> Result<(), NoMemory> {
+        if self.head.borrow().len() <= FREE_SIZE || self.has_had_large_head() {
+            return Ok(());
+        }
+        let mut reservation = memory.reservation();
+        reservation.resize(LARGE_HEAD_SIZE)?;
+        *self.head_memory.borrow_mut() = Some(reservation);
+        Ok(())
+    }
+
     /// Records that a request was received completely.
     pub fn request_received(&self) {
         self.lifecycle.step(Event::Taken);
@@ -225,12 +248,20 @@
     /// Bytes that were read already, after a PROXY protocol header.
     buffered: Vec<u8>,
     client: Rc<ClientConnection>,
+    /// The memory that large heads are charged to.
+    memory: Arc<MemoryLedger>,
 }
 
 impl ClientStream {
     /// Wraps a socket from which some bytes were read already.
     pub fn new(stream: TcpStream, buffered: Vec<u8>, client: Rc<ClientConnection>) -> Self {
-        Self { stream, buffered, client }
+        Self { stream, buffered, client, memory: MemoryLedger::unbounded() }
+    }
+
+    /// The same with large heads charged to `memory`. Without memory for one its connection ends.
+    #[must_use]
+    pub fn with_memory(self, memory: Arc<MemoryLedger>) -> Self {
+        Self { memory, ..self }
     }
 }
 
@@ -247,7 +278,7 @@
             self.buffered.drain(..fits);
         }
         self.client.on_bytes(&buf.filled()[before..]);
-        Poll::Ready(Ok(()))
+        Poll::Ready(self.client.charge_head(&self.memory).map_err(|_| io::ErrorKind::OutOfMemory.into()))
     }
 }
 
--- a/system/proxy/src/frontend.rs
+++ b/system/proxy/src/frontend.rs
@@ -149,10 +149,12 @@
                     response
                 }
             });
+            let stream =
+                ClientStream::new(stream, buffered, client.clone()).with_memory(self.proxy.memory.clone());
             let connection = http1::Builder::new()
                 .header_read_timeout(None)
                 .max_buf_size(READ_BUFFER_SIZE + 8 * 1024)
-                .serve_connection(TokioIo::new(ClientStream::new(stream, buffered, client.clone())), service);
+                .serve_connection(TokioIo::new(stream), service);
             let mut connection = pin!(connection);
             let mut closing = pin!(async { drop(closing.wait_for(|closing| *closing).await) });
             tokio::select! {
@@ -280,6 +282,8 @@
             }
         };
         self.proxy.services.answer_counts.record_given(response.status(), author);
+        // Its buffers are free again once it is closed.
+        must_close |= client.has_had_large_head() && self.proxy.memory.is_small_pool_scarce();
         if must_close || self.proxy.must_close_connections() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
--- a/system/proxy/tests/misbehaving_clients.rs
+++ b/system/proxy/tests/misbehaving_clients.rs
@@ -311,3 +311,18 @@
         scene.check_and_dismiss(vec![heads, chunked, small_chunks, answers, silent]).await;
     });
 }
+
+/// Guards against running out of memory: heads were not counted, beside bodies that fill their share.
+#[test]
+fn very_many_heads_that_do_not_end_beside_long_bodies() {
+    let limits = ProcessLimits { memory_mb: 64, descriptors: 2600 };
+    play_with(11, limits, MAX_BODY, async |scene| {
+        let bodies = all((0..150).map(|_| scene.chunked_a_byte_short(300_000, 4096))).await;
+        let heads = all((0..700).map(|_| async {
+            let head = scene.head("/") + "X-Long: " + &"x".repeat(15_000);
+            scene.write(&head, std::iter::empty()).await
+        }))
+        .await;
+        scene.check_and_dismiss(vec![bodies, heads]).await;
+    });
+}
