Proxy: grown buffers are charged; what is held shows in the metrics; chunked bodies leave less behind on the heap

Buffers of the HTTP library grow with a long body as they do with a long head, so both are charged. Metrics held_memory_bytes and memory_limit_bytes; the tests use them: after each crowd has left, everything is given back.

--- a/crates/dataplane/src/front/client_connection.rs
+++ b/crates/dataplane/src/front/client_connection.rs
@@ -25,8 +25,9 @@
 
 /// Size of a read buffer, which holds one request's headers.
 pub const READ_BUFFER_SIZE: usize = 16 * 1024;
-/// Memory of a connection whose head is longer than the free part: the buffers of the HTTP library and the head itself.
-const LARGE_HEAD_SIZE: usize = 48 * 1024;
+/// Memory of a connection that has received more than the free part of a request: the buffers of the HTTP library, and
+/// the head.
+const GROWN_BUFFERS_SIZE: usize = 48 * 1024;
 /// The end of a request's head.
 const HEAD_END: &[u8] = b"\r\n\r\n";
 /// A connection whose activity has no deadline, such as an open request, is checked again after this time.
@@ -83,8 +84,8 @@
     body: Cell<Option<(Time, u64)>>,
     /// When the answer that is being written was ready, and the number of its bytes written so far.
     answer: Cell<Option<(Time, u64)>>,
-    /// The memory of a large head. The HTTP library keeps its buffers until the connection ends.
-    head_memory: RefCell<Option<Reservation>>,
+    /// The memory of buffers that have grown. The HTTP library keeps them until the connection ends.
+    buffer_memory: RefCell<Option<Reservation>>,
     /// The deadline that the timer is set for.
     timer_deadline: Cell<Time>,
     deadline_changed: Notify,
@@ -101,7 +102,7 @@
             head: RefCell::default(),
             body: Cell::default(),
             answer: Cell::default(),
-            head_memory: RefCell::default(),
+            buffer_memory: RefCell::default(),
             timer_deadline: Cell::new(Time::MAX),
             deadline_changed: Notify::new(),
             admission: admission.clone(),
@@ -192,19 +193,21 @@
         }
     }
 
-    /// Whether the connection has had a large head.
-    pub fn has_had_large_head(&self) -> bool {
-        self.head_memory.borrow().is_some()
+    /// Whether the connection has had a large head or body.
+    pub fn has_grown_buffers(&self) -> bool {
+        self.buffer_memory.borrow().is_some()
     }
 
-    /// Charges a head that has become large.
-    fn charge_head(&self, memory: &Arc<MemoryLedger>) -> Result<(), NoMemory> {
-        if self.head.borrow().len() <= FREE_SIZE || self.has_had_large_head() {
+    /// Charges the buffers of a connection whose head or body has become large.
+    fn charge_buffers(&self, memory: &Arc<MemoryLedger>) -> Result<(), NoMemory> {
+        let body_length = self.body.get().map_or(0, |(_, length)| length);
+        let is_small = self.head.borrow().len() <= FREE_SIZE && body_length <= FREE_SIZE as u64;
+        if is_small || self.has_grown_buffers() {
             return Ok(());
         }
         let mut reservation = memory.reservation();
-        reservation.resize(LARGE_HEAD_SIZE)?;
-        *self.head_memory.borrow_mut() = Some(reservation);
+        reservation.resize(GROWN_BUFFERS_SIZE)?;
+        *self.buffer_memory.borrow_mut() = Some(reservation);
         Ok(())
     }
 
@@ -248,7 +251,7 @@
     /// Bytes that were read already, after a PROXY protocol header.
     buffered: Vec<u8>,
     client: Rc<ClientConnection>,
-    /// The memory that large heads are charged to.
+    /// The memory that buffers are charged to.
     memory: Arc<MemoryLedger>,
 }
 
@@ -258,7 +261,7 @@
         Self { stream, buffered, client, memory: MemoryLedger::unbounded() }
     }
 
-    /// The same with large heads charged to `memory`. Without memory for one its connection ends.
+    /// The same with buffers that grow charged to `memory`. Without memory for them the connection ends.
     #[must_use]
     pub fn with_memory(self, memory: Arc<MemoryLedger>) -> Self {
         Self { memory, ..self }
@@ -278,7 +281,7 @@
             self.buffered.drain(..fits);
         }
         self.client.on_bytes(&buf.filled()[before..]);
-        Poll::Ready(self.client.charge_head(&self.memory).map_err(|_| io::ErrorKind::OutOfMemory.into()))
+        Poll::Ready(self.client.charge_buffers(&self.memory).map_err(|_| io::ErrorKind::OutOfMemory.into()))
     }
 }
 
--- a/crates/memory/src/buffer.rs
+++ b/crates/memory/src/buffer.rs
@@ -7,10 +7,12 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
-/// The first capacity of a body without a stated length.
+/// The first capacity on the heap of a body that may become long.
 const FIRST_CAPACITY: usize = 1024;
-/// A long body is charged in steps of this size, which is a multiple of every usual page size.
-const CHARGE_STEP: usize = 64 * 1024;
+/// A body that may become long is on the heap up to this length.
+const MAX_GROWING_LENGTH: usize = 8 * 1024;
+/// A mapping is charged in steps of this size, which is a multiple of every usual page size.
+const CHARGE_STEP: usize = SMALL_SIZE;
 
 /// Where the bytes are.
 ///
@@ -125,14 +127,16 @@
         if length > self.max_length {
             return Err(NoMemory::TooLarge);
         }
-        if length > SMALL_SIZE {
-            self.grow_reservation(Self::charged_size(length))?;
+        // A short body whose length is known needs one piece of the heap.
+        let max_heap_length = if self.max_length <= SMALL_SIZE { SMALL_SIZE } else { MAX_GROWING_LENGTH };
+        if length > max_heap_length {
+            self.grow_reservation(length.next_multiple_of(CHARGE_STEP))?;
             return self.append_to_mapping(piece);
         }
         if let Storage::Heap(bytes) = &mut self.storage {
             if length > bytes.capacity() {
-                let capacity =
-                    length.next_power_of_two().clamp(FIRST_CAPACITY, SMALL_SIZE).min(self.max_length);
+                let growing = length.next_power_of_two().max(FIRST_CAPACITY);
+                let capacity = if self.max_length <= SMALL_SIZE { self.max_length } else { growing };
                 if capacity > self.reservation.size() {
                     self.reservation.resize(capacity)?;
                 }
@@ -175,7 +179,7 @@
         }
         let size = match &storage {
             Storage::Heap(bytes) => bytes.capacity(),
-            Storage::Mapping { length, .. } => Self::charged_size(*length),
+            Storage::Mapping { length, .. } => length.next_multiple_of(CHARGE_STEP),
         };
         if size < reservation.size() {
             // Shrinking is never refused.
--- a/system/proxy/src/frontend.rs
+++ b/system/proxy/src/frontend.rs
@@ -283,7 +283,7 @@
         };
         self.proxy.services.answer_counts.record_given(response.status(), author);
         // Its buffers are free again once it is closed.
-        must_close |= client.has_had_large_head() && self.proxy.memory.is_small_pool_scarce();
+        must_close |= client.has_grown_buffers() && self.proxy.memory.is_small_pool_scarce();
         if must_close || self.proxy.must_close_connections() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
--- a/system/proxy/src/metrics.rs
+++ b/system/proxy/src/metrics.rs
@@ -12,6 +12,7 @@
 use doorcourse::Outcome;
 use fennelscale_dataplane::back::connection::Progress;
 use fennelscale_host::call::ApiRequest;
+use fennelscale_memory::ledger::MemoryLedger;
 use http_body_util::Full;
 use hyper::Response;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
@@ -81,6 +82,11 @@
     why: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Hash, PartialEq, Eq)]
+struct PoolLabel {
+    pool: &'static str,
+}
+
 /// All metrics of one proxy.
 #[derive(Debug)]
 pub struct Metrics {
@@ -101,6 +107,8 @@
     copies: Family<CopyLabel, Counter>,
     session_ends: Family<SessionEndLabel, Counter>,
     task_delay: Gauge,
+    held_memory: Family<PoolLabel, Gauge>,
+    memory_limit: Family<PoolLabel, Gauge>,
 }
 
 impl Default for Metrics {
@@ -186,6 +194,18 @@
             "The longest that a periodic task waited behind other tasks, in the last one to two seconds",
             task_delay.clone(),
         );
+        let (held_memory, memory_limit) =
+            (Family::<PoolLabel, Gauge>::default(), Family::<PoolLabel, Gauge>::default());
+        registry.register(
+            "held_memory_bytes",
+            "Memory charged to callers for bodies, answers and large heads, by pool",
+            held_memory.clone(),
+        );
+        registry.register(
+            "memory_limit_bytes",
+            "The most memory that may be charged to callers, by pool",
+            memory_limit.clone(),
+        );
         Self {
             registry,
             sends,
@@ -203,6 +223,8 @@
             copies,
             session_ends,
             task_delay,
+            held_memory,
+            memory_limit,
         }
     }
 }
@@ -230,6 +252,7 @@
             let count = proxy.session_counts.count(end);
             self.session_ends.get_or_create(&labels).inner().store(count, Ordering::Relaxed);
         }
+        self.read_memory(&proxy.memory);
         self.task_delay.set(proxy.task_delay.longest().as_millis() as i64);
         self.list_number.set(i64::try_from(state.backend_list.stamp.0).unwrap_or(i64::MAX));
         self.ready_proxies.set(state.proxies.iter().filter(|proxy| proxy.ready).count() as i64);
@@ -243,6 +266,16 @@
         }
     }
 
+    fn read_memory(&self, memory: &MemoryLedger) {
+        let (used, limits) = (memory.used(), memory.limits());
+        for (pool, used, limit) in [("small", used.small, limits.small), ("large", used.large, limits.large)]
+        {
+            let labels = PoolLabel { pool };
+            self.held_memory.get_or_create(&labels).set(i64::try_from(used).unwrap_or(i64::MAX));
+            self.memory_limit.get_or_create(&labels).set(i64::try_from(limit).unwrap_or(i64::MAX));
+        }
+    }
+
     fn read_answers(&self, counts: &AnswerCounts) {
         counts.for_each_received(|status, taken, count| {
             let labels = ReceivedLabels { status, taken };
--- a/system/proxy/tests/helper/mod.rs
+++ b/system/proxy/tests/helper/mod.rs
@@ -420,7 +420,7 @@
         let started = Rc::<RefCell<Option<process::ProxyProcess>>>::default();
         let launched = started.clone();
         let text = test_bed.settings_text();
-        let launch = move |_, _| *launched.borrow_mut() = Some(process::ProxyProcess::start(&text));
+        let launch = move |_, port| *launched.borrow_mut() = Some(process::ProxyProcess::start(&text, port));
         let proxy = Self::start_with(test_bed, &[], launch).await;
         let process = started.take().expect("the proxy was started");
         (proxy, process)
--- a/system/proxy/tests/helper/process.rs
+++ b/system/proxy/tests/helper/process.rs
@@ -15,14 +15,16 @@
 }
 
 impl ProxyProcess {
-    /// Starts the program with this settings file.
-    pub fn start(settings: &str) -> Self {
+    /// Starts the program with this settings file; it serves its metrics at this port.
+    pub fn start(settings: &str, metrics_port: u16) -> Self {
         let number = STARTED.fetch_add(1, Ordering::Relaxed);
         let path =
             std::env::temp_dir().join(format!("fennelscale-proxy-{}-{number}.toml", std::process::id()));
         fs::write(&path, settings).expect("a settings file");
         let child = Command::new(env!("CARGO_BIN_EXE_fennelscale-proxy"))
             .env("FENNELSCALE_CONFIG", &path)
+            .arg("--metrics-port")
+            .arg(metrics_port.to_string())
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(Stdio::null())
--- a/system/proxy/tests/misbehaving_clients.rs
+++ b/system/proxy/tests/misbehaving_clients.rs
@@ -7,7 +7,7 @@
 
 use helper::process::ProxyProcess;
 use helper::sized_backend::{self, SILENT, SIZED};
-use helper::{ProcessLimits, Proxy, TestBed};
+use helper::{ProcessLimits, Proxy, TestBed, wait_until};
 use std::future::Future;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
@@ -42,6 +42,7 @@
 /// A proxy process with its backend.
 struct Scene {
     test_bed: TestBed,
+    proxy: Proxy,
     process: ProxyProcess,
     limits: ProcessLimits,
 }
@@ -53,8 +54,7 @@
         let (proxy, process) = Proxy::start_process(&test_bed).await;
         proxy.send_max_body(2, max_body);
         proxy.send_list(1, vec![backend]).await;
-        drop(proxy);
-        Self { test_bed, process, limits }
+        Self { test_bed, proxy, process, limits }
     }
 
     /// The head of a request up to the headers of its body.
@@ -136,7 +136,8 @@
         }
     }
 
-    /// Checks the process beside the crowd and after it, and that an ordinary request is answered each time.
+    /// Checks the process beside the crowd and after it, that an ordinary request is answered each time, and that
+    /// nothing is held in the end.
     async fn check_and_dismiss<T>(&mut self, crowd: Vec<T>) {
         self.settle().await;
         self.check();
@@ -144,6 +145,9 @@
         drop(crowd);
         assert_eq!(self.test_bed.request("/ordinary").await.ok(), Some(200), "after the crowd");
         self.check();
+        let held = async || self.proxy.metric("held_memory_bytes", "").await;
+        assert!(self.proxy.metric("memory_limit_bytes", "").await > 0.0);
+        wait_until("everything is given back", async || held().await == 0.0).await;
     }
 }
 
