Answers: short ones never wait for memory, a wait is bounded in all and not the backend's

Found by reading the change again, in the answers' fix: - an answer without a stated length reserved 64 KiB before its first byte, so that a crowd that fills the small pool would have made short chunked answers of others wait, and fail; - it could wait twice, 2 s in all, while an answer has 1.5 s for its end: then the wait broke the attempt and was counted against the backend, which the fix was to prevent. What was left after a shorter wait could be too short as well; - an answer longer than all memory, but not longer than allowed, was counted against the backend, too; and where the limit is no multiple of 64 KiB a body of exactly the largest size never fitted; - the 502 was made as if it were the backend's answer, though the engine has an answer of its own for a request that ran and brought none. It does so now, and the metrics say that the proxy is its author.

--- a/crates/dataplane/src/back/backends.rs
+++ b/crates/dataplane/src/back/backends.rs
@@ -13,7 +13,7 @@
 use fennelscale_settings::load;
 use fennelscale_wire::reuse::{ResponseFault, ReusePolicy};
 use http_body_util::Full;
-use hyper::header::{HeaderMap, HeaderValue};
+use hyper::header::HeaderValue;
 use hyper::http::request::Builder;
 use hyper::http::response;
 use hyper::{Request, StatusCode};
@@ -51,19 +51,17 @@
 pub struct AttemptResult {
     /// The outcome reported to the decision module.
     pub outcome: Outcome,
-    /// The answer if the outcome is `Served`.
+    /// The answer if the outcome is `Served`; none if there was no memory for it.
     pub answer: Option<Answer>,
     /// The load report in the answer, if any.
     pub load: Option<LoadReport>,
 }
 
 impl AttemptResult {
-    /// The result of an attempt that was executed, for whose answer there was no memory. The client must not be told
-    /// that it was not executed, another attempt would need as much memory, and the backend did what it should.
+    /// The result of an attempt that was executed, for whose answer there was no memory: another attempt would need as
+    /// much, and the backend did what it should. The client is told that its request failed.
     fn without_memory() -> Self {
-        let answer =
-            Answer { status: StatusCode::BAD_GATEWAY, headers: HeaderMap::new(), body: Bytes::new() };
-        Self { outcome: Outcome::Served, answer: Some(answer), load: None }
+        Outcome::Served.into()
     }
 }
 
--- a/crates/dataplane/src/back/connection.rs
+++ b/crates/dataplane/src/back/connection.rs
@@ -32,7 +32,8 @@
 /// Maximum size of an answer's head. Bounds the memory that an endless head can take.
 const MAX_HEAD: usize = 16 * 1024;
 
-/// An answer waits for memory at most so long, in which other clients may take theirs.
+/// An answer waits for memory at most so long in all, in which other clients may take theirs. It has that much longer to
+/// end: the backend is not to blame for the wait.
 const MEMORY_WAIT: Duration = Duration::from_secs(1);
 
 /// Marks the head of an answer for whose body there was no memory. Its request was executed, and its backend is not
@@ -165,9 +166,10 @@
         let _ = pin!(self.exchange.answer_started.notified()).as_mut().enable();
         let (driver, exchange, memory) = (&mut self.driver, &self.exchange, &self.memory);
         let sent = self.sender.send_request(request);
+        let waits_for_memory = Cell::new(false);
         let answer = drive(driver, async {
             let (mut head, body) = sent.await.map_err(|_| ())?.into_parts();
-            let body = match read_when_free(body, max_body, memory, MEMORY_WAIT).await {
+            let body = match read_when_free(body, max_body, memory, MEMORY_WAIT, &waits_for_memory).await {
                 Ok(body) => body,
                 Err(ReadError::NoMemory(_)) => {
                     head.extensions.insert(BodyDiscarded);
@@ -186,6 +188,9 @@
             // Bytes received before the request's first byte are no answer to wait for.
             if matches!(exchange.lifecycle.state(), Connection::Busy { written: Written::Whole, .. }) {
                 sleep(rest).await;
+                if waits_for_memory.get() {
+                    sleep(MEMORY_WAIT).await;
+                }
             }
         };
         let unwritten = async {
--- a/crates/memory/src/buffer.rs
+++ b/crates/memory/src/buffer.rs
@@ -1,18 +1,14 @@
 //! A body in one piece, with the memory that it is charged.
 
-use crate::ledger::{MemoryLedger, NoMemory, Reservation, SMALL_SIZE};
+use crate::ledger::{CHARGE_STEP, MemoryLedger, NoMemory, Reservation, SMALL_SIZE};
 use bytes::Bytes;
 use memmap2::{Advice, MmapMut, MmapOptions};
 use std::sync::Arc;
-use std::time::Duration;
-use tokio::time::timeout;
 
 /// The first capacity on the heap of a body that may become long.
 const FIRST_CAPACITY: usize = 1024;
 /// A body that may become long is on the heap up to this length.
 const MAX_GROWING_LENGTH: usize = 8 * 1024;
-/// A mapping is charged in steps of this size, which is a multiple of every usual page size.
-const CHARGE_STEP: usize = SMALL_SIZE;
 
 /// Where the bytes are.
 ///
@@ -101,16 +97,20 @@
         self.len() == 0
     }
 
-    /// Waits until there is memory for a body of this length, so that appending it cannot fail for lack of it.
+    /// Reserves memory for a body of this length, so that appending it cannot fail for lack of it.
     ///
     /// # Errors
-    /// If there is none in this time, or can never be.
-    pub async fn reserve_when_free(&mut self, length: usize, max_wait: Duration) -> Result<(), NoMemory> {
-        let size = Self::charged_size(length).max(self.reservation.size());
-        if self.reservation.resize(size).is_ok() {
-            return Ok(());
-        }
-        timeout(max_wait, self.reservation.resize_when_free(size)).await.unwrap_or(Err(NoMemory::InUse))
+    /// If there is none.
+    pub fn reserve(&mut self, length: usize) -> Result<(), NoMemory> {
+        self.grow_reservation(Self::charged_size(length))
+    }
+
+    /// The same as soon as there is memory for it. The caller bounds the wait.
+    ///
+    /// # Errors
+    /// If there can never be.
+    pub async fn reserve_when_free(&mut self, length: usize) -> Result<(), NoMemory> {
+        self.reservation.resize_when_free(Self::charged_size(length).max(self.reservation.size())).await
     }
 
     /// What a body of this length is charged.
--- a/crates/memory/src/ledger.rs
+++ b/crates/memory/src/ledger.rs
@@ -14,6 +14,9 @@
 /// Bytes of each reservation that are charged to the small pool, including the free ones.
 pub const SMALL_SIZE: usize = 64 * 1024;
 
+/// Long reservations are multiples of this size, which is one of every usual page size.
+pub const CHARGE_STEP: usize = SMALL_SIZE;
+
 /// There is no memory for a caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum NoMemory {
@@ -28,7 +31,7 @@
 /// An amount of memory in both pools, in bytes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PoolSizes {
-    /// The pool for the first bytes of each reservation, and for large heads.
+    /// The pool for the first bytes of each reservation.
     pub small: usize,
     /// The pool for the rest of long bodies.
     pub large: usize,
@@ -80,9 +83,10 @@
         self.used().small > self.limits.small / 2
     }
 
-    /// The largest reservation that can be made while there is no other.
+    /// The largest reservation that can be made while there is no other, in whole steps.
     pub fn largest_reservation(&self) -> usize {
-        self.limits.large.saturating_add(SMALL_SIZE)
+        let steps = self.limits.large / CHARGE_STEP;
+        (steps * CHARGE_STEP).saturating_add(SMALL_SIZE)
     }
 
     /// Whether a reservation of this size could be made now.
@@ -134,11 +138,6 @@
         self.size
     }
 
-    /// The largest size that this can ever have.
-    pub fn largest(&self) -> usize {
-        self.ledger.largest_reservation()
-    }
-
     /// Changes the size.
     ///
     /// # Errors
--- a/crates/memory/src/lib.rs
+++ b/crates/memory/src/lib.rs
@@ -1,4 +1,4 @@
-//! The memory that a process holds for its callers: request bodies, answers and large heads.
+//! The memory that a process holds for its callers: request bodies, answers, and buffers that have grown.
 //!
 //! A [`ledger::MemoryLedger`] bounds the sum. What is held is charged by a [`ledger::Reservation`], which gives it back
 //! when it is dropped, so that a cancelled wait, a closed connection or a lost race cannot keep it. A
--- a/crates/memory/src/read.rs
+++ b/crates/memory/src/read.rs
@@ -1,13 +1,15 @@
 //! Reads bodies from the HTTP library into memory that is charged.
 
 use crate::buffer::BodyBuffer;
-use crate::ledger::{MemoryLedger, NoMemory, SMALL_SIZE};
+use crate::ledger::{FREE_SIZE, MemoryLedger, NoMemory, SMALL_SIZE};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use std::cell::Cell;
 use std::sync::Arc;
 use std::time::Duration;
 use thiserror::Error;
+use tokio::time::{Instant, timeout_at};
 
 /// Why a body was not read.
 #[derive(Debug, Error)]
@@ -36,23 +38,31 @@
     Ok(fill(buffer, body, max_length).await?.into_bytes())
 }
 
-/// Reads a body of at most `max_length` bytes; waits for memory where there is none, `max_wait` each time. The sender
-/// is not read from meanwhile. Memory for the whole body is reserved before more than a little of it is read: bodies
-/// that each hold a part could wait for each other.
+/// Reads a body of at most `max_length` bytes; waits for memory where there is none, `max_wait` in all, and tells by
+/// `has_waited` that it does. The sender is not read from meanwhile. Memory for the whole body is reserved before more
+/// than a little of it is read: bodies that each hold a part could wait for each other.
 ///
 /// # Errors
 /// If the body cannot be read whole, or there is no memory for it in time.
 pub async fn read_when_free(
     mut body: Incoming, max_length: usize, ledger: &Arc<MemoryLedger>, max_wait: Duration,
+    has_waited: &Cell<bool>,
 ) -> Result<Bytes, ReadError> {
-    let max_length = max_length.min(ledger.largest_reservation());
     let stated = check_stated_length(&body, max_length)?;
-    let mut buffer = BodyBuffer::new(ledger, stated.unwrap_or(max_length));
-    let (mut reserved, whole) = match stated {
-        Some(length) => (length, length),
-        None => (SMALL_SIZE.min(max_length), max_length),
+    let longest = stated.unwrap_or_else(|| max_length.min(ledger.largest_reservation()));
+    let mut buffer = BodyBuffer::new(ledger, longest);
+    // A body without a stated length may be a short one, which shall not wait behind long ones.
+    let mut reserved = stated.unwrap_or(FREE_SIZE);
+    let mut deadline = None;
+    let mut reserve = async |buffer: &mut BodyBuffer, length: usize| match buffer.reserve(length) {
+        Err(NoMemory::InUse) => {
+            has_waited.set(true);
+            let deadline = *deadline.get_or_insert_with(|| Instant::now() + max_wait);
+            timeout_at(deadline, buffer.reserve_when_free(length)).await.unwrap_or(Err(NoMemory::InUse))
+        }
+        other => other,
     };
-    buffer.reserve_when_free(reserved, max_wait).await?;
+    reserve(&mut buffer, reserved).await?;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(ReadError::Broken)?;
         let Some(piece) = frame.data_ref() else { continue };
@@ -61,8 +71,8 @@
             return Err(ReadError::TooLong);
         }
         if length > reserved {
-            buffer.reserve_when_free(whole, max_wait).await?;
-            reserved = whole;
+            reserved = if length <= SMALL_SIZE { SMALL_SIZE } else { longest };
+            reserve(&mut buffer, reserved).await?;
         }
         buffer.append(piece)?;
     }
--- a/system/proxy/src/memory_limits.rs
+++ b/system/proxy/src/memory_limits.rs
@@ -15,7 +15,7 @@
 /// The division of the memory limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MemoryLimits {
-    /// What may be charged for bodies, answers and large heads.
+    /// What may be charged for bodies, answers and grown buffers.
     pub pools: PoolSizes,
     /// Maximum number of client connections.
     pub clients: usize,
--- a/system/proxy/src/metrics.rs
+++ b/system/proxy/src/metrics.rs
@@ -198,7 +198,7 @@
             (Family::<PoolLabel, Gauge>::default(), Family::<PoolLabel, Gauge>::default());
         registry.register(
             "held_memory_bytes",
-            "Memory charged to callers for bodies, answers and large heads, by pool",
+            "Memory charged to callers for bodies, answers and grown buffers, by pool",
             held_memory.clone(),
         );
         registry.register(
--- a/system/proxy/tests/misbehaving_clients.rs
+++ b/system/proxy/tests/misbehaving_clients.rs
@@ -6,7 +6,7 @@
 mod helper;
 
 use helper::process::ProxyProcess;
-use helper::sized_backend::{self, SILENT, SIZED};
+use helper::sized_backend::{self, SILENT, SIZED, SizedBackend};
 use helper::{ProcessLimits, Proxy, TestBed, wait_until};
 use std::future::Future;
 use std::sync::{Mutex, PoisonError};
@@ -42,6 +42,7 @@
 /// A proxy process with its backend.
 struct Scene {
     test_bed: TestBed,
+    backend: SizedBackend,
     proxy: Proxy,
     process: ProxyProcess,
     limits: ProcessLimits,
@@ -53,8 +54,8 @@
         let backend = sized_backend::start(&test_bed).await;
         let (proxy, process) = Proxy::start_process(&test_bed).await;
         proxy.send_max_body(2, max_body);
-        proxy.send_list(1, vec![backend]).await;
-        Self { test_bed, proxy, process, limits }
+        proxy.send_list(1, vec![backend.entry.clone()]).await;
+        Self { test_bed, backend, proxy, process, limits }
     }
 
     /// The head of a request up to the headers of its body.
@@ -212,6 +213,23 @@
     });
 }
 
+/// Guards against a promise that cannot be kept, and against a backend that is blamed: the request has run.
+#[test]
+fn an_answer_without_room_is_a_failure_and_its_request_runs_once() {
+    play(12, async |scene| {
+        let crowd = all((0..CROWD).map(|_| scene.ask(LARGE))).await;
+        for path in ["", "/repeatable"] {
+            let before = scene.backend.sized_requests.get();
+            let answer = scene.test_bed.upload(&format!("{path}{SIZED}{LARGE}"), 1).await.expect("no panic");
+            assert_eq!(answer.map(|(status, _)| status), Some(502), "{path}");
+            assert_eq!(scene.backend.sized_requests.get(), before + 1, "{path}");
+        }
+        scene.check_and_dismiss(crowd).await;
+        let answer = scene.test_bed.upload(&format!("{SIZED}{LARGE}"), 1).await.expect("no panic");
+        assert_eq!(answer.map(|(status, body)| (status, body.len())), Some((200, LARGE)), "in calm again");
+    });
+}
+
 /// Guards against running out of memory: answers were not counted, and a reader that is slow kept all of its own.
 #[test]
 fn many_long_answers_that_are_read_slowly() {
