Control addresses: a head has 24 KiB at most; no handled call is refused for memory

What callers saw: heads of 60 KB that do not end, at a proxy's readiness and metrics addresses, beside bodies and heads of clients that fill their shares, took it over memoryMb.

Cause: each of 200 connections of an address could hold a head of 64 KiB, which nothing counted.

Change: the read buffer has 24 KiB, as that of clients; the configuration allows heads of 16. A unit test shows that the longest failure is short enough to need no memory of the ledger, which a comment only claimed: a call that was handled must not be answered 503.

--- a/system/host/src/call.rs
+++ b/system/host/src/call.rs
@@ -28,6 +28,8 @@
 const MAX_BODY: usize = 8 << 20;
 /// Concurrent client connections; further ones wait in the kernel's accept queue.
 const MAX_CONNECTIONS: usize = 200;
+/// Size of a connection's read buffer, which holds the head of a request. The configuration allows 16 KiB to clients.
+const READ_BUFFER_SIZE: usize = 24 * 1024;
 /// Time limit for reading a whole request.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time limit for the caller to take an answer, once it does not fit into the connection's buffers.
@@ -211,7 +213,7 @@
                 let connection = http1::Builder::new()
                     .timer(TokioTimer::new())
                     .header_read_timeout(READ_TIMEOUT)
-                    .max_buf_size(64 * 1024)
+                    .max_buf_size(READ_BUFFER_SIZE)
                     .serve_connection(TokioIo::new(AnswerDeadline::new(stream, TAKE_TIMEOUT)), service);
                 let _ = connection.await;
                 drop(permit);
@@ -252,8 +254,8 @@
         }
     }
 
-    /// Charges an answer until its caller has taken it. The answers to calls that change something are short enough
-    /// to be free.
+    /// Charges an answer until its caller has taken it. The answers to calls that change something, and failures, are
+    /// short enough to be free, so that no call is refused after it was handled.
     async fn charge(&self, response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
         let (head, body) = response.into_parts();
         let Ok(body) = body.collect().await;
@@ -272,6 +274,16 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use fennelscale_memory::ledger::FREE_SIZE;
+    use hyper::body::Body;
+
+    /// Guards against a refusal of a call that has been handled: its answer could find no memory.
+    #[test]
+    fn the_longest_failure_needs_no_memory_of_the_ledger() {
+        let failure = Failure::new(Kind::OutcomeUnknown, "\"".repeat(MAX_BODY));
+        let length = error_response(&failure).body().size_hint().exact();
+        assert!(length.is_some_and(|length| length <= FREE_SIZE as u64), "{length:?}");
+    }
 
     #[test]
     fn query_parameters_are_percent_decoded() {
--- a/system/proxy/tests/helper/mod.rs
+++ b/system/proxy/tests/helper/mod.rs
@@ -55,8 +55,8 @@
 /// Offsets of ports from the first one.
 const BACKEND_PORT: u16 = 9;
 const FRONTEND_PORT: u16 = 12;
-const READINESS_PORT: u16 = 13;
-const METRICS_PORT: u16 = 14;
+pub const READINESS_PORT: u16 = 13;
+pub const METRICS_PORT: u16 = 14;
 /// The service of the routes under `/`, and that of those under `/other/`.
 pub const SERVICE: &str = "s";
 pub const OTHER_SERVICE: &str = "t";
@@ -170,7 +170,12 @@
 
     /// A connection of a client to the proxy.
     pub async fn connect(&self) -> TcpStream {
-        TcpStream::connect(self.at(PROXY, FRONTEND_PORT)).await.expect("the proxy accepts")
+        self.connect_to(FRONTEND_PORT).await
+    }
+
+    /// A connection to another port of the proxy.
+    pub async fn connect_to(&self, port: u16) -> TcpStream {
+        TcpStream::connect(self.at(PROXY, port)).await.expect("the proxy accepts")
     }
 
     /// The id of a new request.
--- a/system/proxy/tests/misbehaving_clients.rs
+++ b/system/proxy/tests/misbehaving_clients.rs
@@ -7,7 +7,7 @@
 
 use helper::process::ProxyProcess;
 use helper::sized_backend::{self, SILENT, SIZED, SizedBackend};
-use helper::{ProcessLimits, Proxy, TestBed, wait_until};
+use helper::{METRICS_PORT, ProcessLimits, Proxy, READINESS_PORT, TestBed, wait_until};
 use std::future::Future;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
@@ -112,6 +112,20 @@
         stream
     }
 
+    /// A client with a head that does not end.
+    async fn long_client_head(&self) -> TcpStream {
+        let head = self.head("/") + "X-Long: " + &"x".repeat(15_000);
+        self.write(&head, std::iter::empty()).await
+    }
+
+    /// A caller of another port of the proxy with a head that does not end.
+    async fn long_head(&self, port: u16) -> TcpStream {
+        let mut stream = self.test_bed.connect_to(port).await;
+        let head = format!("GET / HTTP/1.1\r\nHost: proxy\r\nX-Long: {}", "x".repeat(60_000));
+        let _ = stream.write_all(head.as_bytes()).await;
+        stream
+    }
+
     /// Checks what must hold at any time.
     fn check(&mut self) {
         assert!(self.process.is_alive(), "the process has ended");
@@ -317,15 +331,25 @@
     });
 }
 
+/// Guards against running out of memory: each head at the addresses for the platform could have 64 KiB.
+#[test]
+fn long_heads_at_the_platforms_addresses_beside_bodies_and_heads_of_clients() {
+    let limits = ProcessLimits { memory_mb: 64, descriptors: 2600 };
+    play_with(13, limits, MAX_BODY, async |scene| {
+        let bodies = all((0..150).map(|_| scene.chunked_a_byte_short(300_000, 4096))).await;
+        let mut heads = all((0..700).map(|_| scene.long_client_head())).await;
+        for port in [READINESS_PORT, METRICS_PORT] {
+            heads.extend(all((0..190).map(|_| scene.long_head(port))).await);
+        }
+        scene.check_and_dismiss(vec![bodies, heads]).await;
+    });
+}
+
 /// All crowds at once, and heads that do not end.
 #[test]
 fn all_crowds_at_once() {
     play(10, async |scene| {
-        let heads = all((0..200).map(|_| async {
-            let head = scene.head("/") + "X-Long: " + &"x".repeat(15_000);
-            scene.write(&head, std::iter::empty()).await
-        }))
-        .await;
+        let heads = all((0..200).map(|_| scene.long_client_head())).await;
         let chunked = all((0..CROWD).map(|_| scene.chunked_a_byte_short(LARGE, CHUNK))).await;
         let small_chunks = all((0..CROWD).map(|_| scene.chunked_a_byte_short(400_000, 1))).await;
         let answers = all((0..CROWD).map(|_| scene.ask(LARGE))).await;
@@ -340,11 +364,7 @@
     let limits = ProcessLimits { memory_mb: 64, descriptors: 2600 };
     play_with(11, limits, MAX_BODY, async |scene| {
         let bodies = all((0..150).map(|_| scene.chunked_a_byte_short(300_000, 4096))).await;
-        let heads = all((0..700).map(|_| async {
-            let head = scene.head("/") + "X-Long: " + &"x".repeat(15_000);
-            scene.write(&head, std::iter::empty()).await
-        }))
-        .await;
+        let heads = all((0..700).map(|_| scene.long_client_head())).await;
         scene.check_and_dismiss(vec![bodies, heads]).await;
     });
 }
--- a/system/registry/tests/misbehaving_callers.rs
+++ b/system/registry/tests/misbehaving_callers.rs
@@ -219,7 +219,7 @@
 /// Guards against running out of memory: text of two bytes for each value, which cost far more once parsed.
 #[test]
 fn calls_of_very_many_values() {
-    play(3, CORE_MEMORY_MB, |registry| {
+    play(3, LOW_MEMORY_MB, |registry| {
         let body = format!("{{\"upsert\":{{\"tenants\":[1{}]}}}}", ",1".repeat(LARGE / 2));
         for _ in 0..CROWD {
             assert_eq!(registry.call(body.as_bytes()), Some(400));
