Tests: one piece tells peak memory, descriptors and processor time of a process

It stood in the tests of the proxy, the registry and the gateway. It is a module of the package for real processes now; the checks and their bounds are as they were.

--- a/crates/fault/src/lib.rs
+++ b/crates/fault/src/lib.rs
@@ -5,10 +5,12 @@
 //! - [`relay`]: one link, one way: passes, drops, stalls, slows or cuts what goes over it.
 //! - [`rig`]: starts, stops, lets go, kills and restarts processes, and writes the record.
 //! - [`record`]: what was done and seen, with the rig's own time.
+//! - [`process`]: what the kernel tells of a process.
 //! - [`judge`]: the properties, replayed from the record alone. It believes no process: what was held is known by the effects
 //!   that reached a witness, what was agreed by comparing what all of them show.
 
 pub mod judge;
+pub mod process;
 pub mod record;
 pub mod relay;
 pub mod rig;
--- a/gateway/tests/misbehaving_clients.rs
+++ b/gateway/tests/misbehaving_clients.rs
@@ -3,6 +3,7 @@
 
 mod helper;
 
+use fennelscale_fault::process::peak_memory;
 use helper::{Backend, Client, Do, Mood, Setup, World, ok, request, row};
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -23,12 +24,6 @@
 const STILL_USE: Duration = Duration::from_millis(100);
 const MOST_LOOKS: usize = 60;
 
-fn peak_memory(process: u32) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{process}/status")).expect("a status");
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
-    line.trim().trim_end_matches("kB").trim().parse::<u64>().expect("a number") * 1024
-}
-
 /// Guards against running out of memory: each chunk was kept by itself, at far more than its length.
 #[tokio::test(flavor = "multi_thread")]
 async fn many_bodies_in_chunks_of_one_byte_stay_within_the_memory() {
@@ -55,7 +50,7 @@
             break;
         }
     }
-    let peak = peak_memory(world.gateway.id());
+    let peak = peak_memory(world.gateway.id()).expect("its memory");
     let open = world.gateway.descriptors();
     assert!(peak <= MEMORY, "memory rose to {peak} of {MEMORY} bytes");
     assert!(open <= DESCRIPTORS, "{open} descriptors are open");
--- a/system/proxy/tests/helper/process.rs
+++ b/system/proxy/tests/helper/process.rs
@@ -38,25 +38,9 @@
         self.child.try_wait().expect("the state of the process").is_none()
     }
 
-    /// The largest resident memory so far, in bytes.
-    pub fn peak_memory(&self) -> u64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("a status");
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
-        let kilobytes = line.trim().trim_end_matches("kB").trim();
-        kilobytes.parse::<u64>().expect("a number") * 1024
-    }
-
-    /// Processor time used so far, in ticks of the kernel.
-    pub fn processor_ticks(&self) -> u64 {
-        let stat = fs::read_to_string(format!("/proc/{}/stat", self.child.id())).expect("a status");
-        // The name of the program may hold spaces; behind it come the state and ten more fields.
-        let (_, fields) = stat.rsplit_once(')').expect("fields");
-        fields.split_whitespace().skip(11).take(2).map(|ticks| ticks.parse::<u64>().expect("a number")).sum()
-    }
-
-    /// Number of open file descriptors.
-    pub fn descriptors(&self) -> usize {
-        fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("descriptors").count()
+    /// The process's id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
     }
 }
 
--- a/system/proxy/tests/misbehaving_clients.rs
+++ b/system/proxy/tests/misbehaving_clients.rs
@@ -5,6 +5,7 @@
 
 mod helper;
 
+use fennelscale_fault::process::{descriptors, peak_memory, processor_time};
 use helper::process::ProxyProcess;
 use helper::sized_backend::{self, SILENT, SIZED, SizedBackend};
 use helper::{METRICS_PORT, ProcessLimits, Proxy, READINESS_PORT, TestBed, wait_until};
@@ -27,7 +28,7 @@
 const STALLED: Duration = Duration::from_secs(3);
 /// A process that uses so little of the processor between two looks, so many times, has nothing left to do.
 const SETTLE_INTERVAL: Duration = Duration::from_millis(200);
-const IDLE_TICKS: u64 = 1;
+const IDLE_USE: Duration = Duration::from_millis(10);
 const SETTLED_CHECKS: usize = 4;
 const MOST_SETTLE_CHECKS: usize = 300;
 /// Bodies and answers of most crowds, inside [`MAX_BODY`].
@@ -129,8 +130,10 @@
     /// Checks what must hold at any time.
     fn check(&mut self) {
         assert!(self.process.is_alive(), "the process has ended");
-        let (peak, most) = (self.process.peak_memory(), self.limits.memory_mb * MEGABYTE);
-        let (open, most_open) = (self.process.descriptors(), self.limits.descriptors - RESERVED_DESCRIPTORS);
+        let peak = peak_memory(self.process.id()).expect("its memory");
+        let most = self.limits.memory_mb * MEGABYTE;
+        let open = descriptors(self.process.id()).expect("its descriptors");
+        let most_open = self.limits.descriptors - RESERVED_DESCRIPTORS;
         eprintln!("peak memory {peak} of {most} bytes, {open} of {most_open} descriptors");
         assert!(peak <= most, "memory rose to {peak} of {most} bytes");
         assert!(open <= most_open, "{open} of {most_open} descriptors are open");
@@ -138,13 +141,13 @@
 
     /// Waits until the process has done what the crowd has given it to do, as far as it will.
     async fn settle(&mut self) {
-        let (mut still, mut ticks) = (0, 0);
+        let (mut still, mut used) = (0, Duration::ZERO);
         for _ in 0..MOST_SETTLE_CHECKS {
             sleep(SETTLE_INTERVAL).await;
             assert!(self.process.is_alive(), "the process has ended");
-            let now = self.process.processor_ticks();
-            still = if now <= ticks + IDLE_TICKS { still + 1 } else { 0 };
-            ticks = now;
+            let now = processor_time(self.process.id()).expect("its time");
+            still = if now <= used + IDLE_USE { still + 1 } else { 0 };
+            used = now;
             if still == SETTLED_CHECKS {
                 return;
             }
--- a/system/registry/tests/misbehaving_callers.rs
+++ b/system/registry/tests/misbehaving_callers.rs
@@ -3,6 +3,7 @@
 //!
 //! The limits, the crowds and the bounds are fixed: the bounds are those of the settings.
 
+use fennelscale_fault::process::{descriptors, peak_memory};
 use std::fs;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
@@ -162,10 +163,8 @@
 
     fn check(&mut self) {
         assert!(self.is_alive(), "the process has ended");
-        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("a status");
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
-        let peak = line.trim().trim_end_matches("kB").trim().parse::<u64>().expect("a number") * 1024;
-        let open = fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("descriptors").count();
+        let peak = peak_memory(self.child.id()).expect("its memory");
+        let open = descriptors(self.child.id()).expect("its descriptors");
         let most = self.memory_mb * MEGABYTE;
         eprintln!("peak memory {peak} of {most} bytes, {open} descriptors");
         assert!(peak <= most, "memory rose to {peak} of {most} bytes");
