--- a/system/proxy/tests/misbehaving_clients.rs
+++ b/system/proxy/tests/misbehaving_clients.rs
@@ -279,6 +279,24 @@
     });
 }
 
+/// Guards against work and memory for a client that takes nothing: of its requests one at a time is at a backend.
+#[test]
+fn a_request_behind_an_answer_that_is_not_taken_waits_and_is_then_served() {
+    play(14, async |scene| {
+        let request = || scene.head(&format!("{SIZED}{LARGE}")) + "Content-Length: 0\r\n\r\n";
+        let last = scene.head("/") + "Content-Length: 0\r\nConnection: close\r\n\r\n";
+        let mut stream = scene.test_bed.connect().await;
+        stream.write_all((request() + &request() + &last).as_bytes()).await.expect("written");
+        scene.settle().await;
+        assert_eq!(scene.backend.sized_requests.get(), 1, "the second waits");
+        let mut answers = Vec::new();
+        stream.read_to_end(&mut answers).await.expect("three answers");
+        let whole = answers.windows(15).filter(|part| part == b"HTTP/1.1 200 OK").count();
+        assert_eq!((whole, scene.backend.sized_requests.get()), (3, 2));
+        assert!(answers.len() > 2 * LARGE);
+    });
+}
+
 /// Guards against running out of memory: bodies were counted only while they were read.
 #[test]
 fn many_whole_bodies_for_a_backend_that_is_silent() {
@@ -307,6 +325,27 @@
     });
 }
 
+/// A limit that is lowered in the middle of a body holds from the next request on.
+#[test]
+fn a_body_that_was_begun_before_its_limit_was_lowered_is_served() {
+    play(15, async |scene| {
+        let mut begun = scene.with_length("/upload/", LARGE, 1).await;
+        scene.settle().await;
+        scene.proxy.send_max_body(3, LARGE / 2);
+        let status = async |length: usize| {
+            let upload = scene.test_bed.upload("/upload/", length).await.expect("no panic");
+            upload.map(|(status, _)| status)
+        };
+        wait_until("the limit is in force", async || status(LARGE / 2 + 1).await != Some(200)).await;
+        begun.write_all(b"x").await.expect("written");
+        let mut answer = [0; 12];
+        begun.read_exact(&mut answer).await.expect("an answer");
+        assert_eq!(&answer, b"HTTP/1.1 200");
+        assert_eq!(status(LARGE / 2).await, Some(200));
+        scene.check_and_dismiss(vec![begun]).await;
+    });
+}
+
 /// Guards against refusing what the configuration allows: the share for bodies was below the largest one.
 #[test]
 fn one_body_of_the_largest_size_is_served_in_calm() {
