Registry: a call to the store is forgotten when its caller leaves

Found by looking for statements behind a wait, the shape of the bodies' fault: the entry of a pending call was removed behind the wait for its answer, which does not run where the caller has left. It stayed until the store answered or its connection ended, so that callers who come and go while a store is silent add entries. A guard removes it now, as for the other queries. By reading; no test of its own.

--- a/system/registry/src/registry.rs
+++ b/system/registry/src/registry.rs
@@ -345,12 +345,24 @@
         let id = self.next_id();
         let (sender, receiver) = oneshot::channel();
         self.pending_calls.borrow_mut().insert(id, sender);
+        let _pending = PendingCall { registry: self, id };
         let response = if self.send_to_store(&RegistryToStore::Call(id, request)) {
             tokio::time::timeout(STORE_TIMEOUT, receiver).await.ok().and_then(Result::ok)
         } else {
             None
         };
-        self.pending_calls.borrow_mut().remove(&id);
         response.unwrap_or(StoreResponse::Unclear)
     }
 }
+
+/// A call to the store that somebody waits for. It is forgotten when the wait ends, also when its caller has left.
+struct PendingCall<'a> {
+    registry: &'a Registry,
+    id: u64,
+}
+
+impl Drop for PendingCall<'_> {
+    fn drop(&mut self) {
+        self.registry.pending_calls.borrow_mut().remove(&self.id);
+    }
+}
