--- a/review/8/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.."
 standin=review/standins-2/target/release/review-standins-2
 [ -x "$standin" ] && [ -x target/release/fennelscale-proxy ] || { echo "not built: see review/build-2.sh"; exit 2; }
-exec "$standin" answering review/8/record.txt
+exec "$standin" idle-limit review/7/record.txt
--- a/review/standins-2/src/deployment.rs
+++ b/review/standins-2/src/deployment.rs
@@ -8,6 +8,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -84,11 +85,6 @@
 }
 
 impl Process {
-    /// Sends a signal by its name, such as TERM or KILL.
-    pub fn signal(&self, signal: &str) {
-        let _ = Command::new("kill").args([&format!("-{signal}"), &self.child.id().to_string()]).status();
-    }
-
     /// The most memory that it has held, as the system tells.
     pub fn peak_memory(&self) -> String {
         let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
@@ -133,6 +129,10 @@
     seeds: Vec<SocketAddr>,
     /// What the platform lists.
     pub listed: Arc<Mutex<Vec<Listed>>>,
+    /// How long after a call the platform answers, in milliseconds.
+    pub platform_delay: Arc<AtomicU64>,
+    /// The calls that the platform has answered.
+    pub platform_calls: Arc<AtomicU64>,
     pub record: Record,
 }
 
@@ -175,7 +175,9 @@
             fs::create_dir_all(&folder)?;
             let seeds = (0..3).map(|index| address(1 + index, base + CONTROL)).collect();
             let listed = Arc::<Mutex<Vec<Listed>>>::default();
-            let deployment = Self { root, folder, net, base, seeds, listed, record };
+            let (platform_delay, platform_calls) = (Arc::default(), Arc::default());
+            let deployment =
+                Self { root, folder, net, base, seeds, listed, platform_delay, platform_calls, record };
             deployment.serve_platform()?;
             return Ok(deployment);
         }
@@ -295,10 +297,10 @@
 
     fn serve_platform(&self) -> io::Result<()> {
         let listener = TcpListener::bind(self.address(40, PLATFORM))?;
-        let listed = self.listed.clone();
+        let shared = (self.listed.clone(), self.platform_delay.clone(), self.platform_calls.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let listed = listed.clone();
+                let (listed, delay, calls) = shared.clone();
                 thread::spawn(move || {
                     let Ok(mut output) = stream.try_clone() else { return };
                     let mut input = BufReader::new(stream);
@@ -318,6 +320,8 @@
                             "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
                             body.len()
                         );
+                        thread::sleep(Duration::from_millis(delay.load(Ordering::Relaxed)));
+                        calls.fetch_add(1, Ordering::Relaxed);
                         if output.write_all(answer.as_bytes()).is_err() {
                             return;
                         }
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -3,13 +3,13 @@
 //!
 //! Usage: `review-standins-2 CASE RECORD`, at the root of the repository.
 
-mod answering;
 mod backend;
 mod deployment;
 mod first_seed;
 mod growth;
 mod http;
 mod idle_limit;
+mod slow_platform;
 mod successors;
 
 use deployment::{Record, end_after};
@@ -44,9 +44,9 @@
     ));
     let run = match case.as_str() {
         "first-seed" => first_seed::run,
-        "answering" => answering::run,
         "growth" => growth::run,
         "idle-limit" => idle_limit::run,
+        "slow-platform" => slow_platform::run,
         "successors" => successors::run,
         _ => {
             eprintln!("no case {case}");
