Times from outside cannot overflow: a long idleTimeout ended every proxy

Cause: the deadline of a connection is an instant plus a duration, and that sum panics (`AdmissionControl::instant`); with `panic = "abort"` the process ends. The same cause beside it: `1e308s` became infinite as milliseconds, its conversion failed, and the limit before it stayed in force although the change was acknowledged; a time that was too large became zero in one conversion, the longest in two others and a panic in a fourth.

Change: the package `fennelscale-time` has the one conversion and the one sum, both bounded by 30 years; a time that is too large is held as the longest one, never as none. All conversions and all sums of an instant and a duration in the packages with clocks go through it.

--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -24,6 +24,7 @@
 use crate::{Client, ClientClass, ConnectionId, Time};
 use ahash::AHashMap;
 use fennelscale_settings::admission::{Admission as Settings, Header};
+use fennelscale_time::from_millis;
 use std::collections::VecDeque;
 use std::net::IpAddr;
 use std::time::Duration;
@@ -224,10 +225,6 @@
     counts: AdmissionCounts,
 }
 
-fn to_duration(ms: f64) -> Time {
-    Duration::try_from_secs_f64(ms / 1000.0).unwrap_or(Duration::MAX)
-}
-
 impl Admission {
     /// Creates the admission control from the settings, with the given capacity.
     pub fn new(settings: &Settings, capacity: Capacity) -> Self {
@@ -239,15 +236,15 @@
             unknown_reserve: known_settings.newcomers.0,
             known_share: known_settings.turns.0,
             retry_after: settings.retry_after.0,
-            queue_timeout: to_duration(settings.hold.lasts.0),
+            queue_timeout: from_millis(settings.hold.lasts.0),
             crowded_from: settings.crowd.from.0,
-            newcomer_time: to_duration(settings.crowd.newcomer.0),
+            newcomer_time: from_millis(settings.crowd.newcomer.0),
             unknown_rate: Rate::new(settings.strangers.0, settings.strangers_burst),
             unknown_arrival: 0.0,
             returning: ReturningClients::new(
                 settings.returning.rate.0,
                 settings.returning.remember,
-                to_duration(settings.returning.forget.0),
+                from_millis(settings.returning.forget.0),
             ),
             response_rate: Rate::new(settings.refusals.answered.0, settings.refusals.answered.0),
             response_arrival: 0.0,
@@ -256,7 +253,7 @@
             proxies: ConnectionCaps::new(1),
             known_clients: KnownClients::new(
                 known_settings.after,
-                to_duration(known_settings.half_life.0),
+                from_millis(known_settings.half_life.0),
                 known_settings.counts_from.0,
                 known_settings.clients,
             ),
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`slow_clients`]: limits on slow clients.
 //! - [`gcra`][]: rate limits.
 
+#![warn(clippy::arithmetic_side_effects)]
 #![forbid(unsafe_code)]
 
 pub mod admission;
--- a/crates/admission/src/slow_clients.rs
+++ b/crates/admission/src/slow_clients.rs
@@ -2,7 +2,7 @@
 
 use crate::Time;
 use fennelscale_settings::admission::Pace as Settings;
-use std::time::Duration;
+use fennelscale_time::from_millis;
 
 /// The activity of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,28 +40,24 @@
     grace: Time,
 }
 
-fn to_duration(ms: f64) -> Duration {
-    Duration::try_from_secs_f64(ms / 1000.0).unwrap_or(Duration::MAX)
-}
-
 /// The deadline for the next byte at a minimum rate; never without one.
 fn rate_deadline(since: Time, bytes: u64, rate: f64, grace: Time) -> Time {
     if rate <= 0.0 {
         return Time::MAX;
     }
-    since.saturating_add(grace).saturating_add(to_duration(bytes as f64 / rate * 1000.0))
+    since.saturating_add(grace).saturating_add(from_millis(bytes as f64 / rate * 1000.0))
 }
 
 impl SlowClientLimits {
     /// Creates the limits from the settings.
     pub fn new(settings: &Settings) -> Self {
         Self {
-            request_timeout: to_duration(settings.request.0),
-            idle_timeout: to_duration(settings.request.0),
-            head_timeout: to_duration(settings.head.0),
+            request_timeout: from_millis(settings.request.0),
+            idle_timeout: from_millis(settings.request.0),
+            head_timeout: from_millis(settings.head.0),
             min_body_rate: settings.body.0,
             min_response_rate: settings.answer.0,
-            grace: to_duration(settings.grace.0),
+            grace: from_millis(settings.grace.0),
         }
     }
 
--- a/crates/dataplane/src/clock.rs
+++ b/crates/dataplane/src/clock.rs
@@ -25,11 +25,6 @@
     }
 }
 
-/// Converts milliseconds to a duration; a negative value or NaN becomes zero.
-pub fn to_duration(millis: Millis) -> Duration {
-    Duration::try_from_secs_f64(millis / 1000.0).unwrap_or_default()
-}
-
 /// Converts a duration to milliseconds.
 pub fn to_millis(duration: Duration) -> Millis {
     duration.as_secs_f64() * 1000.0
--- a/crates/dataplane/src/engine.rs
+++ b/crates/dataplane/src/engine.rs
@@ -3,7 +3,7 @@
 //! to perform its effects.
 
 use crate::back::backends::{Answer, AttemptResult, Backends, Message};
-use crate::clock::{Clock, to_duration, to_millis};
+use crate::clock::{Clock, to_millis};
 use crate::faults::{self, Fault};
 use crate::lifecycle;
 use crate::task::spawn;
@@ -11,6 +11,7 @@
     Action, Arrival, Event, Gateway, Millis, Name, Outcome, RequestId, SendCounts, Settings, SettingsError,
 };
 use fennelscale_quota::Partition;
+use fennelscale_time::{Later, from_millis};
 use life::core::{Answered, Core, Effect, Ended};
 use life::request::Final;
 use std::cell::{Cell, RefCell};
@@ -80,7 +81,7 @@
         settings: Settings, seed: u64, backends: Rc<Backends>,
         counters: Option<impl FnOnce(Duration, Rc<CounterReplyHandler>) -> Rc<dyn CounterClient>>,
     ) -> Result<Rc<Self>, SettingsError> {
-        let call_timeout = to_duration(settings.counter_timeout) * COUNTER_TIMEOUT_FACTOR;
+        let call_timeout = from_millis(settings.counter_timeout) * COUNTER_TIMEOUT_FACTOR;
         let gateway = Gateway::new(settings, seed)?;
         let core = Core::new(gateway);
         let engine = Rc::new_cyclic(|me: &Weak<Self>| {
@@ -233,7 +234,7 @@
     fn perform(&self, action: Action) {
         match action {
             Action::SetTimer { after, token } => {
-                let (deadline, me) = (Instant::now() + to_duration(after), self.me.clone());
+                let (deadline, me) = (Instant::now().later_by(from_millis(after)), self.me.clone());
                 spawn(async move {
                     tokio::time::sleep_until(deadline).await;
                     if let Some(engine) = me.upgrade() {
@@ -285,10 +286,10 @@
             };
             (
                 pending.message.clone(),
-                timeout.map_or(pending.until, |t| pending.until.min(started_at + to_duration(t))),
+                timeout.map_or(pending.until, |t| pending.until.min(started_at.later_by(from_millis(t)))),
             )
         };
-        let write_by = write_by.map(|remaining| started_at + to_duration(remaining));
+        let write_by = write_by.map(|remaining| started_at.later_by(from_millis(remaining)));
         let (cancel, cancelled) = oneshot::channel();
         self.cancellations.borrow_mut().insert(id, cancel);
         let (backends, me) = (self.backends.clone(), self.me.clone());
--- a/crates/dataplane/src/front/acceptor.rs
+++ b/crates/dataplane/src/front/acceptor.rs
@@ -10,6 +10,7 @@
 use fennelscale_admission::client_origin::{self, ProxyHeader};
 use fennelscale_admission::slow_clients::SlowClientLimits;
 use fennelscale_settings::admission::Admission as Settings;
+use fennelscale_time::from_millis;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::fmt::Write as _;
@@ -250,8 +251,7 @@
     async fn refuse(self: Rc<Self>, id: ConnectionId, wait: f64) {
         let pending = self.pending.borrow_mut().remove(&id);
         if let Some((mut stream, _)) = pending {
-            let linger =
-                Duration::try_from_secs_f64(self.settings.refusals.linger.0 / 1000.0).unwrap_or_default();
+            let linger = from_millis(self.settings.refusals.linger.0);
             let respond = async {
                 if stream.write_all(refusal(wait).as_bytes()).await.is_err() {
                     return;
@@ -274,7 +274,7 @@
     async fn identify(self: Rc<Self>, id: ConnectionId) {
         let pending = self.pending.borrow_mut().remove(&id);
         let Some((mut stream, mut buffered)) = pending else { return };
-        let limit = Duration::try_from_secs_f64(self.settings.pace.head.0 / 1000.0).unwrap_or_default();
+        let limit = from_millis(self.settings.pace.head.0);
         let read = async {
             loop {
                 match client_origin::parse_proxy_header(&buffered) {
--- a/crates/dataplane/src/front/client_connection.rs
+++ b/crates/dataplane/src/front/client_connection.rs
@@ -7,6 +7,7 @@
 use fennelscale_admission::slow_clients::{Activity, SlowClientLimits};
 use fennelscale_admission::{ConnectionId, Time};
 use fennelscale_memory::ledger::{FREE_SIZE, MemoryLedger, NoMemory, Reservation};
+use fennelscale_time::Later;
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -58,7 +59,7 @@
 
     /// Converts a time of this clock to an instant.
     pub fn instant(&self, at: Time) -> Instant {
-        self.start + at
+        self.start.later_by(at)
     }
 
     /// Runs an operation on the admission module at the current time.
--- a/crates/dataplane/src/lib.rs
+++ b/crates/dataplane/src/lib.rs
@@ -4,6 +4,8 @@
 //! Both the quota gateway in service and the proxy of the system are built on it, independently of each
 //! other.
 
+#![warn(clippy::arithmetic_side_effects)]
+
 pub mod back;
 pub mod clock;
 pub mod engine;
--- a/crates/memory/src/lib.rs
+++ b/crates/memory/src/lib.rs
@@ -5,6 +5,8 @@
 //! [`buffer::BodyBuffer`] keeps a body in one piece together with its reservation, and [`read`] fills it from the
 //! HTTP library.
 
+#![warn(clippy::arithmetic_side_effects)]
+
 pub mod buffer;
 pub mod ledger;
 pub mod read;
--- a/crates/memory/src/read.rs
+++ b/crates/memory/src/read.rs
@@ -3,6 +3,7 @@
 use crate::buffer::BodyBuffer;
 use crate::ledger::{FREE_SIZE, MemoryLedger, NoMemory, SMALL_SIZE};
 use bytes::Bytes;
+use fennelscale_time::Later;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use std::cell::Cell;
@@ -57,7 +58,7 @@
     let mut reserve = async |buffer: &mut BodyBuffer, length: usize| match buffer.reserve(length) {
         Err(NoMemory::InUse) => {
             has_waited.set(true);
-            let deadline = *deadline.get_or_insert_with(|| Instant::now() + max_wait);
+            let deadline = *deadline.get_or_insert_with(|| Instant::now().later_by(max_wait));
             timeout_at(deadline, buffer.reserve_when_free(length)).await.unwrap_or(Err(NoMemory::InUse))
         }
         other => other,
--- a/crates/rehearsal/src/play/gateways.rs
+++ b/crates/rehearsal/src/play/gateways.rs
@@ -11,6 +11,7 @@
 use crate::log::{GatewayState, What};
 use crate::scenario::{Effect, Scenario};
 use fennelscale_settings::operators;
+use fennelscale_time::from_millis;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
@@ -224,7 +225,7 @@
         let longest = self.kit.scenario.class.iter().map(|c| c.deadline.0).fold(0.0, f64::max);
         let mut runs = gateway.runs.subscribe();
         let ended = runs.wait_for(|runs| !runs);
-        if tokio::time::timeout(Duration::from_secs_f64((longest + END) / 1000.0), ended).await.is_err() {
+        if tokio::time::timeout(from_millis(longest + END), ended).await.is_err() {
             // What it holds by now is lost: the judge is not told that the kit ended it.
             gateway.signal(Signal::KILL);
             let _ = gateway.runs.subscribe().wait_for(|runs| !runs).await;
--- a/crates/rehearsal/src/play/kit.rs
+++ b/crates/rehearsal/src/play/kit.rs
@@ -4,6 +4,7 @@
 use crate::log::{self, Answer, Event, Header, TryId, What};
 use crate::plan::{Day, Stream, random};
 use crate::scenario::{Scenario, Trouble, TroubleKind};
+use fennelscale_time::from_millis;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use std::cell::{Cell, RefCell};
@@ -13,7 +14,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::time::Instant;
 
 /// Two rehearsals on one machine are kept apart by networks of their own; this port of a network's last address says
@@ -134,7 +135,7 @@
 
     /// Waits until a time of the run, and notes how late that was noticed.
     pub(super) async fn until(&self, t: f64) {
-        let due = self.start.get() + Duration::try_from_secs_f64(t.max(0.0) / 1000.0).unwrap_or_default();
+        let due = self.start.get() + from_millis(t);
         if due > Instant::now() {
             tokio::time::sleep_until(due).await;
         }
@@ -143,7 +144,7 @@
 
     /// Waits for a span without a word on lateness.
     pub(super) async fn pause(&self, ms: f64) {
-        tokio::time::sleep(Duration::try_from_secs_f64(ms.max(0.0) / 1000.0).unwrap_or_default()).await;
+        tokio::time::sleep(from_millis(ms)).await;
     }
 
     /// Notes that something due was done so many ms late. Timers have a grain of 1 ms.
--- a/crates/rehearsal/src/play/node.rs
+++ b/crates/rehearsal/src/play/node.rs
@@ -6,12 +6,12 @@
 use crate::node::{Figures, Job, Node, Step};
 use crate::plan::exponential;
 use crate::scenario::{Effect, TroubleKind};
+use fennelscale_time::from_millis;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::spawn_local;
@@ -321,7 +321,7 @@
     /// One connection. When this returns it is reset.
     async fn serve(&self, connection: &mut Connection) {
         let kit = &self.kit;
-        let idle = Duration::from_secs_f64(kit.scenario.node.idle.0 / 1000.0);
+        let idle = from_millis(kit.scenario.node.idle.0);
         let mut kept = false;
         loop {
             match tokio::time::timeout(idle, connection.begins()).await {
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -3,6 +3,7 @@
 use crate::decisions::{self, Object};
 use crate::list::{List, ListError};
 use doorcourse::Settings;
+use fennelscale_time::from_millis;
 use serde::Deserialize;
 use serde_json::Value;
 use std::fmt;
@@ -132,7 +133,7 @@
         let settings = decisions::read(&file.settings).map_err(ConfigError::Settings)?;
         let permissions = Object::of(&file.settings, "permissions").map_err(ConfigError::Settings)?;
         let time = |key, usual| match permissions.number(key).map_err(ConfigError::Settings)? {
-            ms if ms > 0.0 => Ok(Duration::try_from_secs_f64(ms / 1000.0).unwrap_or(usual)),
+            ms if ms > 0.0 => Ok(from_millis(ms)),
             _ => Ok(usual),
         };
         let known = match &file.known {
--- a/crates/wire/src/reuse.rs
+++ b/crates/wire/src/reuse.rs
@@ -12,6 +12,7 @@
 //! altogether where backends name the request that they answer.
 
 use fennelscale_settings::upstream::{IdentityRule, Upstream};
+use fennelscale_time::from_millis;
 use std::time::Duration;
 
 /// Why bytes are treated as belonging to no request.
@@ -40,19 +41,15 @@
     identity: Option<IdentityRule>,
 }
 
-fn to_duration(ms: f64) -> Duration {
-    Duration::from_secs_f64(ms / 1000.0)
-}
-
 impl ReusePolicy {
     /// Creates the policy from the operators' settings.
     pub fn new(settings: &Upstream) -> Self {
         Self {
-            min_idle: to_duration(settings.rest.0),
+            min_idle: from_millis(settings.rest.0),
             isolate_unsafe: settings.own_connection.unsafe_requests,
             isolated_classes: settings.own_connection.classes.clone(),
-            after_fault: to_duration(settings.after_fault.0),
-            fastest_answer: to_duration(settings.fastest_answer.0),
+            after_fault: from_millis(settings.after_fault.0),
+            fastest_answer: from_millis(settings.fastest_answer.0),
             identity: settings.identity.clone(),
         }
     }
--- a/gateway/src/counting/counter.rs
+++ b/gateway/src/counting/counter.rs
@@ -3,6 +3,7 @@
 use crate::clock::to_millis;
 use crate::engine::CounterReplyHandler;
 use doorcourse::{CountOutcome, Millis};
+use fennelscale_time::Later;
 use redis_protocol::resp2::decode::decode;
 use redis_protocol::resp2::types::OwnedFrame;
 use std::cell::{Cell, RefCell};
@@ -199,20 +200,24 @@
     }
 
     async fn session(&self, stream: &TcpStream, answered: &mut bool) -> io::Result<()> {
-        let (mut last_input, mut input, mut answer_start) = (Instant::now(), Vec::new(), None);
+        let (mut last_input, mut input, mut answer_start) = (Instant::now(), Vec::new(), None::<Instant>);
         loop {
             let (has_output, deadline) = {
                 let pipeline = self.pipeline.borrow();
-                let deadline =
-                    pipeline.calls.iter().find(|c| !c.reported).map(|c| c.started_at + self.call_timeout);
+                let deadline = pipeline
+                    .calls
+                    .iter()
+                    .find(|c| !c.reported)
+                    .map(|c| c.started_at.later_by(self.call_timeout));
                 (!pipeline.output.is_empty(), deadline)
             };
             if self.retired.get() && deadline.is_none() {
                 return Ok(());
             }
-            let next_check = last_input + if self.is_idle() { PING_INTERVAL } else { SILENCE_TIMEOUT };
+            let max_silence = if self.is_idle() { PING_INTERVAL } else { SILENCE_TIMEOUT };
+            let next_check = last_input.later_by(max_silence);
             // An answer that never ends would block all calls behind it.
-            let next_check = answer_start.map_or(next_check, |start| start + ANSWER_TIMEOUT);
+            let next_check = answer_start.map_or(next_check, |start| start.later_by(ANSWER_TIMEOUT));
             tokio::select! {
                 () = self.wake.notified() => {}
                 ready = stream.readable() => ready?,
--- a/gateway/src/fleet/witness.rs
+++ b/gateway/src/fleet/witness.rs
@@ -1,6 +1,7 @@
 //! Reports to a witness while a right is held. A witness is an outside observer of who acts under the right.
 
 use super::Fleet;
+use fennelscale_time::from_millis;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,7 +12,7 @@
 
 /// Reports periodically, checking the lease against the clock immediately before each write.
 pub async fn report(fleet: Rc<Fleet>, right: String, witness: SocketAddr, every: f64) {
-    let every = Duration::from_secs_f64(every / 1000.0);
+    let every = from_millis(every);
     let mut stream: Option<TcpStream> = None;
     loop {
         sleep(every).await;
--- a/gateway/src/front/clients.rs
+++ b/gateway/src/front/clients.rs
@@ -12,6 +12,7 @@
 use fennelscale_memory::ledger::MemoryLedger;
 use fennelscale_memory::read::{ReadError, read_or_refuse};
 use fennelscale_settings::admission::{Forged, Header};
+use fennelscale_time::Later;
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::{
@@ -150,7 +151,7 @@
             }
         }
         // Connections in the kernel's backlog must be answered.
-        self.acceptor.accept_backlog(&listener, Instant::now() + ACCEPT_PERIOD / 2).await;
+        self.acceptor.accept_backlog(&listener, Instant::now().later_by(ACCEPT_PERIOD / 2)).await;
         drop(listener);
         self.engine.return_units(RETURN_PERIOD).await;
         close.send_modify(|round| *round += 1);
@@ -459,11 +460,11 @@
                 constraints: None,
             },
             message,
-            now + timeout,
+            now.later_by(timeout),
         );
         let reply_wait = ReplyWait { engine: &self.engine, id };
         // Guarantees a final answer in time even if the decision module loses the request.
-        let reply = timeout_at(now + timeout + REPLY_GRACE.min(margin / 2), reply).await;
+        let reply = timeout_at(now.later_by(timeout + REPLY_GRACE.min(margin / 2)), reply).await;
         drop(reply_wait);
         if faults::affects(faults::Fault::NeverAnswer, id) {
             std::future::pending::<()>().await;
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -2,6 +2,7 @@
 //! deployments.
 
 #![forbid(unsafe_code)]
+#![warn(clippy::arithmetic_side_effects)]
 #![warn(missing_docs)]
 
 pub mod back;
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -1,6 +1,7 @@
 //! The `fennelscale` program: the gateway and its command-line tools.
 
 #![forbid(unsafe_code)]
+#![warn(clippy::arithmetic_side_effects)]
 
 mod commands;
 
--- a/system/config-store/src/lib.rs
+++ b/system/config-store/src/lib.rs
@@ -2,6 +2,8 @@
 //! copy of every item on its disk, accepts calls from the registry of its machine and reports chosen entries
 //! to it.
 
+#![warn(clippy::arithmetic_side_effects)]
+
 mod disk;
 mod event_log;
 mod store;
@@ -13,6 +15,7 @@
 use fennelscale_messages::store::{Member, RegistryToStore, StoreMessage, StoreResponse, StoreToRegistry};
 use fennelscale_node_settings::{Port, Settings};
 use fennelscale_replication::{Origin, Output, Replica, ReplicaConfig};
+use fennelscale_time::Later;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -173,7 +176,7 @@
     /// Notifies the other members and returns when nothing is left to hand over: until then this member
     /// votes.
     async fn leave(self: &Rc<Self>, grace: Duration) {
-        let deadline = Instant::now() + grace.mul_f64(HANDOVER_SHARE);
+        let deadline = Instant::now().later_by(grace.mul_f64(HANDOVER_SHARE));
         self.step(|replica, now| replica.begin_leave(now));
         sleep(HANDOVER_DELAY).await;
         let mut logged = None;
--- a/system/config/src/item.rs
+++ b/system/config/src/item.rs
@@ -1,6 +1,7 @@
 //! The content of an item, parsed and checked by itself.
 
 use crate::{InvalidConfig, failure_order, maintenance};
+use fennelscale_time::MAX_MILLIS;
 use sonic_rs::{JsonContainerTrait, JsonValueTrait, Value};
 
 /// Whether requests of a route may be repeated.
@@ -174,14 +175,14 @@
     }
 }
 
-/// Parses a duration with its unit, in ms.
+/// Parses a duration with its unit, in ms; one that is too large becomes [`MAX_MILLIS`].
 fn parse_duration(text: &str) -> Option<f64> {
     let (number, unit) = match text.strip_suffix("ms") {
         Some(number) => (number, 1.0),
         None => (text.strip_suffix('s')?, 1000.0),
     };
     let digits = number.starts_with(|c: char| c.is_ascii_digit());
-    number.parse::<f64>().ok().filter(|n| digits && n.is_finite()).map(|n| n * unit)
+    number.parse::<f64>().ok().filter(|_| digits).map(|n| (n * unit).min(MAX_MILLIS))
 }
 
 /// Parses an item and checks it by itself.
--- a/system/config/src/tests.rs
+++ b/system/config/src/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use fennelscale_messages::store::Stamp;
+use fennelscale_time::MAX_MILLIS;
 use proptest::prelude::*;
 
 const CALL: &str = r#"{"upsert":{"tenants":[{"name":"c","apiKeys":["k1","k2"],"priority":1,"ratePerS":10,"burst":10,"allowedRegions":[],"revision":"00000007"}],
@@ -37,6 +38,25 @@
     }
 }
 
+/// Guards against a time that became infinite: it was acknowledged, and the one before it stayed in force.
+#[test]
+fn a_time_that_is_too_large_is_held_as_the_longest_one() {
+    for longest in ["9223372036854775807s", "18446744073709551615000ms", "1e300s", "1e308s", "1e309s"] {
+        let call =
+            CALL.replace("\"15s\"", &format!("\"{longest}\"")).replace("\"3s\"", &format!("\"{longest}\""));
+        let items = parse_items(&call).expect(longest);
+        for (name, item) in items {
+            match item {
+                ParsedItem::Limits(limits) => assert_eq!(limits.idle_timeout, MAX_MILLIS, "{longest}"),
+                ParsedItem::Service(service) if name == "s:s1" => {
+                    assert_eq!(service.cold_start, MAX_MILLIS, "{longest}");
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
 #[test]
 fn invalid_calls_are_rejected() {
     assert!(parse_items(CALL).is_ok());
--- a/system/host/src/lib.rs
+++ b/system/host/src/lib.rs
@@ -3,6 +3,8 @@
 //! Everything runs on one thread. Decisions are left to the state machines, which say what to send, write and
 //! answer.
 
+#![warn(clippy::arithmetic_side_effects)]
+
 mod answer_deadline;
 pub mod call;
 pub mod error;
--- a/system/host/src/transport/faulty.rs
+++ b/system/host/src/transport/faulty.rs
@@ -7,6 +7,7 @@
 //! ended, and a sender without acknowledgements gives up after [`USER_TIMEOUT`].
 
 use crate::link::USER_TIMEOUT;
+use fennelscale_time::from_millis;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
@@ -142,8 +143,8 @@
             self.segments += 1;
             let is_lost = fennelscale_messages::mix(self.segments) % 100 < forth.loss_percent;
             let lost = if is_lost { RETRANSMIT_DELAY } else { Duration::ZERO };
-            let narrow = forth.bytes_per_s.map_or(0.0, |rate| bytes as f64 / rate);
-            sleep(lost + Duration::from_secs_f64(narrow)).await;
+            let narrow = forth.bytes_per_s.map_or(0.0, |rate| bytes as f64 / rate * 1000.0);
+            sleep(lost + from_millis(narrow)).await;
             return Ok(());
         }
     }
--- a/system/proxy/src/failure_injection.rs
+++ b/system/proxy/src/failure_injection.rs
@@ -6,6 +6,7 @@
 use crate::proxy::Proxy;
 use bytes::Bytes;
 use fennelscale_fault_injection::{FailureKind, InjectedFault};
+use fennelscale_time::from_millis;
 use http_body_util::{BodyExt, Full};
 use hyper::Response;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -122,7 +123,7 @@
         }
         FailureKind::SlowAnswer(ms) => {
             let remaining = split_body(&body, SLOW_ANSWER_PIECES);
-            let gap = Duration::from_secs_f64(ms / 1000.0 / remaining.len().max(1) as f64);
+            let gap = from_millis(ms / remaining.len().max(1) as f64);
             PacedBody { remaining, size, gap, pause: Some(Box::pin(sleep(gap))), cut: false, _slot: slot }
         }
         FailureKind::Refuse | FailureKind::Delay(_) | FailureKind::CutRequest(_) => {
--- a/system/proxy/src/frontend.rs
+++ b/system/proxy/src/frontend.rs
@@ -21,6 +21,7 @@
 use fennelscale_memory::read::{ReadError, read_or_refuse};
 use fennelscale_settings::admission::Admission;
 use fennelscale_settings::units::Quantity;
+use fennelscale_time::{Later, from_millis};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderValue, TRANSFER_ENCODING};
@@ -50,6 +51,8 @@
 const ACCEPT_SHARE: f64 = 0.45;
 /// Accepted requests must be answered within this share of the grace period.
 const ANSWER_SHARE: f64 = 0.93;
+/// How long connections that wait at the listener are still accepted when it closes.
+const BACKLOG_TIME: Duration = Duration::from_millis(100);
 /// A proxy that is not ready tells clients to retry after this many ms.
 const NOT_READY_RETRY_AFTER: f64 = 300.0;
 /// Longer bodies are refused whatever the configuration allows, since bodies are held in memory.
@@ -117,7 +120,7 @@
         self.proxy.leave();
         tracing::info!(event = "leaving", waiting = self.proxy.services.waiting());
         let shutdown_start = Instant::now();
-        let accept_until = shutdown_start + grace.mul_f64(ACCEPT_SHARE);
+        let accept_until = shutdown_start.later_by(grace.mul_f64(ACCEPT_SHARE));
         while Instant::now() < accept_until {
             tokio::select! {
                 () = tokio::time::sleep_until(accept_until) => {}
@@ -125,10 +128,10 @@
             }
         }
         self.refusing.set(true);
-        self.acceptor.accept_backlog(&listener, Instant::now() + Duration::from_millis(100)).await;
+        self.acceptor.accept_backlog(&listener, Instant::now().later_by(BACKLOG_TIME)).await;
         drop(listener);
         close.send_replace(true);
-        let answer_until = shutdown_start + grace.mul_f64(ANSWER_SHARE);
+        let answer_until = shutdown_start.later_by(grace.mul_f64(ANSWER_SHARE));
         while !self.acceptor.is_empty() && Instant::now() < answer_until {
             let _ = timeout(Duration::from_millis(50), self.acceptor.connection_closed.notified()).await;
         }
@@ -207,7 +210,7 @@
                 }
                 return Ok(response.map(ResponseBody::Complete));
             }
-            FailureKind::Delay(ms) => tokio::time::sleep(Duration::from_secs_f64(ms / 1000.0)).await,
+            FailureKind::Delay(ms) => tokio::time::sleep(from_millis(ms)).await,
             FailureKind::LoseAnswer | FailureKind::CutAnswer(_) | FailureKind::SlowAnswer(_) => {}
         }
         let response = self.process(request, client).await;
@@ -343,7 +346,7 @@
         if let Some(name) = tenant.as_ref().and_then(|t| HeaderValue::from_str(&t.name).ok()) {
             headers.insert(TENANT, name);
         }
-        let timeout = Duration::from_secs_f64(route.timeout / 1000.0);
+        let timeout = from_millis(route.timeout);
         let stated = client_timeout(&head.headers);
         let late =
             tenant.as_ref().filter(|tenant| tenant.rate_per_s > 0.0).and(stated).is_some_and(|stated| {
@@ -382,10 +385,10 @@
     async fn dispatch(&self, accepted: AcceptedRequest) -> Result<Response<Full<Bytes>>, Refusal> {
         let AcceptedRequest { route, tenant, message, client_timeout, late } = accepted;
         let started_at = Instant::now();
-        let until = started_at + client_timeout.saturating_sub(RESPONSE_MARGIN.min(client_timeout / 4));
+        let until =
+            started_at.later_by(client_timeout.saturating_sub(RESPONSE_MARGIN.min(client_timeout / 4)));
         if let Some(tenant) = &tenant {
-            let wait = Duration::from_secs_f64(route.target_latency * MAX_UNIT_WAIT / 1000.0)
-                .min(client_timeout / 4);
+            let wait = from_millis(route.target_latency * MAX_UNIT_WAIT).min(client_timeout / 4);
             if let Err(wait) = self.proxy.admit(tenant, wait, late).await {
                 return Err(Refusal::with_retry_after(Kind::OverQuota, "the quota is spent", wait));
             }
@@ -428,7 +431,7 @@
             until,
         );
         let reply_wait = ReplyWait { engine: &service.engine, id };
-        let reply = timeout_at(until + REPLY_GRACE, reply).await;
+        let reply = timeout_at(until.later_by(REPLY_GRACE), reply).await;
         drop(reply_wait);
         match reply {
             Ok(Ok(Reply::Served(answer))) => {
--- a/system/proxy/src/lib.rs
+++ b/system/proxy/src/lib.rs
@@ -2,6 +2,8 @@
 //! one. It looks up the route, checks the API key, takes a unit of the tenant's quota lease, and has the
 //! decision module choose a backend.
 
+#![warn(clippy::arithmetic_side_effects)]
+
 mod answer_counts;
 mod answers;
 mod backend_protocol;
--- a/system/proxy/src/proxy.rs
+++ b/system/proxy/src/proxy.rs
@@ -28,6 +28,7 @@
 };
 use fennelscale_node_settings::{Port, Settings};
 use fennelscale_quota_lease::{Admission, LatenessDetector, LeaseCache};
+use fennelscale_time::from_millis;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -187,7 +188,7 @@
     let ticking = proxy.clone();
     spawn(async move {
         let (mut updated_at, mut reported_at) = (Instant::now(), Instant::now());
-        let update_interval = Duration::from_secs_f64(UPDATE_INTERVAL / 1000.0);
+        let update_interval = from_millis(UPDATE_INTERVAL);
         loop {
             let slept_at = Instant::now();
             sleep(TICK_INTERVAL).await;
@@ -530,10 +531,8 @@
 
     /// Applies the limits of the configuration to open connections. Sizes are looked up for each request.
     fn apply_limits(&self) {
-        let idle_timeout = self.routing_state.borrow().table.limits.idle_timeout;
-        if let (Some(acceptor), Ok(idle_timeout)) =
-            (self.acceptor.borrow().as_ref(), Duration::try_from_secs_f64(idle_timeout / 1000.0))
-        {
+        let idle_timeout = from_millis(self.routing_state.borrow().table.limits.idle_timeout);
+        if let Some(acceptor) = self.acceptor.borrow().as_ref() {
             acceptor.set_idle_timeout(idle_timeout);
         }
     }
--- a/system/proxy/src/session.rs
+++ b/system/proxy/src/session.rs
@@ -16,6 +16,7 @@
 use fennelscale_messages::Host;
 use fennelscale_messages::session::{ProxyToRegistry, RegistryToProxy};
 use fennelscale_node_settings::Port;
+use fennelscale_time::Later;
 use std::future::pending;
 use std::io;
 use std::pin::{Pin, pin};
@@ -115,7 +116,7 @@
     let (reader, writer, write) = split_with_write_task(stream);
     writer.send(&proxy.first_message());
     proxy.set_session(Some(writer.clone()));
-    let next_heartbeat = Instant::now() + HEARTBEAT_INTERVAL;
+    let next_heartbeat = Instant::now().later_by(HEARTBEAT_INTERVAL);
     let mut session = Session { proxy, choice, host, writer, next_heartbeat, running_probe: None };
     let end = session.run(reader, pin!(write)).await;
     proxy.set_session(None);
@@ -174,7 +175,7 @@
     }
 
     fn send_heartbeat(&mut self) {
-        self.next_heartbeat = Instant::now() + HEARTBEAT_INTERVAL;
+        self.next_heartbeat = Instant::now().later_by(HEARTBEAT_INTERVAL);
         self.writer.send(&self.proxy.heartbeat());
     }
 
--- a/system/proxy/tests/busy_proxy.rs
+++ b/system/proxy/tests/busy_proxy.rs
@@ -45,7 +45,7 @@
         let (sessions, before) = (proxy.sessions(), proxy.items_hash());
 
         busy.store(true, Ordering::Relaxed);
-        proxy.send_idle_timeout(2, 500);
+        proxy.send_idle_timeout(2, "500ms");
         let (mut longest_silence, first) = (Duration::ZERO, proxy.heartbeats());
         while proxy.heartbeats() < first + HEARTBEATS {
             let (started_at, known) = (Instant::now(), proxy.heartbeats());
--- a/system/proxy/tests/helper/mod.rs
+++ b/system/proxy/tests/helper/mod.rs
@@ -457,10 +457,10 @@
         assert!(self.session.writer.borrow().as_ref().is_some_and(|writer| writer.send(message)));
     }
 
-    /// Sends limits by which connections may be idle for this many ms.
-    pub fn send_idle_timeout(&self, revision: u64, idle_ms: u64) {
+    /// Sends limits with this `idleTimeout`.
+    pub fn send_idle_timeout(&self, revision: u64, idle_timeout: &str) {
         let call = format!(
-            r#"{{"upsert":{{"limits":{{"idleTimeout":"{idle_ms}ms","revision":"{revision:08x}"}}}}}}"#
+            r#"{{"upsert":{{"limits":{{"idleTimeout":"{idle_timeout}","revision":"{revision:08x}"}}}}}}"#
         );
         let changes = parse_call(call.as_bytes()).expect("limits");
         self.send_changes(revision, changes);
--- a/system/registry/src/events.rs
+++ b/system/registry/src/events.rs
@@ -10,6 +10,7 @@
 use fennelscale_messages::feed::{EventPage, EventQuery, FeedPosition};
 use fennelscale_messages::registry::RegistryMessage;
 use fennelscale_messages::store::RegistryToStore;
+use fennelscale_time::Later;
 use hyper::Method;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -128,7 +129,7 @@
         for peer in &peers {
             self.peers.send(*peer, &RegistryMessage::RequestEvents(pending.1, query_for(*peer)));
         }
-        let deadline = Instant::now() + REGISTRY_TIMEOUT;
+        let deadline = Instant::now().later_by(REGISTRY_TIMEOUT);
         let mut pages = BTreeMap::from([(local_host, self.local_events(query_for(local_host)).await)]);
         while pages.len() <= peers.len() {
             match timeout_at(deadline, receiver.recv()).await {
--- a/system/registry/src/lib.rs
+++ b/system/registry/src/lib.rs
@@ -3,6 +3,8 @@
 //! windows of tenants, answers which proxies clients should use, and accepts API calls for itself and for the
 //! store on the same machine.
 
+#![warn(clippy::arithmetic_side_effects)]
+
 mod api;
 mod backend_list;
 mod events;
--- a/system/registry/src/requests.rs
+++ b/system/registry/src/requests.rs
@@ -7,6 +7,7 @@
 use fennelscale_messages::Host;
 use fennelscale_messages::registry::RegistryMessage;
 use fennelscale_messages::session::RegistryToProxy;
+use fennelscale_time::Later;
 use hyper::Method;
 use std::rc::Rc;
 use std::time::Duration;
@@ -72,7 +73,7 @@
 
     /// Collects `count` answers, or those that arrive before the timeout.
     async fn all(mut self, mut count: usize, timeout: Duration) -> RequestRecords {
-        let (deadline, mut records) = (Instant::now() + timeout, Vec::new());
+        let (deadline, mut records) = (Instant::now().later_by(timeout), Vec::new());
         while count > 0
             && let Ok(Some((_, more))) = timeout_at(deadline, self.answers.recv()).await
         {
