Settings: a time that no clock can add is an error of its field

Seen (by the operators): a store with gracePeriod "18000000000000000000s" in its settings file ended with SIGABRT at SIGTERM. memoryMb and maxFileDescriptors of 0 were taken without a word.

Cause: durations were taken up to the largest that the type holds, and the end of the hand-over is an instant plus a share of the grace.

Change: a duration in a settings file is 30 years at most; a longer one is an error at the start and of `--check`, with the field, the value and the remedy. `memoryMb` and `maxFileDescriptors` must be over 0; `diskMb` may be 0, as machines without a disk have it.

Evidence: `a_time_or_a_limit_that_cannot_be_is_an_error_of_its_field` failed on the landed code, on its first case, and passes.

--- a/system/node-settings/src/bounds.rs
+++ b/system/node-settings/src/bounds.rs
@@ -37,7 +37,7 @@
 }
 
 impl BoundValue for Duration {
-    const HELP: &'static str = "write a number and its unit, like 1500ms or 2.5s";
+    const HELP: &'static str = read::DURATION_HELP;
     fn parse(text: &str) -> Option<Self> {
         read::duration(text)
     }
--- a/system/node-settings/src/lib.rs
+++ b/system/node-settings/src/lib.rs
@@ -173,6 +173,14 @@
             return Err(document.error("/zone", "name a zone of [zones] whose region is `region`"));
         }
         let megabytes = |at: &str| document.number(at).map(|mb| (mb * 1e6) as u64);
+        let memory = megabytes("/limits/memoryMb")?;
+        let descriptors = document.value("/limits/maxFileDescriptors")?;
+        if memory == 0 {
+            return Err(document.error("/limits/memoryMb", "write the memory that a process may use, over 0"));
+        }
+        if descriptors == 0 {
+            return Err(document.error("/limits/maxFileDescriptors", "write a number over 0"));
+        }
         Ok(Self {
             node: document.value("/nodeName")?,
             ip: document.value("/ipAddress")?,
@@ -188,11 +196,7 @@
                 control: document.optional("/listenAddresses/controlPlane")?,
                 directory: document.optional("/listenAddresses/directory")?,
             },
-            limits: Limits {
-                memory: megabytes("/limits/memoryMb")?,
-                descriptors: document.value("/limits/maxFileDescriptors")?,
-                disk: megabytes("/limits/diskMb")?,
-            },
+            limits: Limits { memory, descriptors, disk: megabytes("/limits/diskMb")? },
             fault_tolerance: Tolerance {
                 machines: document.value("/faultTolerance/machineLosses")?,
                 zones: document.value("/faultTolerance/zones")?,
--- a/system/node-settings/src/read.rs
+++ b/system/node-settings/src/read.rs
@@ -1,5 +1,6 @@
 //! The settings file as a document whose fields are read by JSON pointer.
 
+use fennelscale_time::MAX_DURATION;
 use miette::Diagnostic;
 use serde::de::DeserializeOwned;
 use sonic_rs::{JsonValueTrait, LazyValue, PointerNode};
@@ -153,11 +154,15 @@
 
     pub(crate) fn duration(&self, at: &str) -> Result<Duration, SettingsError> {
         let text: String = self.value(at)?;
-        duration(&text).ok_or_else(|| self.error(at, "write a number and its unit, like 1500ms or 2.5s"))
+        duration(&text).ok_or_else(|| self.error(at, DURATION_HELP))
     }
 }
 
-/// Parses a duration: a number and its unit, `ms` or `s`.
+/// The remedy for an invalid duration.
+pub(crate) const DURATION_HELP: &str =
+    "write a number and its unit, like 1500ms or 2.5s, 30 years (946080000s) at most";
+
+/// Parses a duration: a number and its unit, `ms` or `s`; at most [`MAX_DURATION`].
 pub(crate) fn duration(text: &str) -> Option<Duration> {
     let (number, unit) = match text.strip_suffix("ms") {
         Some(number) => (number, 0.001),
@@ -166,7 +171,8 @@
     if !number.starts_with(|c: char| c.is_ascii_digit()) {
         return None;
     }
-    Duration::try_from_secs_f64(number.parse::<f64>().ok()? * unit).ok()
+    let parsed = Duration::try_from_secs_f64(number.parse::<f64>().ok()? * unit).ok()?;
+    (parsed <= MAX_DURATION).then_some(parsed)
 }
 
 /// Reads the names and values in `bounds`, a list of `name=value` or one comma-separated string of them.
--- a/system/node-settings/src/tests.rs
+++ b/system/node-settings/src/tests.rs
@@ -72,6 +72,33 @@
     assert!(matches!(Settings::parse("a = "), Err(SettingsError::Malformed { .. })));
 }
 
+/// Guards against the end of a store at SIGTERM: a grace period that no clock can add was taken without a word.
+#[test]
+fn a_time_or_a_limit_that_cannot_be_is_an_error_of_its_field() {
+    let mut cases = vec![
+        ("memoryMb = 256".to_owned(), "memoryMb = 0".to_owned(), "limits.memoryMb"),
+        (
+            "maxFileDescriptors = 4096".to_owned(),
+            "maxFileDescriptors = 0".to_owned(),
+            "limits.maxFileDescriptors",
+        ),
+    ];
+    for longest in ["18000000000000000000s", "9223372036854775807s", "946080001s", "1e300s", "1e308ms"] {
+        cases.push(("drain=4000ms".to_owned(), format!("gracePeriod={longest}"), "bounds.gracePeriod"));
+        cases.push(("\"1500ms\"".to_owned(), format!("\"{longest}\""), "heartbeatInterval"));
+        cases.push(("\"800ms\"".to_owned(), format!("\"{longest}\""), "cloudApi.maxLag"));
+    }
+    for (from, to, field) in cases {
+        let error = Settings::parse(&TEXT.replacen(&from, &to, 1)).expect_err(&to);
+        assert!(
+            matches!(&error, SettingsError::Field { field: named, .. } if named == field),
+            "{to}: {error}"
+        );
+    }
+    let longest = TEXT.replacen("drain=4000ms", "gracePeriod=946080000s", 1);
+    assert_eq!(Settings::parse(&longest).unwrap().bounds.grace, fennelscale_time::MAX_DURATION);
+}
+
 #[test]
 fn failure_orders_need_complete_limits() {
     assert_eq!(Settings::parse(TEXT).unwrap().failure_limits, None);
