Quotas: no lease ends as it is granted; extreme limits ended a registry

Cause: burst over rate is infinite as a window's length, the window's start is no number, and the rest of the window becomes 0. Each grant ends as it is given, so the relay asks the holder again at once; where both are in one process the answer comes before the question has returned, and they call each other until the stack is full. No infinite number is needed: at the end of a window, where the quotient of times is rounded down, a lease ended as it was granted with ordinary limits, too (rate 18,042, burst 38.7 million, found by the property); then units were lost.

Change: windows last 30 years at most and have 2^53 units at most, so that all numbers stay finite; a shortened window still has its whole burst. A window that has ended is never granted from. A relay never asks again at once after "spent".

--- a/system/quota-lease/src/counter.rs
+++ b/system/quota-lease/src/counter.rs
@@ -58,8 +58,19 @@
 }
 
 impl WindowCount {
+    /// When a window ends.
+    fn window_end(&self, window: u64) -> Millis {
+        let length = self.quota.window_length();
+        self.start + window as f64 * length + length
+    }
+
     fn advance_window(&mut self, now: Millis) {
-        let window = ((now - self.start) / self.quota.window_length()).floor().max(0.0) as u64;
+        let length = self.quota.window_length();
+        let mut window = ((now - self.start) / length).floor().max(0.0) as u64;
+        // At the end of a window the quotient may be rounded down: a lease of it would have ended when it is granted.
+        if self.window_end(window) <= now {
+            window += 1;
+        }
         if window == self.window {
             return;
         }
@@ -125,8 +136,7 @@
         count.advance_window(now);
         count.last_request = count.window;
         let length = quota.window_length();
-        let window_start = count.start + count.window as f64 * length;
-        let left = (window_start + length - now).max(0.0);
+        let left = (count.window_end(count.window) - now).max(0.0);
         let next = next && left <= length * AHEAD_SHARE;
         let (window, slot) = (count.window + u64::from(next), usize::from(next));
         let requester = count.requesters.entry(proxy).or_default();
--- a/system/quota-lease/src/lib.rs
+++ b/system/quota-lease/src/lib.rs
@@ -9,6 +9,7 @@
 //! `rate x T + burst`, or, where the window was lengthened, more by less than the overage that the rule
 //! allows. In addition:
 //!
+//! - *Extreme limits*: windows and their units are bounded, so that all numbers stay finite whatever rate and burst are.
 //! - *Latency*: a proxy's window begins and ends later than the holder's by the latency of the grant. That
 //!   shifts a proxy's windows and makes none longer.
 //! - *Isolation*: a proxy that hears nothing from the count for more than [`ISOLATION_TIMEOUT`] spends
@@ -43,6 +44,10 @@
 
 /// The shortest window: a shorter one would end before a lease arrives from another region.
 pub const MIN_WINDOW: Millis = 500.0;
+/// The longest window. A burst that would last longer at its rate is granted once in it.
+pub const MAX_WINDOW: Millis = fennelscale_time::MAX_MILLIS;
+/// The most units of a window: more cannot be counted one by one in a floating-point number.
+const MAX_UNITS: f64 = (1_u64 << 53) as f64;
 /// A proxy whose requests go unanswered for this long is isolated.
 pub const ISOLATION_TIMEOUT: Millis = 700.0;
 /// The share of an equal part that an isolated proxy spends: the number of proxies may just have changed.
@@ -67,15 +72,16 @@
 }
 
 impl Quota {
-    /// The length of a window.
+    /// The length of a window, between [`MIN_WINDOW`] and [`MAX_WINDOW`].
     pub fn window_length(&self) -> Millis {
-        (self.burst / self.rate.max(1e-9) * 1000.0).max(MIN_WINDOW)
+        (self.burst / self.rate.max(f64::MIN_POSITIVE) * 1000.0).clamp(MIN_WINDOW, MAX_WINDOW)
     }
 
     /// The units that one window grants.
     pub fn units_per_window(&self) -> f64 {
-        // A tenant without a burst may still send one request at a time.
-        (self.rate * self.window_length() / 1000.0).max(1.0)
+        let units = self.rate * (self.window_length() / 1000.0);
+        // A window that was shortened still has its burst; a tenant without a burst may still send one request at a time.
+        units.max(self.burst).clamp(1.0, MAX_UNITS)
     }
 }
 
--- a/system/quota-lease/src/relay.rs
+++ b/system/quota-lease/src/relay.rs
@@ -21,6 +21,8 @@
 const MAX_WAIT: Millis = 450.0;
 /// After the holder answered that a window is spent, it is asked again after this share of a window.
 const SPENT_RETRY_SHARE: f64 = 0.1;
+/// ... but after this at least.
+const MIN_SPENT_RETRY: Millis = 1.0;
 /// After the holder answered that it grants nothing yet, it is asked again after this.
 const CLOSED_RETRY: Millis = 150.0;
 /// How long the demand that a proxy reported counts.
@@ -111,7 +113,9 @@
             }
             known.lease.units += grant.units;
             if grant.units < 1.0 {
-                known.spent_until[0] = (now + known.quota.window_length() * SPENT_RETRY_SHARE).min(ends);
+                // Never at once, however soon the window ends: the holder may be in this process and answer at once, too.
+                let retry_at = (now + known.quota.window_length() * SPENT_RETRY_SHARE).min(ends);
+                known.spent_until[0] = retry_at.max(now + MIN_SPENT_RETRY);
             }
         }
         known.step(now, &grant.tenant, out);
