Configuration and list: numbers too large for their type no longer wrap

Cause: `u64 as u32` keeps the low half of a number, and a sum of weights was used as it came.

Change: both numbers are held as the largest of their type, and the weights of such a split are scaled before they are used. Where slots are added up over backends the sum has 64 bits.

Evidence: `a_priority_that_is_too_large_is_the_lowest_one`, `a_split_with_very_large_weights_keeps_its_shares` and `numbers_of_the_platform_that_are_too_large_are_held_as_the_largest` failed on the landed code and pass. No real processes were run.

--- a/system/config/src/item.rs
+++ b/system/config/src/item.rs
@@ -252,7 +252,7 @@
             if parts.iter().map(|(_, weight)| weight).sum::<f64>() <= 0.0 {
                 return Err(item.invalid("action.trafficSplit", "one weight at least must be over 0"));
             }
-            parts
+            with_finite_sum(parts)
         }
         _ => vec![(item.string(&["action", "service"])?, 1.0)],
     };
@@ -272,12 +272,25 @@
     })
 }
 
+/// The same shares with weights whose sum is a finite number.
+fn with_finite_sum(mut parts: Vec<(String, f64)>) -> Vec<(String, f64)> {
+    let sum: f64 = parts.iter().map(|(_, weight)| weight).sum();
+    if sum.is_infinite() {
+        let count = parts.len() as f64;
+        parts.iter_mut().for_each(|(_, weight)| *weight /= count);
+    }
+    parts
+}
+
 fn tenant(name: &str, item: &ItemJson<'_>) -> Result<Tenant, InvalidConfig> {
     let rate = item.number(&["ratePerS"], Some(0.0))?;
     Ok(Tenant {
         name: name.to_owned(),
         api_keys: item.strings(&["apiKeys"])?,
-        priority: item.get(&["priority"]).and_then(|p| p.as_u64()).map(|p| p as u32),
+        priority: item
+            .get(&["priority"])
+            .and_then(|p| p.as_u64())
+            .map(|p| u32::try_from(p).unwrap_or(u32::MAX)),
         rate_per_s: rate,
         burst: item.number(&["burst"], Some(rate))?,
         allowed_regions: item.strings(&["allowedRegions"])?,
--- a/system/config/src/tests.rs
+++ b/system/config/src/tests.rs
@@ -57,6 +57,40 @@
     }
 }
 
+/// Guards against a split whose weights add up to infinity: all its requests went to its last service.
+#[test]
+fn a_split_with_very_large_weights_keeps_its_shares() {
+    let largest = format!("{:e}", f64::MAX);
+    let call = CALL.replace("\"weight\":90", &format!("\"weight\":{largest}"));
+    let call = call.replace("\"weight\":10", &format!("\"weight\":{largest}"));
+    let items = parse_items(&call).unwrap();
+    let route = items.iter().find_map(|(_, item)| match item {
+        ParsedItem::Route(route) => Some(route),
+        _ => None,
+    });
+    let weights: Vec<f64> = route.unwrap().services.iter().map(|(_, weight)| *weight).collect();
+    assert!(
+        weights.iter().sum::<f64>().is_finite() && weights[0] == weights[1] && weights[0] > 0.0,
+        "{weights:?}"
+    );
+}
+
+/// Guards against a number that wraps: the priority 4294967296 became 0, the highest one.
+#[test]
+fn a_priority_that_is_too_large_is_the_lowest_one() {
+    for priority in ["4294967296", "18446744073709551615"] {
+        let call = CALL.replace("\"priority\":1,", &format!("\"priority\":{priority},"));
+        let call = call.replace("\"priority\":2,", &format!("\"priority\":{priority},"));
+        for (_, item) in parse_items(&call).unwrap() {
+            match item {
+                ParsedItem::Tenant(tenant) => assert_eq!(tenant.priority, Some(u32::MAX)),
+                ParsedItem::Route(route) => assert_eq!(route.priority, u32::MAX),
+                _ => {}
+            }
+        }
+    }
+}
+
 #[test]
 fn invalid_calls_are_rejected() {
     assert!(parse_items(CALL).is_ok());
--- a/system/proxy/src/routing_state.rs
+++ b/system/proxy/src/routing_state.rs
@@ -307,13 +307,13 @@
         };
         let mut own = BTreeMap::new();
         if local.len() >= proxies.clone().count() {
-            let mut assigned_slots: Vec<(u32, &ProxyInfo)> = proxies.map(|m| (0, m)).collect();
+            let mut assigned_slots: Vec<(u64, &ProxyInfo)> = proxies.map(|m| (0, m)).collect();
             for backend in local {
-                let rank = |(slots, m): &&mut (u32, &ProxyInfo)| {
+                let rank = |(slots, m): &&mut (u64, &ProxyInfo)| {
                     (*slots, m.zone != backend.zone, tie_break(backend, m))
                 };
                 let Some((slots, proxy)) = assigned_slots.iter_mut().min_by_key(rank) else { continue };
-                *slots += backend.slots.max(1);
+                *slots += u64::from(backend.slots.max(1));
                 if proxy.host == self.location.host {
                     own.insert(backend.id.as_str(), 1.0);
                 }
--- a/system/registry/src/backend_list.rs
+++ b/system/registry/src/backend_list.rs
@@ -74,13 +74,37 @@
         Some(number) => (number, 1.0),
         None => (cold.strip_suffix('s').unwrap_or("0"), 1000.0),
     };
+    let slots = instance.get("capacitySlots").and_then(|v| v.as_u64()).unwrap_or(1);
     Some(Backend {
         id: text("id")?,
         service: text("service")?,
         address: text("address")?,
         zone: text("zone")?,
-        slots: instance.get("capacitySlots").and_then(|v| v.as_u64()).unwrap_or(1) as u32,
+        slots: u32::try_from(slots).unwrap_or(u32::MAX),
         draining: text("state")? != "ready",
         cold_ms: (number.parse::<f64>().ok()? * unit).clamp(0.0, 600_000.0) as u32,
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn parse(slots: &str, cold: &str) -> Option<Backend> {
+        let text = format!(
+            r#"{{"id":"i","service":"s","address":"10.0.0.1:80","zone":"a","state":"ready","capacitySlots":{slots},"coldRemaining":"{cold}"}}"#
+        );
+        parse_backend(&sonic_rs::from_str(&text).expect("an entry"))
+    }
+
+    /// Guards against a number that wraps: 4294967296 slots became none.
+    #[test]
+    fn numbers_of_the_platform_that_are_too_large_are_held_as_the_largest() {
+        for slots in ["4294967296", "18446744073709551615"] {
+            assert_eq!(parse(slots, "0ms").map(|backend| backend.slots), Some(u32::MAX), "{slots}");
+        }
+        for cold in ["1e300s", "1e309s", "9223372036854775807s"] {
+            assert_eq!(parse("2", cold).map(|backend| backend.cold_ms), Some(600_000), "{cold}");
+        }
+    }
+}
