Logs: a line that cannot be written is dropped, and no reader holds up a program

Seen: proxy, registry, store and the gateway in service end once their standard error cannot be written (its reader is gone, or the disk behind it is full), at their next line; in these tests, built for debugging, with status 101, in a release with SIGABRT. With a full pipe whose reader lives and reads nothing they stand still; the gateway never served.

Cause: `eprintln!` panics where it cannot write, and so do the log library, which reports a failed write by it, and the argument parser for `--help` and for invalid arguments. All write on the thread that serves.

Change: the package `fennelscale-log-writer` has a bounded queue (256 KiB) and a thread that writes; a line without room or that cannot be written is dropped and counted, and told of with the next line that can be written (`event=log-lines-dropped count=N`). All log lines, start errors and panic messages of these programs go there; at the end the last lines have 200 ms. Metric `log_lines_dropped_total` of the proxy, `log_lines_dropped` in a registry's status. `--check` ignored a failed write before. fennelctl ignores it too now, and ends a command that follows events when its reader is gone.

Evidence: `broken_log.rs` of demo and gateway, each program with three kinds of broken output, failed on the landed code for all four programs with the reader gone, and for the gateway with the reader stopped as well; they pass, with `queue.rs` and `closed_pipe.rs`.

Left: the tools of the gateway's own command line (`rehearse`, `routes`, `quota`, `fleet`) and the simulator's host print as before.

--- a/crates/dataplane/src/engine.rs
+++ b/crates/dataplane/src/engine.rs
@@ -10,6 +10,7 @@
 use doorcourse::{
     Action, Arrival, Event, Gateway, Millis, Name, Outcome, RequestId, SendCounts, Settings, SettingsError,
 };
+use fennelscale_log_writer::log_line;
 use fennelscale_quota::Partition;
 use fennelscale_time::{Later, from_millis};
 use life::core::{Answered, Core, Effect, Ended};
@@ -260,7 +261,7 @@
                     latency: 0.0,
                 }),
             },
-            Action::Log(text) => eprintln!("{text}"),
+            Action::Log(text) => log_line!("{text}"),
             // There are no peers, the backend list is always watched, and the core handles the effects on
             // requests.
             Action::Broadcast { .. }
--- a/crates/dataplane/src/front/acceptor.rs
+++ b/crates/dataplane/src/front/acceptor.rs
@@ -9,6 +9,7 @@
 use fennelscale_admission::budget::Budget;
 use fennelscale_admission::client_origin::{self, ProxyHeader};
 use fennelscale_admission::slow_clients::SlowClientLimits;
+use fennelscale_log_writer::log_line;
 use fennelscale_settings::admission::Admission as Settings;
 use fennelscale_time::from_millis;
 use std::cell::{Cell, RefCell};
@@ -330,7 +331,7 @@
             {
                 let _ = write!(reasons, ", {} {count}", why.name());
             }
-            eprintln!(
+            log_line!(
                 "connections since the start: {} received, {} admitted ({} after waiting), {} refused{reasons}; {} of these \
                  by a reset; {} evicted; out of descriptors {} times",
                 counts.connected,
--- a/crates/dataplane/src/lifecycle.rs
+++ b/crates/dataplane/src/lifecycle.rs
@@ -1,6 +1,7 @@
 //! State machines of package `life` as shared cells, and the report of illegal transitions. None is expected:
 //! the checked model allows everything that happens here.
 
+use fennelscale_log_writer::log_line;
 use life::{Illegal, Machine};
 use std::cell::Cell;
 
@@ -10,8 +11,9 @@
 
 /// Logs an illegal event. The state is unchanged and the gateway continues; a debug build exits at once.
 pub fn report_illegal_transition(what: Illegal) {
-    eprintln!("illegal transition: {what}");
+    log_line!("illegal transition: {what}");
     if cfg!(debug_assertions) {
+        fennelscale_log_writer::flush();
         std::process::exit(SOFTWARE_FAULT);
     }
 }
--- a/crates/fault/src/lib.rs
+++ b/crates/fault/src/lib.rs
@@ -6,9 +6,11 @@
 //! - [`rig`]: starts, stops, lets go, kills and restarts processes, and writes the record.
 //! - [`record`]: what was done and seen, with the rig's own time.
 //! - [`process`]: what the kernel tells of a process.
+//! - [`broken_output`]: standard outputs that cannot be written.
 //! - [`judge`]: the properties, replayed from the record alone. It believes no process: what was held is known by the effects
 //!   that reached a witness, what was agreed by comparing what all of them show.
 
+pub mod broken_output;
 pub mod judge;
 pub mod process;
 pub mod record;
--- a/gateway/src/back/discovery.rs
+++ b/gateway/src/back/discovery.rs
@@ -6,6 +6,7 @@
 use crate::faults;
 use bytes::Bytes;
 use doorcourse::Event;
+use fennelscale_log_writer::log_line;
 use fennelscale_settings::list::List;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
@@ -63,7 +64,7 @@
             Err(error) => format!("no connection: {error}"),
         };
         if !std::mem::replace(&mut logged, true) {
-            eprintln!("discovery: {fault} (logged once)");
+            log_line!("discovery: {fault} (logged once)");
         }
         tokio::time::sleep(RETRY_DELAY).await;
     }
--- a/gateway/src/counting/counter.rs
+++ b/gateway/src/counting/counter.rs
@@ -3,6 +3,7 @@
 use crate::clock::to_millis;
 use crate::engine::CounterReplyHandler;
 use doorcourse::{CountOutcome, Millis};
+use fennelscale_log_writer::log_line;
 use fennelscale_time::Later;
 use redis_protocol::resp2::decode::decode;
 use redis_protocol::resp2::types::OwnedFrame;
@@ -150,7 +151,7 @@
                     && error.kind() == io::ErrorKind::InvalidData
                     && !self.logged_invalid.replace(true)
                 {
-                    eprintln!("counter: {error} (logged once)");
+                    log_line!("counter: {error} (logged once)");
                 }
             }
             // Calls made while the results are reported go to the next connection, if it is opened at once.
--- a/gateway/src/fleet/disk.rs
+++ b/gateway/src/fleet/disk.rs
@@ -1,6 +1,7 @@
 //! A keeper's folder. A separate thread writes and flushes it, so that a stalled disk delays no request.
 
 use fennelscale_fleet::disk::{self, Disk, SLOT, Write};
+use fennelscale_log_writer::log_line;
 use std::cell::RefCell;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Seek, SeekFrom, Write as _};
@@ -94,7 +95,7 @@
     while let Ok((number, write)) = writes.recv() {
         // A failed write and all after it are not reported as flushed.
         if let Err(error) = flush(folder, &write) {
-            eprintln!("fleet: {}: {error}", folder.display());
+            log_line!("fleet: {}: {error}", folder.display());
             return;
         }
         if flushed.send(number).is_err() {
--- a/gateway/src/fleet/mod.rs
+++ b/gateway/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 use fennelscale_fleet::rules::{Micros, Watch};
 use fennelscale_fleet::state::{Command, Settled};
 use fennelscale_fleet::{Action, Event, Fence, Identity, Node, Setup};
+use fennelscale_log_writer::log_line;
 use fennelscale_settings::fleet::Fleet as Rules;
 use peers::Peers;
 use std::cell::RefCell;
@@ -68,14 +69,14 @@
             return Err(io::Error::other(what));
         }
         Disk::Empty => {
-            eprintln!(
+            log_line!(
                 "fleet: {} is empty: a stranger to the log until it is taken in as a keeper",
                 folder.display()
             );
             strange_disk(seed, name)
         }
         Disk::Lost(what) => {
-            eprintln!(
+            log_line!(
                 "fleet: {}: {what}. What others were told is safe may be gone: a stranger to the log from now on",
                 folder.display()
             );
@@ -170,7 +171,7 @@
         }
         if let Some(control) = fleet.rules.control {
             let listener = TcpListener::bind(control).await?;
-            eprintln!("fleet: operators at {}", listener.local_addr()?);
+            log_line!("fleet: operators at {}", listener.local_addr()?);
             spawn(control::serve(listener, fleet.clone()));
         }
         for (right, rule) in &fleet.rules.rights {
@@ -179,7 +180,7 @@
             }
         }
         fleet.perform_actions();
-        eprintln!("fleet {}: {name} at {at}", fleet.rules.name);
+        log_line!("fleet {}: {name} at {at}", fleet.rules.name);
         Ok(fleet)
     }
 
@@ -225,13 +226,13 @@
 
     fn on_event(&self, event: Event) {
         match event {
-            Event::Member(Change::Here(member)) => eprintln!("fleet: {member} is here"),
-            Event::Member(Change::Gone(member)) => eprintln!("fleet: {member} is gone"),
-            Event::Member(Change::Usurped(by)) => eprintln!(
+            Event::Member(Change::Here(member)) => log_line!("fleet: {member} is here"),
+            Event::Member(Change::Gone(member)) => log_line!("fleet: {member} is gone"),
+            Event::Member(Change::Usurped(by)) => log_line!(
                 "fleet: {by} has the name of this gateway: TWO PROCESSES CLAIM ONE NAME. This one takes part in nothing any more"
             ),
             Event::Member(Change::NameClaimed(by)) => {
-                eprintln!("fleet: {by} claims a name that belongs to a later run: it was notified");
+                log_line!("fleet: {by} claims a name that belongs to a later run: it was notified");
             }
             Event::Settled(serial, settled) => {
                 if let Some(sender) = self.proposals.borrow_mut().remove(&serial) {
@@ -240,7 +241,7 @@
             }
             Event::Agreed => {}
             Event::Diverged(keeper) => {
-                eprintln!("fleet: {keeper} holds another log than this gateway: a fault of the program");
+                log_line!("fleet: {keeper} holds another log than this gateway: a fault of the program");
             }
         }
     }
@@ -299,7 +300,7 @@
         while let Some(number) = flushed.recv().await {
             self.with(|node, now| node.written(now, number));
         }
-        eprintln!(
+        log_line!(
             "fleet: the disk cannot be written: this gateway keeps the log no more until it is started again"
         );
     }
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -19,6 +19,7 @@
 use fennelscale::front::clients::Frontend;
 use fennelscale::task::spawn;
 use fennelscale_admission::budget::{Budget, DescriptorLimit};
+use fennelscale_log_writer::log_line;
 use fennelscale_quota::Partition;
 use fennelscale_settings::admission::Admission;
 use fennelscale_settings::gateway::Config;
@@ -62,11 +63,15 @@
         Ok(runtime) => runtime,
         Err(error) => return unusable(&error),
     };
-    LocalSet::new().block_on(&runtime, run(config, operators))
+    fennelscale_log_writer::report_panics();
+    let status = LocalSet::new().block_on(&runtime, run(config, operators));
+    fennelscale_log_writer::flush();
+    status
 }
 
 fn unusable(what: &dyn Display) -> ExitCode {
-    eprintln!("fennelscale: {what}");
+    log_line!("fennelscale: {what}");
+    fennelscale_log_writer::flush();
     ExitCode::from(2)
 }
 
@@ -82,7 +87,7 @@
     };
     let limit = DescriptorLimit::new(config.sockets, descriptors_allowed(config.sockets));
     if limit.is_insufficient() {
-        eprintln!("{limit}");
+        log_line!("{limit}");
     }
     let admission = operators.admission.unwrap_or_else(Admission::neutral);
     let quota = operators.quota.unwrap_or_default();
@@ -139,7 +144,7 @@
     spawn(discovery::watch(discovery, seq, backends, engine.clone()));
     spawn(reload(hangup, discovery_address, engine, counters));
     if let Ok(address) = listener.local_addr() {
-        eprintln!("fennelscale {}: listening at {address}", config.name);
+        log_line!("fennelscale {}: listening at {address}", config.name);
     }
     let end = async {
         tokio::select! {
@@ -170,14 +175,17 @@
 fn repartition(engine: &Engine, counters: &Counters) {
     let rule = match Operators::from_environment() {
         Ok(operators) => operators.quota.and_then(|quota| quota.partition),
-        Err(error) => return eprintln!("settings not read again, the old ones stay: {error}"),
+        Err(error) => {
+            log_line!("settings not read again, the old ones stay: {error}");
+            return;
+        }
     };
     match rule.map(|rule| counters.change(&rule, engine.now())) {
         Some(Ok(true)) => {
             engine.update_counter_partition();
-            eprintln!("counters change at the time that the settings name");
+            log_line!("counters change at the time that the settings name");
         }
-        Some(Err(what)) => eprintln!("counters not changed: {what}"),
+        Some(Err(what)) => log_line!("counters not changed: {what}"),
         None | Some(Ok(false)) => {}
     }
 }
@@ -198,9 +206,9 @@
                     }
                     repartition(&engine, counters);
                 }
-                eprintln!("configuration read again: discovery at {}", config.discovery);
+                log_line!("configuration read again: discovery at {}", config.discovery);
             }
-            Err(error) => eprintln!("configuration not read again, the old one stays: {error}"),
+            Err(error) => log_line!("configuration not read again, the old one stays: {error}"),
         }
     }
 }
--- a/system/fennelctl/src/config.rs
+++ b/system/fennelctl/src/config.rs
@@ -9,7 +9,7 @@
 
 pub fn read(file: &str) -> Result<String, ExitCode> {
     std::fs::read_to_string(file).map_err(|error| {
-        eprintln!("fennelctl: {file}: {error}");
+        complain!("fennelctl: {file}: {error}");
         ExitCode::from(2)
     })
 }
@@ -28,7 +28,7 @@
             ExitCode::SUCCESS
         }
         Err(invalid) => {
-            eprintln!("fennelctl: {file}: {invalid}");
+            complain!("fennelctl: {file}: {invalid}");
             ExitCode::FAILURE
         }
     }
@@ -55,7 +55,7 @@
     let requested = match read(file).map(|text| parse_changes(&text)) {
         Ok(Ok(requested)) => requested,
         Ok(Err(invalid)) => {
-            eprintln!("fennelctl: {file}: {invalid}");
+            complain!("fennelctl: {file}: {invalid}");
             return ExitCode::FAILURE;
         }
         Err(status) => return status,
@@ -67,7 +67,7 @@
     let current = match parse_call(format!("{{\"upsert\":{current}}}").as_bytes()) {
         Ok(current) => current,
         Err(invalid) => {
-            eprintln!("fennelctl: what stands cannot be read: {invalid}");
+            complain!("fennelctl: what stands cannot be read: {invalid}");
             return ExitCode::from(3);
         }
     };
--- a/system/fennelctl/src/events.rs
+++ b/system/fennelctl/src/events.rs
@@ -123,7 +123,7 @@
             Err(other) => return print_result(other),
         };
         if missed && !after.is_empty() {
-            eprintln!(
+            complain!(
                 "fennelctl: events may be missing here: a registry ended, was replaced, or this was too long ago"
             );
         }
@@ -132,6 +132,9 @@
                 show(registries, event);
             }
         }
+        if crate::output::is_closed() {
+            return ExitCode::SUCCESS;
+        }
         // A page without events may still have advanced the cursor.
         empty_pages = if list.is_empty() { empty_pages + 1 } else { 0 };
         let further = empty_pages == 0 || cursor != after;
@@ -141,7 +144,7 @@
         }
         if !events.follow {
             if !registries.json {
-                eprintln!("fennelctl: to go on from here: --after {after}");
+                complain!("fennelctl: to go on from here: --after {after}");
             }
             return ExitCode::SUCCESS;
         }
@@ -297,7 +300,7 @@
         say!("  answered {status} after {}: {}", field("took"), field("why"));
     }
     if known.is_empty() {
-        eprintln!("fennelctl: no proxy that answers remembers it: each keeps its last 2,048 requests");
+        complain!("fennelctl: no proxy that answers remembers it: each keeps its last 2,048 requests");
         return ExitCode::FAILURE;
     }
     ExitCode::SUCCESS
--- a/system/fennelctl/src/failure.rs
+++ b/system/fennelctl/src/failure.rs
@@ -54,7 +54,7 @@
 pub async fn run(registries: &RegistryClient, failure: Failure) -> ExitCode {
     match failure.command {
         None => {
-            eprintln!("fennelctl: failure: one of dry, start, stop, report, fingerprint");
+            complain!("fennelctl: failure: one of dry, start, stop, report, fingerprint");
             ExitCode::from(2)
         }
         Some(Command::Dry(named)) => set_state(registries, LIST, &named.order, "dry", None).await,
@@ -115,7 +115,7 @@
         match answer {
             Some(answer) => answers.push(answer),
             None => {
-                eprintln!("{at}: no answer; its proxies' counts may be missing");
+                complain!("{at}: no answer; its proxies' counts may be missing");
                 missing += 1;
             }
         }
--- a/system/fennelctl/src/main.rs
+++ b/system/fennelctl/src/main.rs
@@ -6,10 +6,12 @@
 
 /// Prints a line. A reader that closes the pipe early (`| head`) is not an error.
 macro_rules! say {
-    ($($line:tt)*) => {{
-        use std::io::Write as _;
-        let _ = writeln!(std::io::stdout(), $($line)*);
-    }};
+    ($($line:tt)*) => { $crate::output::write_result(format_args!($($line)*)) };
+}
+
+/// Prints a line to standard error.
+macro_rules! complain {
+    ($($line:tt)*) => { $crate::output::write_message(format_args!($($line)*)) };
 }
 
 mod config;
@@ -17,6 +19,7 @@
 mod failure;
 mod maintenance;
 mod order;
+mod output;
 mod registry_client;
 
 use gumdrop::Options;
@@ -89,7 +92,10 @@
 }
 
 fn main() -> ExitCode {
-    let arguments = Arguments::parse_args_default_or_exit();
+    let arguments = match fennelscale_host::arguments::parse::<Arguments>() {
+        Ok(arguments) => arguments,
+        Err(status) => return status,
+    };
     let Some(command) = arguments.command else {
         say!("{}\n\n{}", Arguments::usage(), Arguments::command_list().unwrap_or_default());
         return ExitCode::from(2);
@@ -99,13 +105,13 @@
         return config::check(&file.file);
     }
     if arguments.at.is_empty() {
-        eprintln!("fennelctl: name a registry with --at ADDRESS, like --at 10.1.0.35:8688");
+        complain!("fennelctl: name a registry with --at ADDRESS, like --at 10.1.0.35:8688");
         return ExitCode::from(2);
     }
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => {
-            eprintln!("fennelctl: {error}");
+            complain!("fennelctl: {error}");
             return ExitCode::from(2);
         }
     };
@@ -144,11 +150,11 @@
         CallResult::Response(status, body) => {
             let value: Value = sonic_rs::from_str(&body).unwrap_or_default();
             let text = |name: &str| value.get(name).and_then(|v| v.as_str()).unwrap_or_default().to_owned();
-            eprintln!("fennelctl: {status} {}: {}; {}", text("error"), text("message"), text("help"));
+            complain!("fennelctl: {status} {}: {}; {}", text("error"), text("message"), text("help"));
             ExitCode::FAILURE
         }
         CallResult::OutcomeUnknown => {
-            eprintln!("fennelctl: no gateway gave a clear answer: it may have happened or not; ask again");
+            complain!("fennelctl: no gateway gave a clear answer: it may have happened or not; ask again");
             ExitCode::from(3)
         }
     }
@@ -158,7 +164,7 @@
     let mut responses = 0;
     for (at, answer) in registries.call_each("/fennelscale/status").await {
         let Some(body) = answer else {
-            eprintln!("{at}: no answer");
+            complain!("{at}: no answer");
             continue;
         };
         responses += 1;
--- a/system/fennelctl/src/maintenance.rs
+++ b/system/fennelctl/src/maintenance.rs
@@ -55,7 +55,7 @@
 pub async fn run(registries: &RegistryClient, maintenance: Maintenance) -> ExitCode {
     match maintenance.command {
         None => {
-            eprintln!(
+            complain!(
                 "fennelctl: maintenance: one of list, explain, rehearse, approve, start, pause, end, withdraw"
             );
             ExitCode::from(2)
@@ -65,7 +65,7 @@
         Some(Command::Rehearse(file)) => rehearse(registries, &file.file).await,
         Some(Command::Approve(named)) => {
             let Some(by) = &named.by else {
-                eprintln!("fennelctl: approve: say who approves it with --by NAME");
+                complain!("fennelctl: approve: say who approves it with --by NAME");
                 return ExitCode::from(2);
             };
             set_state(registries, LIST, &named.order, "approved", Some(by)).await
@@ -90,7 +90,7 @@
     let mut orders = items(&response, "orders");
     orders.retain(|order| only.is_none_or(|name| text(order, "name") == name));
     if let Some(name) = only.filter(|_| orders.is_empty()) {
-        eprintln!("fennelctl: there is no order {name}");
+        complain!("fennelctl: there is no order {name}");
         return ExitCode::FAILURE;
     }
     if registries.json {
--- a/system/fennelctl/src/order.rs
+++ b/system/fennelctl/src/order.rs
@@ -39,7 +39,7 @@
         other => return print_result(other),
     };
     let Some(body) = with_state(&config, list, name, state, by) else {
-        eprintln!("fennelctl: there is no order {name}");
+        complain!("fennelctl: there is no order {name}");
         return ExitCode::FAILURE;
     };
     print_result(registries.call("PATCH", "/fennelscale/config", &body).await)
--- a/system/host/src/lib.rs
+++ b/system/host/src/lib.rs
@@ -6,6 +6,7 @@
 #![warn(clippy::arithmetic_side_effects)]
 
 mod answer_deadline;
+pub mod arguments;
 pub mod call;
 pub mod error;
 pub mod link;
--- a/system/host/src/log.rs
+++ b/system/host/src/log.rs
@@ -1,6 +1,7 @@
-//! Logging: one line of `key=value` pairs for each event, on standard error. At most [`MAX_LINES_PER_SECOND`]
+//! Logging: one line of `key=value` pairs for each event, on standard error, which neither blocks nor ends the process. At most [`MAX_LINES_PER_SECOND`]
 //! are written per second; the next line after that reports how many were dropped.
 
+use fennelscale_log_writer::StandardError;
 use std::fmt::{self, Write as _};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tracing::field::{Field, Visit};
@@ -119,7 +120,8 @@
     let line = LineFormat { node: node.to_owned(), start, limit: limit.clone() };
     let level = if debug { Level::DEBUG } else { Level::INFO };
     let subscriber = tracing_subscriber::fmt()
-        .with_writer(std::io::stderr)
+        .with_writer(|| StandardError)
+        .log_internal_errors(false)
         .with_max_level(level)
         .event_format(line)
         .finish()
--- a/system/host/src/start.rs
+++ b/system/host/src/start.rs
@@ -1,5 +1,6 @@
 //! Startup and shutdown of a program.
 
+use fennelscale_log_writer::log_line;
 use fennelscale_node_settings::{Settings, SettingsError};
 use std::future::Future;
 use std::io::Write as _;
@@ -25,6 +26,7 @@
         Ok(settings) => settings,
         Err(error) => return report_failure(program, error.into()),
     };
+    fennelscale_log_writer::report_panics();
     crate::log::init(&settings.node, debug);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = match runtime {
@@ -40,6 +42,7 @@
     match result {
         Ok(()) => {
             tracing::info!(event = "ended", program);
+            fennelscale_log_writer::flush();
             ExitCode::SUCCESS
         }
         Err(report) => report_failure(program, report),
@@ -76,7 +79,8 @@
 
 fn report_failure(program: &str, report: miette::Report) -> ExitCode {
     let help = report.help().map(|help| format!("; {help}")).unwrap_or_default();
-    eprintln!("{program}: {report}{help}");
+    log_line!("{program}: {report}{help}");
+    fennelscale_log_writer::flush();
     ExitCode::from(2)
 }
 
@@ -128,8 +132,10 @@
 
         /// Runs the program with its command-line arguments.
         pub fn main() -> std::process::ExitCode {
-            let arguments = <Arguments as gumdrop::Options>::parse_args_default_or_exit();
-            $crate::start::run_or_check($name, arguments.check, arguments.verbose, $run)
+            match $crate::arguments::parse::<Arguments>() {
+                Ok(arguments) => $crate::start::run_or_check($name, arguments.check, arguments.verbose, $run),
+                Err(status) => status,
+            }
         }
 
         /// Runs the program with default arguments, for binaries that contain several programs.
--- a/system/proxy/src/lib.rs
+++ b/system/proxy/src/lib.rs
@@ -27,7 +27,7 @@
 
 pub use proxy::run;
 
-use fennelscale_host::start;
+use fennelscale_host::{arguments, start};
 use std::process::ExitCode;
 
 /// The name of the program.
@@ -48,7 +48,10 @@
 
 /// Runs the program with the arguments of the command line.
 pub fn main() -> ExitCode {
-    let arguments = <Arguments as gumdrop::Options>::parse_args_default_or_exit();
+    let arguments = match arguments::parse::<Arguments>() {
+        Ok(arguments) => arguments,
+        Err(status) => return status,
+    };
     let Arguments { check, verbose, metrics_port, .. } = arguments;
     start::run_or_check(NAME, check, verbose, |settings, signals| proxy::run(settings, signals, metrics_port))
 }
--- a/system/proxy/src/metrics.rs
+++ b/system/proxy/src/metrics.rs
@@ -104,6 +104,7 @@
     /// Time since a majority of the core confirmed the state, in ms; -1 before the first heartbeat.
     contact_age: Gauge,
     contested: Gauge,
+    dropped_log_lines: Counter,
     copies: Family<CopyLabel, Counter>,
     session_ends: Family<SessionEndLabel, Counter>,
     task_delay: Gauge,
@@ -173,6 +174,12 @@
             "How long ago a majority of the core stood behind what this proxy was told; -1 before the first word",
             contact_age.clone(),
         );
+        let dropped_log_lines = Counter::default();
+        registry.register(
+            "log_lines_dropped",
+            "Lines of the log that could not be written or had no room",
+            dropped_log_lines.clone(),
+        );
         registry.register(
             "contested_claims",
             "Places and keys that more than one item claims by what is known here",
@@ -220,6 +227,7 @@
             ready_proxies,
             contact_age,
             contested,
+            dropped_log_lines,
             copies,
             session_ends,
             task_delay,
@@ -237,6 +245,7 @@
         self.read_answers(&proxy.services.answer_counts);
         self.contact_age.set(proxy.contact_age().map_or(-1, |age| age as i64));
         self.contested.set(state.table.contested_claims() as i64);
+        self.dropped_log_lines.inner().store(fennelscale_log_writer::dropped_lines(), Ordering::Relaxed);
         let copies = proxy.copies();
         let counts = [
             ("whole", copies.complete),
--- a/system/registry/src/api.rs
+++ b/system/registry/src/api.rs
@@ -313,7 +313,8 @@
 
 impl Handler<Status> for Rc<Registry> {
     async fn serve(&self, _: Status) -> Result<Json, Failure> {
-        let pairs = self.state.borrow().status(self.now());
+        let mut pairs = self.state.borrow().status(self.now());
+        pairs.push(("log_lines_dropped", fennelscale_log_writer::dropped_lines().to_string()));
         let pairs: Vec<String> =
             pairs.iter().map(|(name, value)| format!("\"{name}\":{}", quoted(value))).collect();
         Ok(Json(format!("{{{}}}", pairs.join(","))))
