Demo: extreme values of a configuration against a small system of real processes

Each number and time that an operator can write is tried now, one at a time: a clear answer, no process that ends, requests served with it in force where it means "no limit", and served by all proxies afterwards.

--- a/system/demo/src/machines.rs
+++ b/system/demo/src/machines.rs
@@ -281,6 +281,14 @@
         self.take(zone, program)?.wait().await.ok()?.code()
     }
 
+    /// A program that has ended by itself, and how, if there is one.
+    pub fn first_ended(&mut self) -> Option<String> {
+        self.running.iter_mut().find_map(|(zone, program, child)| {
+            let status = child.try_wait().ok()??;
+            Some(format!("{program} in {} has ended: {status}", ZONES[*zone].0))
+        })
+    }
+
     /// Gives the process of a program away, to be waited for.
     pub fn take(&mut self, zone: usize, program: &str) -> Option<Child> {
         let at = self.running.iter().position(|(z, p, _)| *z == zone && *p == program)?;
--- a/system/demo/src/main.rs
+++ b/system/demo/src/main.rs
@@ -4,6 +4,7 @@
 //! maintenance nights instead.
 
 mod client;
+mod extremes;
 mod failures;
 mod machines;
 mod night;
@@ -37,6 +38,8 @@
         meta = "SECONDS"
     )]
     soak: u64,
+    #[options(no_short, help = "instead change the configuration to so many extreme values", meta = "COUNT")]
+    extremes: u64,
     #[options(no_short, help = "proxies of each zone in a soak", meta = "COUNT", default = "3")]
     proxies: usize,
     #[options(no_short, help = "a soak without faults")]
@@ -75,13 +78,13 @@
     behaviors: Option<String>,
     #[options(
         no_short,
-        help = "the executable whose programs a soak runs, in place of this one",
+        help = "the executable whose programs a soak or extreme values run, in place of this one",
         meta = "FILE"
     )]
     programs: Option<std::path::PathBuf>,
     #[options(
         no_short,
-        help = "the first night's number, or a soak's: faults are drawn by it",
+        help = "the first night's number, or a soak's or that of extreme values: they are drawn by it",
         meta = "NUMBER"
     )]
     seed: u64,
@@ -123,6 +126,7 @@
         seed,
         pairs,
         soak,
+        extremes,
         proxies,
         calm,
         cores,
@@ -151,6 +155,7 @@
                 };
                 soak::soak(plan, logs).await
             }
+            0 if extremes > 0 => extremes::play(seed, extremes, logs, programs).await,
             0 if failures > 0 => failures::rehearsals(seed, failures, pairs, logs).await,
             0 => steps::walk(logs, stay).await,
             count => night::nights(seed, count, pairs, logs).await,
--- a/system/demo/src/steps.rs
+++ b/system/demo/src/steps.rs
@@ -7,6 +7,7 @@
 use miette::{Result, miette};
 use rustix::process::Signal;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::task::spawn_local;
@@ -137,11 +138,12 @@
     Ok(())
 }
 
-/// All steps.
-pub async fn walk(logs: bool, stay: u64) -> Result<()> {
-    let folder = tempfile::tempdir().map_err(|error| miette!("no folder for disks: {error}"))?;
+/// Starts stand-ins, three core machines and three proxies, and has the first configuration acknowledged.
+/// The programs are those of this executable, or of `programs`.
+pub async fn start(folder: &Path, logs: bool, programs: Option<PathBuf>) -> Result<Walk> {
     let outside = Rc::new(Outside::default());
-    let mut walk = Walk { machines: Machines::new(folder.path(), logs, 0), outside, next: 0 };
+    let mut walk = Walk { machines: Machines::new(folder, logs, 0), outside, next: 0 };
+    walk.machines.programs = programs;
     let io = |error: std::io::Error| miette!("stand-ins: {error}");
     platform(&walk.outside, walk.machines.platform()).await.map_err(io)?;
     for (zone, (name, _)) in ZONES.iter().enumerate() {
@@ -159,6 +161,13 @@
         walk.machines.start(zone, "fennelscale-registry", true)?;
     }
     configuration(&mut walk).await?;
+    Ok(walk)
+}
+
+/// All steps.
+pub async fn walk(logs: bool, stay: u64) -> Result<()> {
+    let folder = tempfile::tempdir().map_err(|error| miette!("no folder for disks: {error}"))?;
+    let mut walk = start(folder.path(), logs, None).await?;
     requests(&mut walk).await?;
     changes(&mut walk).await?;
     if stay > 0 {
