Lints: no unwrap, expect or panic in packages that read from outside

`indexing_slicing` is not turned on: 46 places by its count, each looked at once; none takes an index or length from outside unchecked.

--- a/crates/dataplane/src/lib.rs
+++ b/crates/dataplane/src/lib.rs
@@ -5,6 +5,7 @@
 //! other.
 
 #![warn(clippy::arithmetic_side_effects)]
+#![cfg_attr(not(test), warn(clippy::unwrap_used, clippy::expect_used, clippy::panic))]
 
 pub mod back;
 pub mod clock;
--- a/crates/log-writer/src/lib.rs
+++ b/crates/log-writer/src/lib.rs
@@ -7,6 +7,8 @@
 //! [`MAX_QUEUED_BYTES`]. A line that has no room or cannot be written is dropped and counted ([`dropped_lines`]); the count
 //! is logged with the next line that can be written.
 
+#![cfg_attr(not(test), warn(clippy::unwrap_used, clippy::expect_used, clippy::panic))]
+
 mod queue;
 mod sink;
 
--- a/crates/memory/src/lib.rs
+++ b/crates/memory/src/lib.rs
@@ -6,6 +6,7 @@
 //! HTTP library.
 
 #![warn(clippy::arithmetic_side_effects)]
+#![cfg_attr(not(test), warn(clippy::unwrap_used, clippy::expect_used, clippy::panic))]
 
 pub mod buffer;
 pub mod ledger;
--- a/crates/time/src/lib.rs
+++ b/crates/time/src/lib.rs
@@ -6,6 +6,8 @@
 //!
 //! Guarantee: a time that is too large becomes [`MAX_DURATION`], never zero, and nothing here panics.
 
+#![cfg_attr(not(test), warn(clippy::unwrap_used, clippy::expect_used, clippy::panic))]
+
 use std::time::{Duration, Instant};
 
 /// The longest duration, 30 years: no process lives that long, and every clock can represent an instant so far ahead.
--- a/system/config-store/src/lib.rs
+++ b/system/config-store/src/lib.rs
@@ -3,6 +3,7 @@
 //! to it.
 
 #![warn(clippy::arithmetic_side_effects)]
+#![cfg_attr(not(test), warn(clippy::unwrap_used, clippy::expect_used, clippy::panic))]
 
 mod disk;
 mod event_log;
--- a/system/config/src/lib.rs
+++ b/system/config/src/lib.rs
@@ -6,6 +6,8 @@
 //! records, `f:` failure orders. JSON is read by pointers: unknown fields are stored and ignored. There is no
 //! I/O and no clock.
 
+#![cfg_attr(not(test), warn(clippy::unwrap_used, clippy::expect_used, clippy::panic))]
+
 mod call;
 mod claims;
 mod config_index;
--- a/system/host/src/lib.rs
+++ b/system/host/src/lib.rs
@@ -4,6 +4,7 @@
 //! answer.
 
 #![warn(clippy::arithmetic_side_effects)]
+#![cfg_attr(not(test), warn(clippy::unwrap_used, clippy::expect_used, clippy::panic))]
 
 mod answer_deadline;
 pub mod arguments;
--- a/system/membership/src/lib.rs
+++ b/system/membership/src/lib.rs
@@ -15,6 +15,8 @@
 //! The caller executes [`RegistryState::take_outputs`] after each input and passes a `now` that never
 //! decreases. Messages to one registry are delivered in order or not at all.
 
+#![cfg_attr(not(test), warn(clippy::unwrap_used, clippy::expect_used, clippy::panic))]
+
 mod contact;
 mod copies;
 pub mod duties;
--- a/system/messages/src/lib.rs
+++ b/system/messages/src/lib.rs
@@ -7,6 +7,8 @@
 //! Machines are identified by their IPv4 address ([`Host`]): an empty machine at another address is another
 //! machine. Incarnations of a process are distinguished by a number drawn at its start.
 
+#![cfg_attr(not(test), warn(clippy::unwrap_used, clippy::expect_used, clippy::panic))]
+
 pub mod feed;
 pub mod registry;
 pub mod session;
--- a/system/proxy/src/lib.rs
+++ b/system/proxy/src/lib.rs
@@ -3,6 +3,7 @@
 //! decision module choose a backend.
 
 #![warn(clippy::arithmetic_side_effects)]
+#![cfg_attr(not(test), warn(clippy::unwrap_used, clippy::expect_used, clippy::panic))]
 
 mod answer_counts;
 mod answers;
--- a/system/registry/src/lib.rs
+++ b/system/registry/src/lib.rs
@@ -4,6 +4,7 @@
 //! store on the same machine.
 
 #![warn(clippy::arithmetic_side_effects)]
+#![cfg_attr(not(test), warn(clippy::unwrap_used, clippy::expect_used, clippy::panic))]
 
 mod api;
 mod backend_list;
