Proxy, demo: a large file in parts, and one way to run the demo in tests

`every_step_holds` runs the demo with the same two checks, alone; the test of extreme values joins the others. Nothing else changed.

--- a/system/demo/tests/demo.rs
+++ b/system/demo/tests/demo.rs
@@ -10,15 +10,20 @@
     ALONE.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-#[test]
-fn the_whole_path_holds() {
+/// Runs the demo with these arguments, alone, and checks that every step of it holds.
+fn every_step_holds(arguments: &[&str]) {
     let _alone = alone();
-    let output = Command::new(env!("CARGO_BIN_EXE_fennelscale-demo")).output().unwrap();
+    let output = Command::new(env!("CARGO_BIN_EXE_fennelscale-demo")).args(arguments).output().unwrap();
     let text = String::from_utf8_lossy(&output.stdout);
     assert!(output.status.success(), "{text}");
     assert!(text.ends_with("every step held\n"), "{text}");
 }
 
+#[test]
+fn the_whole_path_holds() {
+    every_step_holds(&[]);
+}
+
 #[test]
 fn a_program_without_settings_says_what_to_do() {
     for program in ["fennelscale-proxy", "fennelscale-registry", "fennelscale-config-store"] {
@@ -35,26 +40,12 @@
 
 #[test]
 fn a_maintenance_night_over_three_regions_holds() {
-    let _alone = alone();
-    let output = Command::new(env!("CARGO_BIN_EXE_fennelscale-demo"))
-        .args(["--nights", "1", "--seed", "7"])
-        .output()
-        .unwrap();
-    let text = String::from_utf8_lossy(&output.stdout);
-    assert!(output.status.success(), "{text}");
-    assert!(text.ends_with("every step held\n"), "{text}");
+    every_step_holds(&["--nights", "1", "--seed", "7"]);
 }
 
 #[test]
 fn named_callers_fail_and_nobody_else() {
-    let _alone = alone();
-    let output = Command::new(env!("CARGO_BIN_EXE_fennelscale-demo"))
-        .args(["--failures", "1", "--seed", "8"])
-        .output()
-        .unwrap();
-    let text = String::from_utf8_lossy(&output.stdout);
-    assert!(output.status.success(), "{text}");
-    assert!(text.ends_with("every step held\n"), "{text}");
+    every_step_holds(&["--failures", "1", "--seed", "8"]);
 }
 
 /// The incident of changes that were not in force in time, as it was brought about: the store of one core machine stands still for eight
@@ -62,14 +53,7 @@
 /// had been dropped.
 #[test]
 fn changes_are_in_force_in_time_while_processes_are_struck() {
-    let _alone = alone();
-    let output = Command::new(env!("CARGO_BIN_EXE_fennelscale-demo"))
-        .args(["--soak", "50", "--seed", "302", "--proxies", "4"])
-        .output()
-        .unwrap();
-    let text = String::from_utf8_lossy(&output.stdout);
-    assert!(output.status.success(), "{text}");
-    assert!(text.ends_with("every step held\n"), "{text}");
+    every_step_holds(&["--soak", "50", "--seed", "302", "--proxies", "4"]);
 }
 
 /// The incident of requests that ran after a promise, and of invalid calls that were acknowledged because later versions had overtaken them: six
@@ -78,12 +62,12 @@
 /// told that a request had not run that a backend ran.
 #[test]
 fn promises_and_changes_hold_while_faults_of_core_machines_overlap() {
-    let _alone = alone();
-    let output = Command::new(env!("CARGO_BIN_EXE_fennelscale-demo"))
-        .args(["--soak", "40", "--seed", "20", "--proxies", "2", "--cores", "2"])
-        .output()
-        .unwrap();
-    let text = String::from_utf8_lossy(&output.stdout);
-    assert!(output.status.success(), "{text}");
-    assert!(text.ends_with("every step held\n"), "{text}");
+    every_step_holds(&["--soak", "40", "--seed", "20", "--proxies", "2", "--cores", "2"]);
+}
+
+/// Guards against the end of proxies and registries by a value that was acknowledged: a very long idle timeout, and a small
+/// rate with a large burst. On the code before, this seed ends a registry or all proxies within its first values.
+#[test]
+fn extreme_values_end_no_process() {
+    every_step_holds(&["--extremes", "60", "--seed", "1"]);
 }
--- a/system/proxy/src/frontend.rs
+++ b/system/proxy/src/frontend.rs
@@ -1,24 +1,30 @@
 //! The client side of the proxy: connections, requests and answers.
 
+mod accept;
+mod guards;
+mod split;
+
+use accept::AcceptedRequest;
+use guards::{ReplyWait, TraceGuard};
+use split::pick_service;
+
 use crate::answer_counts::Author;
 use crate::answers::{Refusal, response_headers};
-use crate::backend_protocol::{REQUEST_ID, TENANT};
+use crate::backend_protocol::REQUEST_ID;
 use crate::decision_input::PLAN;
 use crate::failure_injection::{self, ConnectionCut, InjectedFailure, ResponseBody};
-use crate::headers::{API_KEY, client_timeout, forwarded_headers, single};
+use crate::headers::{API_KEY, single};
 use crate::proxy::Proxy;
 use bytes::Bytes;
-use doorcourse::{Arrival, RequestConstraints, RequestId};
+use doorcourse::{Arrival, RequestConstraints};
 use fennelscale_admission::budget::Budget;
 use fennelscale_config::{Route, RouteKind, Tenant};
-use fennelscale_dataplane::back::backends::{Message, UsedConnections};
-use fennelscale_dataplane::engine::{Engine, Reply};
+use fennelscale_dataplane::engine::Reply;
 use fennelscale_dataplane::front::acceptor::Acceptor;
 use fennelscale_dataplane::front::client_connection::{ClientConnection, ClientStream, READ_BUFFER_SIZE};
 use fennelscale_fault_injection::{Caller, FailureKind, Verdict};
 use fennelscale_host::call::ApiRequest;
 use fennelscale_host::error::Kind;
-use fennelscale_memory::read::{ReadError, read_or_refuse};
 use fennelscale_settings::admission::Admission;
 use fennelscale_settings::units::Quantity;
 use fennelscale_time::{Later, from_millis};
@@ -27,7 +33,7 @@
 use hyper::header::{CONNECTION, HOST, HeaderValue, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use life::inbound::Event;
 use std::cell::Cell;
@@ -78,16 +84,6 @@
     Some(response)
 }
 
-/// A request that was read and routed, before a backend is chosen.
-struct AcceptedRequest {
-    route: Rc<Route>,
-    tenant: Option<Rc<Tenant>>,
-    message: Message,
-    client_timeout: Duration,
-    /// The request was refused before, and an answer can no longer meet its target latency.
-    late: bool,
-}
-
 impl Frontend {
     /// A client side with its share of the file descriptors.
     pub fn new(proxy: Rc<Proxy>, budget: Budget) -> Rc<Self> {
@@ -293,94 +289,6 @@
         response
     }
 
-    /// Reads a request completely, checks it, and looks up its route and tenant.
-    async fn accept(
-        &self, request: Request<Incoming>, client: &ClientConnection,
-    ) -> Result<AcceptedRequest, Refusal> {
-        let refuse = |kind, text: &str| Err(Refusal::new(kind, text));
-        // Guards against request smuggling.
-        if request.headers().contains_key(TRANSFER_ENCODING) && !client.is_chunked_without_length(&request) {
-            return refuse(Kind::Malformed, "Transfer-Encoding");
-        }
-        let (head, body) = request.into_parts();
-        let Some(target) = head.uri.path_and_query().cloned() else {
-            return refuse(Kind::Malformed, "no path");
-        };
-        if head.method == Method::CONNECT {
-            return refuse(Kind::MethodNotAllowed, "GET, POST, PUT, PATCH, DELETE, HEAD, OPTIONS");
-        }
-        let Some(id) = single(&head.headers, &REQUEST_ID).cloned() else {
-            return refuse(Kind::Malformed, "Fennelscale-Request-Id must be given once");
-        };
-        let host = match (head.uri.authority(), single(&head.headers, &HOST).and_then(|h| h.to_str().ok())) {
-            (Some(authority), _) => authority.as_str().to_owned(),
-            (None, Some(host)) => host.to_owned(),
-            (None, None) => return refuse(Kind::Malformed, "Host must be given once"),
-        };
-        // A proxy without a routing table cannot tell that a route does not exist.
-        if !self.proxy.routing_state.borrow().is_ready() || self.refusing.get() {
-            return Err(Refusal::with_retry_after(
-                Kind::Overloaded,
-                "this proxy takes no requests now",
-                NOT_READY_RETRY_AFTER,
-            ));
-        }
-        let max_body = self.proxy.routing_state.borrow().table.limits.max_body_bytes.min(MAX_BODY);
-        if body.size_hint().lower() > max_body as u64 {
-            return refuse(Kind::TooLarge, "the body is too large");
-        }
-        let bytes = if body.is_end_stream() { Bytes::new() } else { self.read_body(body, max_body).await? };
-        // Uses the routing table as of now, after the request was read completely.
-        let state = self.proxy.routing_state.borrow();
-        let Some(route) = state.table.route(&host, target.path()).cloned() else {
-            return refuse(Kind::NotFound, "no route");
-        };
-        let key_count = head.headers.get_all(&API_KEY).iter().count();
-        let tenant =
-            single(&head.headers, &API_KEY).and_then(|k| k.to_str().ok()).and_then(|k| state.table.tenant(k));
-        if state.table.has_tenants() && !route.public && (key_count != 1 || tenant.is_none()) {
-            return refuse(Kind::InvalidKey, "X-Api-Key");
-        }
-        let tenant = tenant.cloned();
-        let mut headers = forwarded_headers(&head.headers);
-        if let Some(name) = tenant.as_ref().and_then(|t| HeaderValue::from_str(&t.name).ok()) {
-            headers.insert(TENANT, name);
-        }
-        let timeout = from_millis(route.timeout);
-        let stated = client_timeout(&head.headers);
-        let late =
-            tenant.as_ref().filter(|tenant| tenant.rate_per_s > 0.0).and(stated).is_some_and(|stated| {
-                let (now, stated) = (self.proxy.now(), stated.as_secs_f64() * 1000.0);
-                self.proxy.timely.borrow_mut().is_late(now, &route.name, stated, route.target_latency)
-            });
-        let client_timeout = stated.map_or(timeout, |stated| stated.min(timeout));
-        let repeatable = route.kind == RouteKind::Idempotent;
-        let message = Message {
-            method: head.method,
-            target,
-            id,
-            repeatable,
-            headers,
-            body: bytes,
-            used_connections: UsedConnections::default(),
-        };
-        drop(state);
-        Ok(AcceptedRequest { route, tenant, message, client_timeout, late })
-    }
-
-    async fn read_body(&self, body: Incoming, max_body: usize) -> Result<Bytes, Refusal> {
-        match read_or_refuse(body, max_body, &self.proxy.memory).await {
-            Ok(body) => Ok(body),
-            Err(ReadError::TooLong) => Err(Refusal::new(Kind::TooLarge, "the body is too large")),
-            Err(ReadError::Broken(_)) => Err(Refusal::new(Kind::Malformed, "the body ended early")),
-            Err(ReadError::NoMemory(_)) => Err(Refusal::with_retry_after(
-                Kind::Overloaded,
-                "no memory for this body now",
-                NOT_READY_RETRY_AFTER,
-            )),
-        }
-    }
-
     /// Admits a request by its quota, has a backend chosen, and returns the final answer.
     async fn dispatch(&self, accepted: AcceptedRequest) -> Result<Response<Full<Bytes>>, Refusal> {
         let AcceptedRequest { route, tenant, message, client_timeout, late } = accepted;
@@ -430,7 +338,7 @@
             message,
             until,
         );
-        let reply_wait = ReplyWait { engine: &service.engine, id };
+        let reply_wait = ReplyWait::new(&service.engine, id);
         let reply = timeout_at(until.later_by(REPLY_GRACE), reply).await;
         drop(reply_wait);
         match reply {
@@ -477,89 +385,3 @@
         }))
     }
 }
-
-/// Picks a service by weight. A request id always picks the same one, so the choice does not depend on the
-/// proxy.
-fn pick_service<'a>(services: &'a [(String, f64)], id: &HeaderValue) -> &'a str {
-    let sum: f64 = services.iter().map(|(_, weight)| weight).sum();
-    let draw = (fennelscale_messages::hash(id.as_bytes()) >> 11) as f64 / (1_u64 << 53) as f64;
-    let mut remaining = draw * sum;
-    for (service, weight) in services.iter().filter(|(_, weight)| *weight > 0.0) {
-        remaining -= weight;
-        if remaining < 0.0 {
-            return service;
-        }
-    }
-    services.last().map_or("", |(service, _)| service)
-}
-
-/// Keeps the trace of a request in progress. If it is dropped before the answer, as when the connection
-/// closes, it records that the client disconnected.
-struct TraceGuard<'a> {
-    proxy: &'a Proxy,
-    id: u64,
-    finished: bool,
-}
-
-impl<'a> TraceGuard<'a> {
-    fn new(proxy: &'a Proxy, id: u64, accepted: &AcceptedRequest) -> Self {
-        proxy.trace.borrow_mut().begin(proxy.now(), id, accepted.route.clone(), accepted.tenant.clone());
-        Self { proxy, id, finished: false }
-    }
-
-    fn finish<T>(mut self, status: StatusCode, why: &str, answer: T) -> T {
-        self.finished = true;
-        self.proxy.trace.borrow_mut().finish(self.proxy.now(), self.id, status.as_u16(), why);
-        answer
-    }
-}
-
-impl Drop for TraceGuard<'_> {
-    fn drop(&mut self) {
-        if !self.finished {
-            self.proxy.trace.borrow_mut().finish(self.proxy.now(), self.id, 0, "its client left");
-        }
-    }
-}
-
-/// A request whose client waits for the reply. When dropped, it reports to the engine that the client
-/// disconnected, as when the connection closes; after a reply, this has no effect.
-struct ReplyWait<'a> {
-    engine: &'a Engine,
-    id: RequestId,
-}
-
-impl Drop for ReplyWait<'_> {
-    fn drop(&mut self) {
-        self.engine.client_disconnected(self.id);
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Requests for which the shares of a split are counted.
-    const REQUESTS: usize = 20_000;
-
-    fn share(services: &[(String, f64)], service: &str) -> f64 {
-        let id = |number: usize| HeaderValue::from_str(&format!("{number:016x}")).expect("an id");
-        let picked = (0..REQUESTS).filter(|number| pick_service(services, &id(*number)) == service);
-        picked.count() as f64 / REQUESTS as f64
-    }
-
-    /// Guards against CONFIG (shares of a split): each part gets the share of its weight, also after a change of the weights.
-    #[test]
-    fn each_part_of_a_split_gets_the_share_of_its_weight() {
-        for weights in [[90.0, 10.0, 0.0], [1.0, 1.0, 2.0], [0.0, 0.0, 5.0], [0.3, 0.6, 0.1]] {
-            let names = ["one", "two", "three"];
-            let services: Vec<(String, f64)> =
-                names.iter().zip(weights).map(|(name, weight)| ((*name).to_owned(), weight)).collect();
-            let sum: f64 = weights.iter().sum();
-            for (name, weight) in &services {
-                let share = share(&services, name);
-                assert!((share - weight / sum).abs() < 0.02, "{name}: {share} of {weights:?}");
-            }
-        }
-    }
-}
