Tools: fennelctl, the gateway's commands and the simulator's host print without panics

What: `console` of `fennelscale-log-writer` prints results and messages for all three; a reader that is gone is no error, and ends a command that follows events.

Left: the demo, the experiments and the checkers, tools for developers, print as before.

--- a/crates/log-writer/src/lib.rs
+++ b/crates/log-writer/src/lib.rs
@@ -9,6 +9,7 @@
 
 #![cfg_attr(not(test), warn(clippy::unwrap_used, clippy::expect_used, clippy::panic))]
 
+pub mod console;
 mod queue;
 mod sink;
 
--- a/gateway/src/commands/faults.rs
+++ b/gateway/src/commands/faults.rs
@@ -6,6 +6,7 @@
 use fennelscale_fault::record::Line;
 use fennelscale_fault::rig::play;
 use fennelscale_fault::script::Script;
+use fennelscale_log_writer::print_line;
 use fennelscale_rehearsal::judge::Ending;
 use std::path::Path;
 use tokio::task::LocalSet;
@@ -50,7 +51,7 @@
         write(&folder, &script, &record)?;
     }
     let verdict = judge(&record)?;
-    println!(
+    print_line!(
         "{} processes, {} of them keepers, {} faults in {} s: {} effects ({} under an old number, begun before a stop), {} hand-overs, longest time without an effect {:.1} s,\n\
          {} of {} wishes agreed; all showed the same {:.1} s after the faults",
         script.processes,
@@ -66,15 +67,15 @@
         verdict.recovery.unwrap_or(f64::NAN) / 1000.0,
     );
     if verdict.broken.is_empty() {
-        println!("every property held");
+        print_line!("every property held");
         return Ok(Ending::Kept);
     }
     for what in &verdict.broken {
-        println!("BROKEN: {what}");
+        print_line!("BROKEN: {what}");
     }
     if !has_report {
         let text = serde_json::to_string(&script).map_err(with_context("script"))?;
-        println!("the script, to be played again with --script FILE:\n{text}");
+        print_line!("the script, to be played again with --script FILE:\n{text}");
     }
     Ok(Ending::Broken)
 }
--- a/gateway/src/commands/fleet.rs
+++ b/gateway/src/commands/fleet.rs
@@ -5,6 +5,7 @@
 use crate::unusable;
 use fennelscale::fleet::control::Deed;
 use fennelscale::fleet::init;
+use fennelscale_log_writer::{print_line, print_message, print_text};
 use fennelscale_settings::fleet::Fleet as Rules;
 use fennelscale_settings::operators::Operators;
 use serde_json::Value;
@@ -60,13 +61,13 @@
     match command {
         FleetCommand::Init { name, target } => {
             init(&rules(target)?, name).map_err(|error| error.to_string())?;
-            println!("{name}: ready to keep the log");
+            print_line!("{name}: ready to keep the log");
             Ok(ExitCode::SUCCESS)
         }
         FleetCommand::Status { json, target } => {
             let answer = send_request(target, &Deed::Status)?;
             if *json {
-                println!("{answer}");
+                print_line!("{answer}");
                 return Ok(ExitCode::SUCCESS);
             }
             answer.get("status").map_or_else(
@@ -82,12 +83,12 @@
             let Some(found) = answer.get("topic") else { return Ok(print_refusal(&answer)) };
             match found.get("content").and_then(Value::as_str) {
                 Some(content) => {
-                    eprintln!("{topic}: version {}", found["version"]);
-                    print!("{content}");
+                    print_message!("{topic}: version {}", found["version"]);
+                    print_text!("{content}");
                     Ok(ExitCode::SUCCESS)
                 }
                 None => {
-                    eprintln!("{topic}: nothing is agreed");
+                    print_message!("{topic}: nothing is agreed");
                     Ok(ExitCode::from(1))
                 }
             }
@@ -109,7 +110,7 @@
         FleetCommand::ReplaceKeeper { old, new, target } => {
             let answer = send_request(target, &Deed::ReplaceKeeper { old: old.clone(), new: new.clone() })?;
             if answer == "done" {
-                println!("{new} takes the place of {old}: `fleet status` shows when it is done");
+                print_line!("{new} takes the place of {old}: `fleet status` shows when it is done");
                 return Ok(ExitCode::SUCCESS);
             }
             Ok(print_refusal(&answer))
@@ -120,33 +121,35 @@
 fn print_refusal(answer: &Value) -> ExitCode {
     let what =
         answer.get("refused").and_then(Value::as_str).map_or_else(|| answer.to_string(), str::to_owned);
-    eprintln!("fennelscale: {what}");
+    print_message!("fennelscale: {what}");
     ExitCode::from(1)
 }
 
 fn print_settled(topic: &str, answer: &Value) -> ExitCode {
     if answer == "under-way" {
-        eprintln!("{topic}: not settled within 5 s; it may still be: ask again with `fleet topic {topic}`");
+        print_message!(
+            "{topic}: not settled within 5 s; it may still be: ask again with `fleet topic {topic}`"
+        );
         return ExitCode::from(UNDER_WAY);
     }
     match answer.get("settled") {
         Some(Value::Object(how)) if how.contains_key("Done") => {
-            println!("{topic}: version {}", how["Done"]);
+            print_line!("{topic}: version {}", how["Done"]);
             ExitCode::SUCCESS
         }
         Some(Value::Object(how)) if how.contains_key("Version") => {
-            eprintln!(
+            print_message!(
                 "{topic}: the version agreed on is {}: look at it, then say --follows {0}",
                 how["Version"]
             );
             ExitCode::from(1)
         }
         Some(Value::Null) => {
-            eprintln!("{topic}: settled while this gateway was behind: look with `fleet topic {topic}`");
+            print_message!("{topic}: settled while this gateway was behind: look with `fleet topic {topic}`");
             ExitCode::from(UNDER_WAY)
         }
         Some(how) => {
-            eprintln!("{topic}: {how}");
+            print_message!("{topic}: {how}");
             ExitCode::from(1)
         }
         None => print_refusal(answer),
@@ -155,35 +158,35 @@
 
 fn print_status(status: &Value) {
     let text = |key: &str| status[key].as_str().unwrap_or("-").to_owned();
-    println!("{} ({}), incarnation {}", text("name"), text("part"), status["incarnation"]);
+    print_line!("{} ({}), incarnation {}", text("name"), text("part"), status["incarnation"]);
     if let Some(by) = status["usurped_by"].as_str() {
-        println!("USURPED: {by} has this name; this gateway takes part in nothing");
+        print_line!("USURPED: {by} has this name; this gateway takes part in nothing");
     }
     let empty = serde_json::Map::new();
     let map = |key: &str| status[key].as_object().unwrap_or(&empty);
-    println!("log       entry {}, hash {}, leader {}", status["index"], text("hash"), text("leader"));
+    print_line!("log       entry {}, hash {}, leader {}", status["index"], text("hash"), text("leader"));
     if let Some(before) = status["heard_before"].as_f64() {
-        println!("          a keeper was heard {:.1} s ago", before / 1e6);
+        print_line!("          a keeper was heard {:.1} s ago", before / 1e6);
     }
-    println!("keepers   {}", status["keepers"]);
-    println!("members   {}", map("members").len());
+    print_line!("keepers   {}", status["keepers"]);
+    print_line!("members   {}", map("members").len());
     for (name, address) in map("members") {
-        println!("          {name} at {}", address.as_str().unwrap_or("-"));
+        print_line!("          {name} at {}", address.as_str().unwrap_or("-"));
     }
     for (name, lag) in map("followers").iter().filter(|(_, lag)| **lag != 0) {
-        println!("behind    {name} by {lag} entries");
+        print_line!("behind    {name} by {lag} entries");
     }
     for (right, held) in map("leases") {
-        println!("lease     {right}: {}, number {}", held[0].as_str().unwrap_or("-"), held[1]);
+        print_line!("lease     {right}: {}, number {}", held[0].as_str().unwrap_or("-"), held[1]);
     }
     for (topic, version) in map("topics") {
-        println!("topic     {topic}: version {version}");
+        print_line!("topic     {topic}: version {version}");
     }
     for stranger in status["strangers"].as_array().into_iter().flatten() {
-        println!(
+        print_line!(
             "stranger  {} could be taken in by `fleet replace-keeper OLD {0}`",
             stranger.as_str().unwrap_or("-")
         );
     }
-    println!("dropped   {} (datagrams, frames, messages that could not be used)", status["dropped"]);
+    print_line!("dropped   {} (datagrams, frames, messages that could not be used)", status["dropped"]);
 }
--- a/gateway/src/commands/quota.rs
+++ b/gateway/src/commands/quota.rs
@@ -4,6 +4,7 @@
 use crate::commands::rehearse::with_context;
 use crate::unusable;
 use doorcourse::{Plan, Settings};
+use fennelscale_log_writer::{print_line, print_text};
 use fennelscale_quota::{Bound, Loss};
 use fennelscale_settings::operators::Operators;
 use fennelscale_settings::quota::Quota;
@@ -56,7 +57,7 @@
     let mut fits = true;
     let mut ceilings = settings.plans.iter().filter(|plan| plan.ceiling_rate > 0.0).peekable();
     if ceilings.peek().is_none() {
-        println!(
+        print_line!(
             "no plan has a ceiling: nothing bounds what is sent on while the counter is lost but the slices"
         );
     }
@@ -69,10 +70,10 @@
 /// Prints the table of a plan; true if its bound is within the tolerance.
 fn print_plan(plan: &Plan, settings: &Settings, quota: &Quota, counts: &[u32]) -> bool {
     let Plan { name, rate, burst, ceiling_rate, ceiling_burst, .. } = plan;
-    println!(
+    print_line!(
         "plan {name}: quota {rate}/s and {burst} at once, ceiling {ceiling_rate}/s and {ceiling_burst} at once"
     );
-    println!(
+    print_line!(
         "units that all gateways of an account send on at most in any span, {} losses, {} counter(s), unseen for {} ms, \
          clocks {} ms apart:",
         if quota.losses == Loss::Whole { "whole" } else { "partial" },
@@ -80,9 +81,9 @@
         quota.detection.0,
         quota.skew.0
     );
-    print!("{:>9} {:>8}", "gateways", "alone");
-    DURATIONS_S.iter().for_each(|span| print!(" {:>8}", format!("{span} s")));
-    println!("  past the ceiling by");
+    print_text!("{:>9} {:>8}", "gateways", "alone");
+    DURATIONS_S.iter().for_each(|span| print_text!(" {:>8}", format!("{span} s")));
+    print_line!("  past the ceiling by");
     let mut fits = true;
     for count in counts {
         let terms = plan.terms(f64::from(*count), settings.max_request_units);
@@ -101,9 +102,9 @@
         };
         let holds = over.into_iter().zip(spans).all(tolerated);
         fits &= holds;
-        print!("{count:>9} {:>7.1}%", terms.max_local_share(bound.loss).min(1.0) * 100.0);
-        spans.iter().for_each(|span| print!(" {:>8.1}", bound.max_units(*span)));
-        println!("  {most:.1}{}", if holds { "" } else { ": more than 5% and than one request" });
+        print_text!("{count:>9} {:>7.1}%", terms.max_local_share(bound.loss).min(1.0) * 100.0);
+        spans.iter().for_each(|span| print_text!(" {:>8.1}", bound.max_units(*span)));
+        print_line!("  {most:.1}{}", if holds { "" } else { ": more than 5% and than one request" });
     }
     fits
 }
--- a/gateway/src/commands/rehearse.rs
+++ b/gateway/src/commands/rehearse.rs
@@ -1,6 +1,7 @@
 //! `fennelscale rehearse`: reads a scenario, runs it, and shows the verdict.
 
 use crate::commands::cli::{RehearseArguments, RehearseCommand};
+use fennelscale_log_writer::{print_line, print_message, print_text};
 use fennelscale_rehearsal::judge::{Ending, judge};
 use fennelscale_rehearsal::log::{self, Event, Header};
 use fennelscale_rehearsal::play::{Order, Progress, play};
@@ -31,7 +32,7 @@
     match result {
         Ok(ending) => ExitCode::from(ending as u8),
         Err(what) => {
-            eprintln!("fennelscale rehearse: {what}");
+            print_message!("fennelscale rehearse: {what}");
             ExitCode::from(Ending::Unusable as u8)
         }
     }
@@ -47,7 +48,7 @@
     for (name, text) in SHIPPED {
         let scenario = Scenario::parse(name, text).map_err(|e| e.to_string())?;
         let mark = if name == DEFAULT { " (default)" } else { "" };
-        println!("{name:<16}{:>4.0} s  {}{mark}", scenario.length.0 / 1000.0, scenario.about);
+        print_line!("{name:<16}{:>4.0} s  {}{mark}", scenario.length.0 / 1000.0, scenario.about);
     }
     Ok(Ending::Kept)
 }
@@ -89,7 +90,7 @@
         arguments.json.as_deref(),
     )?;
     if arguments.keep_logs || arguments.report.is_some() {
-        println!("  logs                     {}", folder.keep().display());
+        print_line!("  logs                     {}", folder.keep().display());
     }
     Ok(ending)
 }
@@ -115,7 +116,7 @@
     if to_output {
         std::io::stdout().write_all(found.as_bytes()).map_err(with_context("standard output"))?;
     } else {
-        print!("{}", report::summary(scenario, header.seed, &verdict));
+        print_text!("{}", report::summary(scenario, header.seed, &verdict));
     }
     if let Some(path) = json.filter(|_| !to_output) {
         std::fs::write(path, found).map_err(with_context(path.display()))?;
@@ -124,7 +125,7 @@
         let page = folder.join("report.html");
         std::fs::write(&page, report::page(scenario, header, events, &verdict))
             .map_err(with_context(page.display()))?;
-        println!("  report                   {}", page.display());
+        print_line!("  report                   {}", page.display());
     }
     Ok(verdict.ending())
 }
@@ -184,7 +185,7 @@
     Box::new(move |p| {
         if p.at >= next {
             next += PROGRESS_INTERVAL;
-            eprintln!("{name}: {:.0} of {:.0} s, {}", p.at / 1000.0, p.of / 1000.0, state(&p));
+            print_message!("{name}: {:.0} of {:.0} s, {}", p.at / 1000.0, p.of / 1000.0, state(&p));
         }
     })
 }
@@ -194,7 +195,7 @@
 pub fn tethered(parent: i32) -> ExitCode {
     use std::os::unix::process::CommandExt;
     let fail = |what: &dyn Display| {
-        eprintln!("fennelscale tethered: {what}");
+        print_message!("fennelscale tethered: {what}");
         ExitCode::from(2)
     };
     if let Err(error) = rustix::process::set_parent_process_death_signal(Some(rustix::process::Signal::KILL))
--- a/gateway/src/commands/routes.rs
+++ b/gateway/src/commands/routes.rs
@@ -3,6 +3,7 @@
 use crate::commands::cli::{Descriptions, RoutesCommand};
 use crate::commands::rehearse::with_context;
 use crate::unusable;
+use fennelscale_log_writer::print_line;
 use fennelscale_routes::classes;
 use fennelscale_routes::openapi;
 use fennelscale_routes::rule::Rule;
@@ -56,19 +57,19 @@
     let (_, more) = build_table(all)?;
     conflicts.extend(more);
     for Conflict { operation, first, second, outcome } in &conflicts {
-        println!("conflict: {operation}");
-        println!("  {}: {}", first.1, first.0);
-        println!("  {}: {}", second.1, second.0);
-        println!("  holds: {outcome}");
+        print_line!("conflict: {operation}");
+        print_line!("  {}: {}", first.1, first.0);
+        print_line!("  {}: {}", second.1, second.0);
+        print_line!("  holds: {outcome}");
     }
-    println!("{count} operations, {} conflicts", conflicts.len());
+    print_line!("{count} operations, {} conflicts", conflicts.len());
     Ok(conflicts.is_empty())
 }
 
 fn show(descriptions: &Descriptions) -> Result<bool, String> {
     let (table, _) = build_table(operations(descriptions)?.0)?;
     for (method, entry) in table.entries() {
-        println!("{method} {}: {}", entry.template, entry.rule);
+        print_line!("{method} {}: {}", entry.template, entry.rule);
     }
     Ok(true)
 }
@@ -79,18 +80,18 @@
     let said: Vec<_> = all.iter().map(|o| (o.source.clone(), o.rule.clone())).collect();
     let (table, _) = build_table(all)?;
     match table.find(&method, path).map_err(|unclear| format!("{path}: {unclear}"))? {
-        Match::Path => println!("404: no path matches {path}"),
-        Match::Method(methods) => println!("405: {path} is known for {}", methods.join(", ")),
+        Match::Path => print_line!("404: no path matches {path}"),
+        Match::Method(methods) => print_line!("405: {path} is known for {}", methods.join(", ")),
         Match::Operation(entry, parameters) => {
-            println!("{method} {}: {}", entry.template, entry.rule);
+            print_line!("{method} {}: {}", entry.template, entry.rule);
             for (name, value) in parameters {
-                println!("  {name} = {value}");
+                print_line!("  {name} = {value}");
             }
             for (source, rule) in said.iter().filter(|(source, _)| entry.sources.contains(source)) {
-                println!("  {source}: {rule}");
+                print_line!("  {source}: {rule}");
             }
             for conflict in conflicts.iter().filter(|c| entry.sources.contains(&c.first.1)) {
-                println!("  by its class, {}: {}", conflict.second.1, conflict.second.0);
+                print_line!("  by its class, {}: {}", conflict.second.1, conflict.second.0);
             }
             return Ok(true);
         }
@@ -110,19 +111,19 @@
     let mut is_as_strict = true;
     for (method, entry) in old.entries() {
         match after.get(&(method, entry.template.as_str())) {
-            None => println!("gone: {method} {}", entry.template),
+            None => print_line!("gone: {method} {}", entry.template),
             Some(now) if **now != entry.rule => {
                 let loosens = !now.is_as_strict_as(&entry.rule);
                 is_as_strict &= !loosens;
                 let word = if loosens { "LOOSENS" } else { "changes" };
-                println!("{word}: {method} {}\n  from {}\n  to   {now}", entry.template, entry.rule);
+                print_line!("{word}: {method} {}\n  from {}\n  to   {now}", entry.template, entry.rule);
             }
             Some(_) => {}
         }
     }
     for (method, entry) in new.entries() {
         if !before.contains_key(&(method, entry.template.as_str())) {
-            println!("new: {method} {}: {}", entry.template, entry.rule);
+            print_line!("new: {method} {}: {}", entry.template, entry.rule);
         }
     }
     Ok(is_as_strict)
--- a/gateway/tests/broken_log.rs
+++ b/gateway/tests/broken_log.rs
@@ -107,3 +107,23 @@
         assert!(status.success(), "{kind:?}: {status}");
     }
 }
+
+/// Guards against a panic of the command-line tools where their result cannot be written.
+#[test]
+fn a_tool_ends_quietly_when_nobody_reads_its_result() {
+    for kind in [BrokenOutput::ReaderGone, BrokenOutput::DiskFull] {
+        let output = || kind.open().expect("an output").output;
+        for (arguments, status) in
+            [(&["rehearse", "list"][..], 0), (&["fleet", "status", "--control", "127.0.0.1:9"], 2)]
+        {
+            let ended = Command::new(env!("CARGO_BIN_EXE_fennelscale"))
+                .args(arguments)
+                .stdin(Stdio::null())
+                .stdout(output())
+                .stderr(output())
+                .status()
+                .expect("the tool starts");
+            assert_eq!(ended.code(), Some(status), "{arguments:?}, {kind:?}");
+        }
+    }
+}
--- a/simhost/src/main.rs
+++ b/simhost/src/main.rs
@@ -2,6 +2,7 @@
 
 #![forbid(unsafe_code)]
 
+use fennelscale_log_writer::print_message;
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
@@ -9,7 +10,7 @@
     match doorcourse_simhost::Host::default().run(&mut input, &mut output) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("doorcourse-simhost: {error}");
+            print_message!("doorcourse-simhost: {error}");
             ExitCode::FAILURE
         }
     }
--- a/system/fennelctl/src/config.rs
+++ b/system/fennelctl/src/config.rs
@@ -3,13 +3,14 @@
 
 use crate::registry_client::{CallResult, RegistryClient};
 use fennelscale_config::{InvalidConfig, check_consistency, content_hash, parse_call, parse_item};
+use fennelscale_log_writer::{print_line, print_message};
 use fennelscale_messages::store::Change;
 use std::collections::BTreeMap;
 use std::process::ExitCode;
 
 pub fn read(file: &str) -> Result<String, ExitCode> {
     std::fs::read_to_string(file).map_err(|error| {
-        complain!("fennelctl: {file}: {error}");
+        print_message!("fennelctl: {file}: {error}");
         ExitCode::from(2)
     })
 }
@@ -24,11 +25,11 @@
     match parse_changes(&text) {
         Ok(changes) => {
             let dropped = changes.iter().filter(|change| change.body.is_none()).count();
-            say!("{file}: can be: {} items set, {dropped} dropped", changes.len() - dropped);
+            print_line!("{file}: can be: {} items set, {dropped} dropped", changes.len() - dropped);
             ExitCode::SUCCESS
         }
         Err(invalid) => {
-            complain!("fennelctl: {file}: {invalid}");
+            print_message!("fennelctl: {file}: {invalid}");
             ExitCode::FAILURE
         }
     }
@@ -55,7 +56,7 @@
     let requested = match read(file).map(|text| parse_changes(&text)) {
         Ok(Ok(requested)) => requested,
         Ok(Err(invalid)) => {
-            complain!("fennelctl: {file}: {invalid}");
+            print_message!("fennelctl: {file}: {invalid}");
             return ExitCode::FAILURE;
         }
         Err(status) => return status,
@@ -67,7 +68,7 @@
     let current = match parse_call(format!("{{\"upsert\":{current}}}").as_bytes()) {
         Ok(current) => current,
         Err(invalid) => {
-            complain!("fennelctl: what stands cannot be read: {invalid}");
+            print_message!("fennelctl: what stands cannot be read: {invalid}");
             return ExitCode::from(3);
         }
     };
@@ -92,7 +93,7 @@
         };
         differences += 1;
         let from = known.map_or("none".into(), |known| format!("{:08x}", known.revision));
-        say!("{:30} {from} -> {:08x} {effect}", change.name, change.revision);
+        print_line!("{:30} {from} -> {:08x} {effect}", change.name, change.revision);
     }
     if differences == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
--- a/system/fennelctl/src/events.rs
+++ b/system/fennelctl/src/events.rs
@@ -2,6 +2,7 @@
 
 use crate::print_result;
 use crate::registry_client::{CallResult, RegistryClient};
+use fennelscale_log_writer::{console, print_line, print_message};
 use gumdrop::Options;
 use sonic_rs::{JsonContainerTrait, JsonValueTrait, Value};
 use std::collections::{HashSet, VecDeque};
@@ -88,11 +89,11 @@
 
 fn show(registries: &RegistryClient, event: &Value) {
     if registries.json {
-        say!("{}", sonic_rs::to_string(event).unwrap_or_default());
+        print_line!("{}", sonic_rs::to_string(event).unwrap_or_default());
         return;
     }
     let field = |name: &str| text(event, name);
-    say!(
+    print_line!(
         "{:>10} {:15} {:17} {} ({})",
         field("at"),
         field("by"),
@@ -123,7 +124,7 @@
             Err(other) => return print_result(other),
         };
         if missed && !after.is_empty() {
-            complain!(
+            print_message!(
                 "fennelctl: events may be missing here: a registry ended, was replaced, or this was too long ago"
             );
         }
@@ -132,7 +133,7 @@
                 show(registries, event);
             }
         }
-        if crate::output::is_closed() {
+        if console::is_closed() {
             return ExitCode::SUCCESS;
         }
         // A page without events may still have advanced the cursor.
@@ -144,7 +145,7 @@
         }
         if !events.follow {
             if !registries.json {
-                complain!("fennelctl: to go on from here: --after {after}");
+                print_message!("fennelctl: to go on from here: --after {after}");
             }
             return ExitCode::SUCCESS;
         }
@@ -234,21 +235,21 @@
     if registries.json {
         let version = current.as_ref().map_or("null".into(), |(_, v)| format!("\"{v}\""));
         let events: Vec<String> = found.iter().filter_map(|e| sonic_rs::to_string(e).ok()).collect();
-        say!("{{\"stands\":{version},\"events\":[{}],\"missed\":{missing}}}", events.join(","));
+        print_line!("{{\"stands\":{version},\"events\":[{}],\"missed\":{missing}}}", events.join(","));
     } else {
         match &current {
             Some((kind, version)) => {
-                say!("{} {}: version {version} stands, as of a quorum", kind, explain.what)
+                print_line!("{} {}: version {version} stands, as of a quorum", kind, explain.what)
             }
-            None => say!("{}: no item of that name stands, as of a quorum", explain.what),
+            None => print_line!("{}: no item of that name stands, as of a quorum", explain.what),
         }
         found.iter().for_each(|event| show(registries, event));
         if let Some(last) = found.last() {
             let explanation = explanation(&text(last, "kind"));
             let rest = if explanation.is_empty() { String::new() } else { format!(": {explanation}") };
-            say!("last: {}{rest}", text(last, "kind"));
+            print_line!("last: {}{rest}", text(last, "kind"));
         } else {
-            say!(
+            print_line!(
                 "no registry that answers has seen anything of it: a call without a clear answer leaves no trace"
             );
         }
@@ -256,13 +257,13 @@
             let status: Value = body.and_then(|body| sonic_rs::from_str(&body).ok()).unwrap_or_default();
             let (lagging, fresh) = (text(&status, "sessions_lagging"), text(&status, "copy_fresh"));
             if fresh != "true" || lagging != "0" {
-                say!(
+                print_line!(
                     "registry {at}: copy_fresh {fresh}, sessions_lagging {lagging}: its proxies may go by older items"
                 );
             }
         }
         if missing {
-            say!("a registry ended in between: what it saw in its last second may be missing");
+            print_line!("a registry ended in between: what it saw in its last second may be missing");
         }
     }
     if current.is_none() && found.is_empty() { ExitCode::FAILURE } else { ExitCode::SUCCESS }
@@ -278,15 +279,20 @@
     let response: Value = sonic_rs::from_str(&body).unwrap_or_default();
     let known = response.get("requests").and_then(|r| r.as_array()).map(|r| r.to_vec()).unwrap_or_default();
     if registries.json {
-        say!("{body}");
+        print_line!("{body}");
     }
     for one in known.iter().filter(|_| !registries.json) {
         let none = Value::default();
         let record = one.get("course").unwrap_or(&none);
         let field = |name: &str| text(record, name);
-        say!("proxy {} took it {} ago", text(one, "proxy"), field("ago"));
+        print_line!("proxy {} took it {} ago", text(one, "proxy"), field("ago"));
         if !field("route").is_empty() {
-            say!("  route {} in version {}, tenant {}", field("route"), field("revision"), field("tenant"));
+            print_line!(
+                "  route {} in version {}, tenant {}",
+                field("route"),
+                field("revision"),
+                field("tenant")
+            );
         }
         for attempt in record.get("attempts").and_then(|a| a.as_array()).into_iter().flatten() {
             let field = |name: &str| text(attempt, name);
@@ -294,13 +300,13 @@
                 Some(status) => format!("{status}, taken as {}", field("taken")),
                 None => "no answer here".into(),
             };
-            say!("  after {} to backend {}: {said}", field("after"), field("backend"));
+            print_line!("  after {} to backend {}: {said}", field("after"), field("backend"));
         }
         let status = record.get("status").and_then(|s| s.as_u64()).unwrap_or(0);
-        say!("  answered {status} after {}: {}", field("took"), field("why"));
+        print_line!("  answered {status} after {}: {}", field("took"), field("why"));
     }
     if known.is_empty() {
-        complain!("fennelctl: no proxy that answers remembers it: each keeps its last 2,048 requests");
+        print_message!("fennelctl: no proxy that answers remembers it: each keeps its last 2,048 requests");
         return ExitCode::FAILURE;
     }
     ExitCode::SUCCESS
--- a/system/fennelctl/src/failure.rs
+++ b/system/fennelctl/src/failure.rs
@@ -3,6 +3,7 @@
 use crate::NoArguments;
 use crate::order::{items, set_state, text};
 use crate::registry_client::RegistryClient;
+use fennelscale_log_writer::{print_line, print_message};
 use gumdrop::Options;
 use sonic_rs::{JsonValueTrait, Value};
 use std::collections::BTreeMap;
@@ -54,7 +55,7 @@
 pub async fn run(registries: &RegistryClient, failure: Failure) -> ExitCode {
     match failure.command {
         None => {
-            complain!("fennelctl: failure: one of dry, start, stop, report, fingerprint");
+            print_message!("fennelctl: failure: one of dry, start, stop, report, fingerprint");
             ExitCode::from(2)
         }
         Some(Command::Dry(named)) => set_state(registries, LIST, &named.order, "dry", None).await,
@@ -62,7 +63,7 @@
         Some(Command::Stop(named)) => set_state(registries, LIST, &named.order, "stopped", None).await,
         Some(Command::Report(_)) => report(registries).await,
         Some(Command::Fingerprint(key)) => {
-            say!("{}", fennelscale_fault_injection::fingerprint(&key.key));
+            print_line!("{}", fennelscale_fault_injection::fingerprint(&key.key));
             ExitCode::SUCCESS
         }
     }
@@ -115,7 +116,7 @@
         match answer {
             Some(answer) => answers.push(answer),
             None => {
-                complain!("{at}: no answer; its proxies' counts may be missing");
+                print_message!("{at}: no answer; its proxies' counts may be missing");
                 missing += 1;
             }
         }
@@ -127,7 +128,7 @@
                 format!(r#"{{"served":{},"refused":{},"failed":{}}}"#, before[0], before[1], before[2]);
             let within = format!(r#"{{"served":{served},"refused":{refused},"failed":{lost}}}"#);
             let order = sonic_rs::to_string(&order).unwrap_or_default();
-            say!(
+            print_line!(
                 r#"{{"order":{order},"named":{named},"failed":{failed},"untouched":{untouched},"othersBefore":{before},"others":{within}}}"#
             );
             continue;
@@ -137,9 +138,9 @@
             let part = if all == 0 { 0.0 } else { served as f64 * 100.0 / all as f64 };
             format!("{served} of {all} served ({part:.2}%), {refused} refused, {failed} failed")
         };
-        say!("{order}: {named} named, {failed} failed, {untouched} of them left untouched");
-        say!("  all others before its time: {}", share(before));
-        say!("  all others in its time:     {}", share([served, refused, lost]));
+        print_line!("{order}: {named} named, {failed} failed, {untouched} of them left untouched");
+        print_line!("  all others before its time: {}", share(before));
+        print_line!("  all others in its time:     {}", share([served, refused, lost]));
     }
     if answers.is_empty() || missing > 0 { ExitCode::from(3) } else { ExitCode::SUCCESS }
 }
--- a/system/fennelctl/src/main.rs
+++ b/system/fennelctl/src/main.rs
@@ -4,24 +4,14 @@
 //! Exit status: 0 success; 1 an error response, or a difference was found; 2 the call could not be made or
 //! the arguments are invalid; 3 no registry gave a conclusive response.
 
-/// Prints a line. A reader that closes the pipe early (`| head`) is not an error.
-macro_rules! say {
-    ($($line:tt)*) => { $crate::output::write_result(format_args!($($line)*)) };
-}
-
-/// Prints a line to standard error.
-macro_rules! complain {
-    ($($line:tt)*) => { $crate::output::write_message(format_args!($($line)*)) };
-}
-
 mod config;
 mod events;
 mod failure;
 mod maintenance;
 mod order;
-mod output;
 mod registry_client;
 
+use fennelscale_log_writer::{print_line, print_message};
 use gumdrop::Options;
 use registry_client::{CallResult, RegistryClient};
 use sonic_rs::{JsonContainerTrait, JsonValueTrait, Value};
@@ -97,7 +87,7 @@
         Err(status) => return status,
     };
     let Some(command) = arguments.command else {
-        say!("{}\n\n{}", Arguments::usage(), Arguments::command_list().unwrap_or_default());
+        print_line!("{}\n\n{}", Arguments::usage(), Arguments::command_list().unwrap_or_default());
         return ExitCode::from(2);
     };
     // This command needs no registry.
@@ -105,13 +95,13 @@
         return config::check(&file.file);
     }
     if arguments.at.is_empty() {
-        complain!("fennelctl: name a registry with --at ADDRESS, like --at 10.1.0.35:8688");
+        print_message!("fennelctl: name a registry with --at ADDRESS, like --at 10.1.0.35:8688");
         return ExitCode::from(2);
     }
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => {
-            complain!("fennelctl: {error}");
+            print_message!("fennelctl: {error}");
             return ExitCode::from(2);
         }
     };
@@ -144,17 +134,19 @@
 fn print_result(result: CallResult) -> ExitCode {
     match result {
         CallResult::Response(200, body) => {
-            say!("{body}");
+            print_line!("{body}");
             ExitCode::SUCCESS
         }
         CallResult::Response(status, body) => {
             let value: Value = sonic_rs::from_str(&body).unwrap_or_default();
             let text = |name: &str| value.get(name).and_then(|v| v.as_str()).unwrap_or_default().to_owned();
-            complain!("fennelctl: {status} {}: {}; {}", text("error"), text("message"), text("help"));
+            print_message!("fennelctl: {status} {}: {}; {}", text("error"), text("message"), text("help"));
             ExitCode::FAILURE
         }
         CallResult::OutcomeUnknown => {
-            complain!("fennelctl: no gateway gave a clear answer: it may have happened or not; ask again");
+            print_message!(
+                "fennelctl: no gateway gave a clear answer: it may have happened or not; ask again"
+            );
             ExitCode::from(3)
         }
     }
@@ -164,18 +156,18 @@
     let mut responses = 0;
     for (at, answer) in registries.call_each("/fennelscale/status").await {
         let Some(body) = answer else {
-            complain!("{at}: no answer");
+            print_message!("{at}: no answer");
             continue;
         };
         responses += 1;
         if registries.json {
-            say!("{body}");
+            print_line!("{body}");
             continue;
         }
         let value: Value = sonic_rs::from_str(&body).unwrap_or_default();
-        say!("{at}");
+        print_line!("{at}");
         for (name, value) in value.as_object().into_iter().flat_map(|object| object.iter()) {
-            say!("  {:20} {}", name, value.as_str().unwrap_or_default());
+            print_line!("  {:20} {}", name, value.as_str().unwrap_or_default());
         }
     }
     if responses > 0 { ExitCode::SUCCESS } else { ExitCode::from(3) }
--- a/system/fennelctl/src/maintenance.rs
+++ b/system/fennelctl/src/maintenance.rs
@@ -6,6 +6,7 @@
 use crate::order::{items, set_state, text};
 use crate::registry_client::{CallResult, RegistryClient};
 use crate::{FileArgument, NoArguments, config, print_result};
+use fennelscale_log_writer::{print_line, print_message};
 use gumdrop::Options;
 use sonic_rs::{JsonValueTrait, Value};
 use std::process::ExitCode;
@@ -55,7 +56,7 @@
 pub async fn run(registries: &RegistryClient, maintenance: Maintenance) -> ExitCode {
     match maintenance.command {
         None => {
-            complain!(
+            print_message!(
                 "fennelctl: maintenance: one of list, explain, rehearse, approve, start, pause, end, withdraw"
             );
             ExitCode::from(2)
@@ -65,7 +66,7 @@
         Some(Command::Rehearse(file)) => rehearse(registries, &file.file).await,
         Some(Command::Approve(named)) => {
             let Some(by) = &named.by else {
-                complain!("fennelctl: approve: say who approves it with --by NAME");
+                print_message!("fennelctl: approve: say who approves it with --by NAME");
                 return ExitCode::from(2);
             };
             set_state(registries, LIST, &named.order, "approved", Some(by)).await
@@ -90,28 +91,28 @@
     let mut orders = items(&response, "orders");
     orders.retain(|order| only.is_none_or(|name| text(order, "name") == name));
     if let Some(name) = only.filter(|_| orders.is_empty()) {
-        complain!("fennelctl: there is no order {name}");
+        print_message!("fennelctl: there is no order {name}");
         return ExitCode::FAILURE;
     }
     if registries.json {
         match only {
-            None => say!("{body}"),
-            Some(_) => {
-                orders.iter().for_each(|order| say!("{}", sonic_rs::to_string(order).unwrap_or_default()))
-            }
+            None => print_line!("{body}"),
+            Some(_) => orders
+                .iter()
+                .for_each(|order| print_line!("{}", sonic_rs::to_string(order).unwrap_or_default())),
         }
         return ExitCode::SUCCESS;
     }
     match response.get("time").filter(|time| !time.is_null()) {
-        None => say!("no time of day can be trusted now; nothing is drained"),
+        None => print_line!("no time of day can be trusted now; nothing is drained"),
         Some(time) => {
             let ms = |name| time.get(name).and_then(|v| v.as_f64()).unwrap_or_default();
-            say!("the time is trusted within {:.0} ms", ms("latest") - ms("earliest"));
+            print_line!("the time is trusted within {:.0} ms", ms("latest") - ms("earliest"));
         }
     }
     for order in &orders {
         let (contract, hours) = (text(order, "contract"), text(order, "hours"));
-        say!(
+        print_line!(
             "{} {} by {contract}, {hours}; held by {}",
             text(order, "name"),
             text(order, "state"),
@@ -123,7 +124,7 @@
             let waits =
                 if waits.is_empty() { String::new() } else { format!("; waits for {}", waits.join(" ")) };
             let (name, phase) = (text(&node, "node"), text(&node, "phase"));
-            say!("  {name:30} {phase:10} {:30} {}{waits}", text(&node, "since"), text(&node, "why"));
+            print_line!("  {name:30} {phase:10} {:30} {}{waits}", text(&node, "since"), text(&node, "why"));
         }
     }
     ExitCode::SUCCESS
@@ -140,10 +141,10 @@
     };
     let response: Value = sonic_rs::from_str(&answer).unwrap_or_default();
     if registries.json {
-        say!("{answer}");
+        print_line!("{answer}");
     } else {
         for missing in items(&response, "missing") {
-            say!(
+            print_line!(
                 "order {}: {}: {}",
                 text(&missing, "order"),
                 text(&missing, "node"),
@@ -153,7 +154,7 @@
     }
     if response.get("can").and_then(|can| can.as_bool()) == Some(true) {
         if !registries.json {
-            say!("{file}: nothing stands in its way for good");
+            print_line!("{file}: nothing stands in its way for good");
         }
         return ExitCode::SUCCESS;
     }
--- a/system/fennelctl/src/order.rs
+++ b/system/fennelctl/src/order.rs
@@ -2,6 +2,7 @@
 
 use crate::print_result;
 use crate::registry_client::{CallResult, RegistryClient};
+use fennelscale_log_writer::print_message;
 use sonic_rs::{JsonContainerTrait, JsonValueMutTrait, JsonValueTrait, Value};
 use std::process::ExitCode;
 
@@ -39,7 +40,7 @@
         other => return print_result(other),
     };
     let Some(body) = with_state(&config, list, name, state, by) else {
-        complain!("fennelctl: there is no order {name}");
+        print_message!("fennelctl: there is no order {name}");
         return ExitCode::FAILURE;
     };
     print_result(registries.call("PATCH", "/fennelscale/config", &body).await)
