Settings: an error names the line of its field

Why: an operator looks for the field that `--check` complains of.

What: `settings field heartbeatInterval in line 13: ...`; a field that is missing has no line.

Evidence: `an_error_names_the_line_of_its_field`.

--- a/system/node-settings/src/bounds.rs
+++ b/system/node-settings/src/bounds.rs
@@ -22,6 +22,7 @@
                     let text = given.get($name).map_or($fallback, String::as_str);
                     <$kind as BoundValue>::parse(text).ok_or_else(|| SettingsError::Field {
                         field: format!("bounds.{}", $name),
+                        line: document.line_of("bounds"),
                         found: text.to_owned(),
                         help: <$kind as BoundValue>::HELP.to_owned(),
                     })?
--- a/system/node-settings/src/read.rs
+++ b/system/node-settings/src/read.rs
@@ -33,11 +33,13 @@
         error: String,
     },
     /// A field is missing or invalid.
-    #[error("settings field {field}: {found}")]
+    #[error("settings field {field}{}: {found}", at_line(*line))]
     #[diagnostic(help("{help}"))]
     Field {
         /// The field's name.
         field: String,
+        /// The line of the file that it stands in, counted from 1, if it is there.
+        line: Option<usize>,
         /// The value found.
         found: String,
         /// The remedy.
@@ -45,6 +47,11 @@
     },
 }
 
+/// The place of a field for an error message.
+fn at_line(line: Option<usize>) -> String {
+    line.map(|line| format!(" in line {line}")).unwrap_or_default()
+}
+
 /// Which fields of a file were used.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct FieldReport {
@@ -55,6 +62,7 @@
 }
 
 pub(crate) struct Document {
+    text: String,
     json: String,
     /// Every field of the file as a dotted path; then the paths that were looked up, and unknown bounds.
     fields: Vec<String>,
@@ -90,7 +98,13 @@
         let json = sonic_rs::to_string(&table).map_err(|error| malformed(&error))?;
         let mut all = Vec::new();
         fields(&table, "", &mut all);
-        Ok(Self { json, fields: all, looked_up: RefCell::default(), unused: RefCell::default() })
+        Ok(Self {
+            text: text.to_owned(),
+            json,
+            fields: all,
+            looked_up: RefCell::default(),
+            unused: RefCell::default(),
+        })
     }
 
     /// Reports which fields were used and which were ignored.
@@ -122,7 +136,25 @@
 
     pub(crate) fn error(&self, at: &str, help: impl Into<String>) -> SettingsError {
         let found = self.at(at).map_or("is missing".into(), |value| value.as_raw_str().to_owned());
-        SettingsError::Field { field: at.trim_start_matches('/').replace('/', "."), found, help: help.into() }
+        let field = at.trim_start_matches('/').replace('/', ".");
+        SettingsError::Field { line: self.line_of(&field), field, found, help: help.into() }
+    }
+
+    /// The line that a field stands in, counted from 1.
+    pub(crate) fn line_of(&self, field: &str) -> Option<usize> {
+        let (table, key) = field.rsplit_once('.').unwrap_or(("", field));
+        let mut current_table = "";
+        for (index, line) in self.text.lines().enumerate() {
+            let line = line.trim();
+            if let Some(name) = line.strip_prefix('[').and_then(|rest| rest.split(']').next()) {
+                current_table = name.trim();
+            } else if current_table == table
+                && line.split_once('=').is_some_and(|(name, _)| name.trim().trim_matches('"') == key)
+            {
+                return Some(index + 1);
+            }
+        }
+        None
     }
 
     pub(crate) fn optional<T: DeserializeOwned>(&self, at: &str) -> Result<Option<T>, SettingsError> {
--- a/system/node-settings/src/tests.rs
+++ b/system/node-settings/src/tests.rs
@@ -65,7 +65,7 @@
     ];
     for (from, to, field) in cases {
         let error = Settings::parse(&TEXT.replacen(from, to, 1)).unwrap_err();
-        let SettingsError::Field { field: named, found, help } = error else { panic!("{error}") };
+        let SettingsError::Field { field: named, found, help, .. } = error else { panic!("{error}") };
         assert_eq!(named, field);
         assert!(!found.is_empty() && !help.is_empty());
     }
@@ -99,6 +99,23 @@
     assert_eq!(Settings::parse(&longest).unwrap().bounds.grace, fennelscale_time::MAX_DURATION);
 }
 
+#[test]
+fn an_error_names_the_line_of_its_field() {
+    for (from, to, field) in [
+        ("drain=4000ms", "gracePeriod=1e300s", "bounds"),
+        ("\"1500ms\"", "\"1e300s\"", "heartbeatInterval"),
+        ("\"800ms\"", "\"1e300s\"", "maxLag"),
+        ("memoryMb = 256", "memoryMb = 0", "memoryMb"),
+    ] {
+        let text = TEXT.replacen(from, to, 1);
+        let line = 1 + text.lines().position(|line| line.starts_with(field)).unwrap();
+        let error = Settings::parse(&text).unwrap_err().to_string();
+        assert!(error.contains(&format!(" in line {line}: ")), "{error}");
+    }
+    let missing = Settings::parse(&TEXT.replacen("bootstrap = true", "", 1)).unwrap_err().to_string();
+    assert_eq!(missing, "settings field bootstrap: is missing");
+}
+
 #[test]
 fn failure_orders_need_complete_limits() {
     assert_eq!(Settings::parse(TEXT).unwrap().failure_limits, None);
